One connection for each attempt at an upstream; tests of exchanges and the command line

Cause: with kept connections, bytes beyond one answer were swallowed or could have been read as the next request's answer (tests.test_exchange, bytes beyond the answer: the second request waited in vain). A garbage status line raised an error of another type and got 500 instead of "outcome unknown". Ruled out: discarding connections that are readable before reuse; a stray answer that comes a moment later is still taken for the next one's (docs/design/002). Change: no kept connections to upstreams; http.client's own errors count as upstream failures.

--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Examples that run."""
--- a/src/cherrylane/daemon/runtime.py
+++ b/src/cherrylane/daemon/runtime.py
@@ -11,7 +11,7 @@
 from cherrylane.delivery.admission import AdmissionDesk
 from cherrylane.delivery.attempts import Attempts
 from cherrylane.delivery.chats import ChatDelivery
-from cherrylane.delivery.exchange import UpstreamPool
+from cherrylane.delivery.exchange import UpstreamClient
 from cherrylane.delivery.plain import PlainDelivery
 from cherrylane.errors import PlatformError
 from cherrylane.http.callers import CallerApplication
@@ -213,7 +213,7 @@
 
     def _make_caller_server(self) -> HttpServer:
         settings = self.settings
-        attempts = Attempts(self.desk, UpstreamPool(settings.upstreams), self.metrics)
+        attempts = Attempts(self.desk, UpstreamClient(settings.upstreams), self.metrics)
         application = CallerApplication(
             settings.callers,
             settings.host,
--- a/src/cherrylane/delivery/attempts.py
+++ b/src/cherrylane/delivery/attempts.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from cherrylane.delivery.admission import AdmissionDesk
-from cherrylane.delivery.exchange import Exchange, UpstreamPool, UpstreamRequest
+from cherrylane.delivery.exchange import Exchange, UpstreamClient, UpstreamRequest
 from cherrylane.errors import Execution, Refusal, UpstreamError
 from cherrylane.limits.work import Ask, Busy, Grant
 from cherrylane.membership.runners import Runner
@@ -56,9 +56,9 @@
 class Attempts:
     """Carries tasks to upstreams."""
 
-    def __init__(self, desk: AdmissionDesk, pool: UpstreamPool, metrics: Metrics) -> None:
+    def __init__(self, desk: AdmissionDesk, upstreams: UpstreamClient, metrics: Metrics) -> None:
         self._desk = desk
-        self._pool = pool
+        self._upstreams = upstreams
         self._metrics = metrics
 
     def run(self, task: Task, view: FleetView, service: ServiceView) -> Result[Delivered, Refusal]:
@@ -131,9 +131,7 @@
             self._desk.release(grant)
             return Err(_refuse_not_listed(grant))
         try:
-            exchange = self._pool.open(
-                runner, task.request, fresh=not task.repeatable, caller=task.caller
-            )
+            exchange = self._upstreams.open(runner, task.request, caller=task.caller)
         except UpstreamError as error:
             self._desk.release(grant)
             log.warning(f"attempt failed: {error}", extra={"request": task.request_id})
--- a/src/cherrylane/delivery/exchange.py
+++ b/src/cherrylane/delivery/exchange.py
@@ -1,14 +1,15 @@
-"""One request to an upstream and its answer, over bounded pools of connections."""
+"""One request to an upstream and its answer, on a connection of its own."""
 
+from collections import Counter
 from collections.abc import Iterator, Mapping
+from http.client import HTTPException
 from select import POLLIN, POLLRDHUP, poll
 from socket import MSG_DONTWAIT, MSG_PEEK, socket
 from threading import Lock
-from time import monotonic
 
-from attrs import define, field, frozen
+from attrs import frozen
 from urllib3.connection import HTTPConnection
-from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+from urllib3.exceptions import HTTPError
 from urllib3.response import HTTPResponse
 
 from cherrylane.errors import CallerGoneError, TruncatedAnswerError, UpstreamError
@@ -16,7 +17,9 @@
 from cherrylane.settings.schema import UpstreamSettings
 
 MILLISECONDS_PER_SECOND = 1000
+READ_BYTES = 64 * 1024
 MAX_WHOLE_ANSWER_BYTES = 64 * 1024 * 1024
+FAILURES = (HTTPError, HTTPException, OSError)
 
 
 @frozen
@@ -29,96 +32,67 @@
     body: bytes
 
 
-@define
-class _IdleConnection:
-    connection: HTTPConnection
-    since: float
+class UpstreamClient:
+    """Opens a new connection for each attempt, a bounded number of them to each runner at once.
 
-
-@define
-class _RunnerPool:
-    """The connections to one runner: how many are out, and which lie idle."""
-
-    in_use: int = 0
-    idle: list[_IdleConnection] = field(factory=list)
-
-
-class UpstreamPool:
-    """Keeps a bounded number of connections to each runner."""
+    A connection carries one request and its answer, so a late or crossed answer to an earlier
+    request can't be taken for the answer to a later one, and no request rides on a connection
+    that went silent while it was kept.
+    """
 
     def __init__(self, settings: UpstreamSettings) -> None:
         self.settings = settings
-        self._pools: dict[str, _RunnerPool] = {}
+        self._open_connections: Counter[str] = Counter()
         self._lock = Lock()
 
     def open(
-        self,
-        runner: Runner,
-        request: UpstreamRequest,
-        *,
-        fresh: bool = False,
-        caller: socket | None = None,
+        self, runner: Runner, request: UpstreamRequest, *, caller: socket | None = None
     ) -> "Exchange":
         """Send ``request`` to ``runner`` and return once its answer has begun.
 
-        A ``fresh`` exchange opens a new connection, which proves that the upstream is there.
         Raises :class:`UpstreamError`, whose ``sent`` says whether any byte may have left, and
         :class:`CallerGoneError` when ``caller`` closes first.
         """
-        connection = self._take(runner, fresh=fresh)
+        self._reserve(runner)
+        connection = HTTPConnection(
+            runner.address,
+            runner.port,
+            timeout=self.settings.connect_timeout_s,
+            blocksize=READ_BYTES,
+        )
         try:
             self._connect(runner, connection)
             self._send(runner, connection, request)
             self._wait(runner, connection, caller)
-            response = self._begin(runner, connection, request)
+            response = self._begin(runner, connection)
         except BaseException:
-            self.discard(runner, connection)
+            self.close(runner, connection)
             raise
         return Exchange(self, runner, connection, response)
 
-    def give_back(self, runner: Runner, connection: HTTPConnection) -> None:
-        """Take back a connection whose answer was read to its end."""
-        with self._lock:
-            pool = self._pools[runner.endpoint]
-            pool.in_use -= 1
-            pool.idle.append(_IdleConnection(connection, monotonic()))
-
-    def discard(self, runner: Runner, connection: HTTPConnection) -> None:
+    def close(self, runner: Runner, connection: HTTPConnection) -> None:
         """Close a connection, which cancels what the upstream still does for it."""
         connection.close()
         with self._lock:
-            self._pools[runner.endpoint].in_use -= 1
+            self._open_connections[runner.endpoint] -= 1
+            if not self._open_connections[runner.endpoint]:
+                del self._open_connections[runner.endpoint]
 
-    def _take(self, runner: Runner, *, fresh: bool) -> HTTPConnection:
-        oldest = monotonic() - self.settings.idle_connection_s
+    def _reserve(self, runner: Runner) -> None:
         with self._lock:
-            pool = self._pools.setdefault(runner.endpoint, _RunnerPool())
-            if pool.in_use >= self.settings.pool_per_upstream:
-                raise UpstreamError(
-                    f"{pool.in_use} connections to upstream {runner.name} are in use already",
-                    remedy="try another upstream or raise upstreams.pool_per_upstream",
-                    sent=False,
-                )
-            pool.in_use += 1
-            stale = [item for item in pool.idle if item.since < oldest]
-            pool.idle = [item for item in pool.idle if item.since >= oldest]
-            reused = pool.idle.pop().connection if pool.idle and not fresh else None
-        for item in stale:
-            item.connection.close()
-        if reused is not None and reused.is_connected:
-            return reused
-        if reused is not None:
-            reused.close()
-        return HTTPConnection(
-            runner.address, runner.port, timeout=self.settings.connect_timeout_s, blocksize=65536
+            if self._open_connections[runner.endpoint] < self.settings.max_connections:
+                self._open_connections[runner.endpoint] += 1
+                return
+        raise UpstreamError(
+            f"{self.settings.max_connections} connections to upstream {runner.name} are open",
+            remedy="try another upstream or raise upstreams.max_connections",
+            sent=False,
         )
 
     def _connect(self, runner: Runner, connection: HTTPConnection) -> None:
-        if connection.sock is not None:
-            return
         try:
             connection.connect()
-        except (NewConnectionError, ConnectTimeoutError, HTTPError, OSError) as error:
+        except FAILURES as error:
             raise UpstreamError(
                 f"cannot connect to upstream {runner.name} ({type(error).__name__})",
                 remedy="try another upstream",
@@ -132,11 +106,11 @@
                 request.method,
                 request.path,
                 body=request.body,
-                headers=request.headers,
+                headers={**request.headers, "Connection": "close"},
                 preload_content=False,
                 decode_content=False,
             )
-        except (HTTPError, OSError) as error:
+        except FAILURES as error:
             raise UpstreamError(
                 f"the request to upstream {runner.name} broke off ({type(error).__name__})",
                 remedy="try another upstream if the request may run twice",
@@ -159,12 +133,10 @@
         if caller is not None and caller.fileno() in descriptors and is_gone(caller):
             raise CallerGoneError("the caller has closed its connection", remedy="nothing to do")
 
-    def _begin(
-        self, runner: Runner, connection: HTTPConnection, request: UpstreamRequest
-    ) -> HTTPResponse:
+    def _begin(self, runner: Runner, connection: HTTPConnection) -> HTTPResponse:
         try:
             return connection.getresponse()
-        except (HTTPError, OSError) as error:
+        except FAILURES as error:
             raise UpstreamError(
                 f"upstream {runner.name} gave no answer ({type(error).__name__})",
                 remedy="try another upstream if the request may run twice",
@@ -177,12 +149,12 @@
 
     def __init__(
         self,
-        pool: UpstreamPool,
+        client: UpstreamClient,
         runner: Runner,
         connection: HTTPConnection,
         response: HTTPResponse,
     ) -> None:
-        self._pool = pool
+        self._client = client
         self._connection: HTTPConnection | None = connection
         self._response = response
         self.runner = runner
@@ -197,11 +169,11 @@
             while chunk := self._response.read1():
                 received += len(chunk)
                 yield chunk
-        except (HTTPError, OSError) as error:
+        except FAILURES as error:
             raise self._truncated(received, type(error).__name__) from error
         if expected is not None and received != expected:
             raise self._truncated(received, f"{expected} bytes were promised")
-        self._finish()
+        self.close()
 
     def read_whole(self) -> bytes:
         """Return the whole body."""
@@ -218,16 +190,7 @@
         """Give up the rest of the answer; the upstream sees the connection close and cancels."""
         connection, self._connection = self._connection, None
         if connection is not None:
-            self._pool.discard(self.runner, connection)
-
-    def _finish(self) -> None:
-        connection, self._connection = self._connection, None
-        if connection is None:
-            return
-        if self.headers.get("connection", "").lower() == "close":
-            self._pool.discard(self.runner, connection)
-        else:
-            self._pool.give_back(self.runner, connection)
+            self._client.close(self.runner, connection)
 
     def _truncated(self, received: int, reason: str) -> TruncatedAnswerError:
         return TruncatedAnswerError(
--- a/src/cherrylane/http/server.py
+++ b/src/cherrylane/http/server.py
@@ -68,7 +68,7 @@
 
     def get_environ(self) -> Environ:  # type: ignore[override]
         environ: Environ = {}
-        environ.update(super().get_environ())  # type: ignore[arg-type]
+        environ.update(super().get_environ())
         environ[CONNECTION_KEY] = self.req.conn.socket
         return environ
 
--- a/src/cherrylane/settings/schema.py
+++ b/src/cherrylane/settings/schema.py
@@ -99,8 +99,7 @@
     connect_timeout_s: float = field(default=1.0, validator=gt(0))
     first_byte_timeout_s: float = field(default=60.0, validator=gt(0))
     silence_timeout_s: float = field(default=15.0, validator=gt(0))
-    pool_per_upstream: int = field(default=64, validator=ge(1))
-    idle_connection_s: float = field(default=10.0, validator=gt(0))
+    max_connections: int = field(default=512, validator=ge(1))
 
 
 @frozen
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -7,7 +7,7 @@
 from os import environ
 from pathlib import Path
 from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
-from subprocess import PIPE, Popen, TimeoutExpired, run
+from subprocess import PIPE, STDOUT, Popen, TimeoutExpired, run
 from tempfile import TemporaryDirectory
 from time import monotonic, sleep
 from typing import Any
@@ -58,6 +58,14 @@
     changes: dict[str, dict[str, Any]] = field(factory=dict)
 
 
+@frozen
+class CommandResult:
+    """How a command ended, and what it printed."""
+
+    code: int
+    text: str
+
+
 @define
 class Member:
     """One started process."""
@@ -153,11 +161,17 @@
 
     def run_cli(self, *arguments: str) -> str:
         """Run the operators' tool and return what it printed; raises when it fails."""
-        command = [sys.executable, "-m", "cherrylane.cli.main", "--platform", self.platform_url]
-        done = run([*command, *arguments], capture_output=True, text=True, cwd=ROOT)
-        if done.returncode != 0:
-            raise RuntimeError(f"cherrylane {' '.join(arguments)}: {done.stderr}")
-        return done.stdout
+        result = self.try_cli(*arguments)
+        if result.code != 0:
+            raise RuntimeError(f"cherrylane {' '.join(arguments)}: {result.text}")
+        return result.text
+
+    def try_cli(self, *arguments: str, platform: str = "") -> CommandResult:
+        """Run the operators' tool and return how it ended."""
+        command = [sys.executable, "-m", "cherrylane.cli.main"]
+        command += ["--platform", platform or self.platform_url, *arguments]
+        done = run(command, stdout=PIPE, stderr=STDOUT, text=True, cwd=ROOT)
+        return CommandResult(done.returncode, done.stdout)
 
     def record_of(self, name: str) -> dict[str, Any] | None:
         """Return the roster entry of a host, None while it has not joined."""
@@ -180,6 +194,20 @@
             "GET", f"http://{record['operators']['address']}:{record['operators']['port']}/status"
         )
 
+    def loads_of(self, service: str) -> dict[str, float]:
+        """Return the load of each engine of ``service`` as its homes count it."""
+        loads: dict[str, float] = {}
+        for name in self.daemons:
+            status = self.status_of(name)
+            if status is not None:
+                loads.update(status["loads"].get(service, {}))
+        return loads
+
+    def engine_counts(self, name: str) -> dict[str, int]:
+        """Return what an engine says it has done, without lag."""
+        counts = self.request("GET", f"http://127.0.0.1:{self.engines[name].port}/counts")
+        return {} if counts is None else counts
+
     def wait_until_serving(self, generation: int = 1) -> None:
         """Wait until every running daemon serves by ``generation`` and sees the same hosts."""
         running = sorted(name for name, member in self.daemons.items() if member.is_running())
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,79 @@
+from argparse import Namespace
+from json import loads
+from pathlib import Path
+
+from testtools import TestCase
+from testtools.matchers import Contains
+
+from cherrylane.cli.main import (
+    EXIT_BAD_INPUT,
+    EXIT_CONFLICT,
+    EXIT_OK,
+    EXIT_UNAVAILABLE,
+    run,
+)
+from cherrylane.configuration.store import CURRENT
+from cherrylane.platform.client import PlatformClient
+from cherrylane.platform.objects import Kind, PlatformObject
+from cherrylane.settings.schema import PlatformSettings
+from standins.fleet import ROOT, CommandResult, Fleet, open_fleet
+
+EXAMPLES = [str(ROOT / "examples" / name) for name in ("base.yaml", "tw-north.yaml")]
+NOWHERE = "http://127.0.0.1:1"
+
+
+class CommandLineTest(TestCase):
+    fleet: Fleet
+
+    def setUp(self) -> None:
+        super().setUp()
+        opened = open_fleet()
+        self.fleet = opened.__enter__()
+        self.addCleanup(opened.__exit__, None, None, None)
+        self.fleet.start_platform()
+        self.client = PlatformClient(PlatformSettings(url=self.fleet.platform_url))
+
+    def run_command(self, *words: str, platform: str = "") -> CommandResult:
+        return self.fleet.try_cli(*words, platform=platform)
+
+    def test_apply_is_accepted_once_for_one_id(self) -> None:
+        for _ in range(2):
+            result = self.run_command("apply", *EXAMPLES, "--apply-id", "first")
+            self.assertEqual(EXIT_OK, result.code)
+        self.assertEqual(1, self.client.get(Kind.GENERATIONS, CURRENT).spec["number"])
+        self.run_command("apply", *EXAMPLES, "--apply-id", "second")
+        self.assertEqual(2, self.client.get(Kind.GENERATIONS, CURRENT).spec["number"])
+
+    def test_an_apply_whose_answer_is_lost_says_how_to_repeat_it(self) -> None:
+        self.run_command("apply", *EXAMPLES, "--apply-id", "first")
+        self.fleet.set_faults(lose_answers=1)
+        result = self.run_command("apply", *EXAMPLES, "--apply-id", "lost")
+        self.assertEqual(EXIT_UNAVAILABLE, result.code)
+        self.assertThat(result.text, Contains("--apply-id lost"))
+        result = self.run_command("apply", *EXAMPLES, "--apply-id", "lost")
+        self.assertEqual(EXIT_OK, result.code)
+        self.assertEqual(2, self.client.get(Kind.GENERATIONS, CURRENT).spec["number"])
+
+    def test_racing_operators_get_a_conflict(self) -> None:
+        self.run_command("apply", *EXAMPLES)
+        stored = self.client.get(Kind.GENERATIONS, CURRENT)
+        self.client.update(stored)
+        stale = PlatformObject(Kind.GENERATIONS, CURRENT, stored.spec, stored.version)
+        arguments = Namespace(run=lambda _: self.client.update(stale))
+        self.assertEqual(EXIT_CONFLICT, run(arguments))
+
+    def test_output_for_programs(self) -> None:
+        self.run_command("apply", *EXAMPLES)
+        result = self.run_command("--output", "json", "get", "services")
+        self.assertEqual(
+            {"case-service", "drafting-llm"}, {row["service"] for row in loads(result.text)}
+        )
+
+    def test_bad_input_and_an_absent_platform_have_codes_of_their_own(self) -> None:
+        path = Path(self.fleet.directory) / "bad.yaml"
+        path.write_text("sites: {tw-north: {firm: hsinchu, colour: red}}", encoding="utf-8")
+        result = self.run_command("apply", str(path))
+        self.assertEqual(EXIT_BAD_INPUT, result.code)
+        self.assertThat(result.text, Contains("unknown key colour, allowed are firm"))
+        result = self.run_command("get", "hosts", platform=NOWHERE)
+        self.assertEqual(EXIT_UNAVAILABLE, result.code)
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -1,6 +1,8 @@
 """The whole path, thin: the example fleet as separate processes, driven by ordinary clients."""
 
 from concurrent.futures import ThreadPoolExecutor
+from json import dumps
+from socket import create_connection
 from typing import Any
 
 from openai import OpenAI
@@ -38,6 +40,7 @@
         self.check_returning_chat(urls)
         self.check_refusals(urls["hsinchu-1"])
         self.check_plain_service(urls["hsinchu-2"])
+        self.check_callers_that_leave(urls["hsinchu-1"])
         self.check_killed_host(urls)
         self.check_graceful_stop()
 
@@ -72,6 +75,34 @@
         refused = request("POST", path, headers=stranger, json={"key": "grievance-2"})
         self.assertEqual("service_not_found", refused.json()["error"]["code"])
 
+    def check_callers_that_leave(self, url: str) -> None:
+        """Their work is cancelled at the engine and its load given back."""
+        self.check_caller_that_leaves(url, stream=True)
+        self.check_caller_that_leaves(url, stream=False)
+        loads = self.fleet.loads_of("drafting-llm")
+        self.assertEqual([0.0, 0.0, 0.0], list(loads.values()))
+
+    def check_caller_that_leaves(self, url: str, *, stream: bool) -> None:
+        before = self.count_cancelled()
+        body = dumps({"model": MODEL, "messages": MESSAGES, "stream": stream, "max_tokens": 4000})
+        head = (
+            f"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+            f"Authorization: Bearer {UNION_KEY}\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        with create_connection(("127.0.0.1", int(url.rsplit(":", 1)[1]))) as caller:
+            caller.sendall(f"{head}{body}".encode())
+            wait_until(lambda: self.count_held("hsinchu-1") == 1, "the grant")
+        wait_until(lambda: self.count_held("hsinchu-1") == 0, "the grant to be given back")
+        wait_until(lambda: self.count_cancelled() > before, "the engine to cancel")
+
+    def count_held(self, name: str) -> int:
+        status = self.fleet.status_of(name)
+        return -1 if status is None else int(status["grants_held"])
+
+    def count_cancelled(self) -> int:
+        counts = [self.fleet.engine_counts(name) for name in self.fleet.engines]
+        return sum(count["cancelled"] for count in counts)
+
     def check_killed_host(self, urls: dict[str, str]) -> None:
         home = next(name for name in urls if self.is_home(name))
         rest = {name: url for name, url in urls.items() if name != home}
