--- a/src/cherrylane/delivery/attempts.py
+++ b/src/cherrylane/delivery/attempts.py
@@ -151,7 +151,7 @@
     hinted = service.runners.get(ask.hinted)
     if hinted is not None and ask.hinted not in excluded and hinted.serves(ask.model):
         return service.pools[ask.hinted]
-    for name in service.table_for(ask.model).rank(ask.chat, len(excluded) + 1):
+    for name in service.rank(ask.chat, len(excluded) + 1, model=ask.model):
         if name not in excluded:
             return service.pools[name]
     return None
--- a/src/cherrylane/http/operators.py
+++ b/src/cherrylane/http/operators.py
@@ -82,11 +82,8 @@
 
 def explain_chat(view: FleetView, service: ServiceView, model: str, key: int) -> dict[str, Any]:
     """Return where the chat with hash ``key`` would go, and why."""
-    table = service.table_for(model)
-    order = [
-        _explain_engine(service, name, rank)
-        for rank, name in enumerate(table.rank(key, EXPLAIN_RANKS), start=1)
-    ]
+    ranked = service.rank(key, EXPLAIN_RANKS, model=model)
+    order = [_explain_engine(service, name, rank) for rank, name in enumerate(ranked, start=1)]
     reason = (
         "the order is a rendezvous hash of the chat and the engines; the home takes the engine "
         "where the chat ran last, else the first within the load bound"
--- a/src/cherrylane/limits/pool.py
+++ b/src/cherrylane/limits/pool.py
@@ -11,6 +11,7 @@
 from cherrylane.limits.ledger import Ledger, OutsideLoad
 from cherrylane.limits.waiting import FairQueue, Reply, Waiter
 from cherrylane.limits.work import Ask, Busy, Grant, estimate_work
+from cherrylane.membership.runners import Runner
 from cherrylane.routing.homes import PoolKey
 from cherrylane.routing.view import ServiceView
 
@@ -49,18 +50,20 @@
         self._account_grants: dict[str, int] = {}
         self._closed = False
         self._service = service
+        self._members: dict[str, Runner] = {}
         self.set_service(service)
 
     def set_service(self, service: ServiceView) -> None:
         """Take over a changed list of engines or changed settings."""
         with self._lock:
-            gone = set(self._ledger.engines) - set(service.runners)
+            gone = set(self._ledger.engines) - set(service.members(self.key))
             for engine in gone:
                 self._chats.forget_engine(engine)
             self._service = service
             self._ledger.bound = service.entry.service.bound
-            members = service.members(self.key)
-            self._ledger.set_engines({runner.name: runner.weight for runner in members})
+            self._members = service.members(self.key)
+            weights = {name: runner.weight for name, runner in self._members.items()}
+            self._ledger.set_engines(weights)
             self._serve_waiting()
 
     def set_outside(self, outside: OutsideLoad) -> None:
@@ -162,18 +165,20 @@
         if place is not None and place.engine not in seen and self._serves(place.engine, ask.model):
             seen.add(place.engine)
             yield Candidate(place.engine, place.cached_tokens, reason="returning")
-        table = self._service.table_for(ask.model)
-        for name in table.rank(ask.chat, len(table.runners)):
+        order = self._service.rank(ask.chat, len(self._members), model=ask.model, pool=self.key)
+        for name in order:
             if name not in seen:
                 yield Candidate(name)
 
     def _serves(self, engine: str, model: str) -> bool:
-        runner = self._service.runners.get(engine)
+        runner = self._members.get(engine)
         return runner is not None and runner.serves(model)
 
     def _has_candidate(self, ask: Ask) -> bool:
-        able = self._service.table_for(ask.model).runners
-        return any(name in self._ledger.engines and name not in ask.excluded for name in able)
+        return any(
+            runner.serves(ask.model) and name not in ask.excluded
+            for name, runner in self._members.items()
+        )
 
     def _serve_waiting(self) -> None:
         while self._queue.size and self._can_admit():
--- a/src/cherrylane/membership/liveness.py
+++ b/src/cherrylane/membership/liveness.py
@@ -22,12 +22,11 @@
 
 def witnesses_of(name: str, site: str, roster: Roster) -> list[HostRecord]:
     """Return the hosts that watch host ``name``."""
-    others = sorted(
-        (host for host in roster.hosts.values() if host.site == site and host.name != name),
-        key=lambda host: host.name,
-    )
-    table = RendezvousTable([host.name for host in others])
-    return [others[index] for index in table.rank_indexes(hash_text(name), WITNESSES)]
+    others = [
+        host.name for host in roster.hosts.values() if host.site == site and host.name != name
+    ]
+    best = RendezvousTable(others).rank(hash_text(name), WITNESSES)
+    return [roster.hosts[witness] for witness in best]
 
 
 class Liveness:
--- a/src/cherrylane/platform/watcher.py
+++ b/src/cherrylane/platform/watcher.py
@@ -66,8 +66,15 @@
                 continue
             except PlatformError as error:
                 log.warning(f"watch of {self._kind.value} interrupted: {error}")
-                self._stopping.wait(delay_s * self._random.uniform(0.5, 1.0))
-                delay_s = min(RETRY_MAX_S, delay_s * 2)
+                delay_s = self._pause(delay_s)
+            except Exception:
+                # The thread has to live on: without it the host would never learn anything more.
+                log.exception(f"a change of {self._kind.value} could not be taken")
+                delay_s = self._pause(delay_s)
+
+    def _pause(self, delay_s: float) -> float:
+        self._stopping.wait(delay_s * self._random.uniform(0.5, 1.0))
+        return min(RETRY_MAX_S, delay_s * 2)
 
     def _list(self) -> str:
         listed = self._client.list(self._kind)
--- a/src/cherrylane/routing/homes.py
+++ b/src/cherrylane/routing/homes.py
@@ -32,5 +32,5 @@
     hosts = roster.of_site(site)
     if not hosts:
         return None
-    table = RendezvousTable([host.name for host in hosts])
-    return hosts[table.rank_indexes(hash_text(str(pool)), 1)[0]]
+    by_name = {host.name: host for host in hosts}
+    return by_name[RendezvousTable(list(by_name)).rank(hash_text(str(pool)), 1)[0]]
--- a/src/cherrylane/routing/view.py
+++ b/src/cherrylane/routing/view.py
@@ -9,18 +9,6 @@
 from cherrylane.routing.rendezvous import RendezvousTable
 
 
-@frozen
-class ModelTable:
-    """The live runners of a service that have one model, ready to be ranked."""
-
-    runners: dict[str, Runner]
-    table: RendezvousTable
-
-    def rank(self, key: int, count: int) -> list[str]:
-        """Return the names of the best ``count`` runners for ``key``."""
-        return self.table.rank(key, count)
-
-
 @define
 class ServiceView:
     """One service with its live runners, their pools and the pools' homes."""
@@ -29,19 +17,28 @@
     runners: dict[str, Runner]
     pools: dict[str, PoolKey]
     homes: dict[PoolKey, HostRecord]
-    _tables: dict[str, ModelTable] = field(factory=dict)
+    _members: dict[PoolKey, dict[str, Runner]] = field(factory=dict)
+    _tables: dict[tuple[str, PoolKey | None], RendezvousTable] = field(factory=dict)
 
-    def table_for(self, model: str) -> ModelTable:
-        """Return the table of the runners that serve ``model``; made once a view."""
-        table = self._tables.get(model)
-        if table is None:
-            table = _make_table(self.runners, model)
-            self._tables[model] = table
-        return table
+    def __attrs_post_init__(self) -> None:
+        for name, pool in self.pools.items():
+            self._members.setdefault(pool, {})[name] = self.runners[name]
+
+    def members(self, pool: PoolKey) -> dict[str, Runner]:
+        """Return the live runners of ``pool`` by name."""
+        return self._members.get(pool, {})
 
-    def members(self, pool: PoolKey) -> list[Runner]:
-        """Return the live runners of ``pool``."""
-        return [self.runners[name] for name, key in self.pools.items() if key == pool]
+    def rank(self, key: int, count: int, *, model: str, pool: PoolKey | None = None) -> list[str]:
+        """Return the best ``count`` runners that serve ``model`` for ``key``, best first.
+
+        With ``pool``, only its runners are ranked. Tables are made when first asked for.
+        """
+        table = self._tables.get((model, pool))
+        if table is None:
+            runners = self.runners if pool is None else self.members(pool)
+            table = _make_table(runners, model)
+            self._tables[(model, pool)] = table
+        return table.rank(key, count)
 
 
 @frozen
@@ -87,7 +84,6 @@
     return ServiceView(entry=entry, runners=runners, pools=pools, homes=homes)
 
 
-def _make_table(runners: dict[str, Runner], model: str) -> ModelTable:
-    able = {name: runner for name, runner in sorted(runners.items()) if runner.serves(model)}
-    weights = [runner.weight for runner in able.values()]
-    return ModelTable(runners=able, table=RendezvousTable(list(able), weights))
+def _make_table(runners: dict[str, Runner], model: str) -> RendezvousTable:
+    able = [runner for runner in runners.values() if runner.serves(model)]
+    return RendezvousTable([runner.name for runner in able], [runner.weight for runner in able])
--- /dev/null
+++ b/tests/test_watcher.py
@@ -0,0 +1,60 @@
+from threading import Event
+
+from testtools import TestCase
+
+from cherrylane.platform.client import PlatformClient
+from cherrylane.platform.objects import Kind, PlatformObject
+from cherrylane.platform.watcher import Watcher
+from cherrylane.settings.schema import PlatformSettings
+from standins.fleet import Fleet, open_fleet, wait_until
+
+
+class WatcherTest(TestCase):
+    fleet: Fleet
+
+    def setUp(self) -> None:
+        super().setUp()
+        opened = open_fleet()
+        self.fleet = opened.__enter__()
+        self.addCleanup(opened.__exit__, None, None, None)
+        self.fleet.start_platform()
+        self.client = PlatformClient(PlatformSettings(url=self.fleet.platform_url, timeout_s=1.0))
+        self.seen: dict[str, PlatformObject] = {}
+
+    def watch(self) -> Watcher:
+        watcher = Watcher(self.client, Kind.HOSTS, lambda objects: self.seen.update(objects))
+        self.addCleanup(watcher.stop)
+        watcher.start()
+        return watcher
+
+    def create(self, name: str) -> None:
+        self.client.create(PlatformObject(Kind.HOSTS, name, {"zone": "a"}))
+
+    def test_changes_arrive_after_the_list(self) -> None:
+        self.create("first")
+        self.assertTrue(self.watch().wait_until_listed(10.0))
+        self.create("second")
+        wait_until(lambda: set(self.seen) == {"first", "second"}, "the second object")
+
+    def test_a_watch_goes_on_after_an_outage(self) -> None:
+        self.watch().wait_until_listed(10.0)
+        self.fleet.set_faults(down=True)
+        self.fleet.set_faults(down=False)
+        self.create("after")
+        wait_until(lambda: "after" in self.seen, "the object made after the outage")
+
+    def test_a_listener_that_fails_does_not_end_the_watch(self) -> None:
+        """Found when an empty list of runners raised an error in the table's making."""
+        failed = Event()
+
+        def listener(objects: dict[str, PlatformObject]) -> None:
+            if not failed.is_set():
+                failed.set()
+                raise ValueError("the first list is bad")
+            self.seen.update(objects)
+
+        watcher = Watcher(self.client, Kind.HOSTS, listener)
+        self.addCleanup(watcher.stop)
+        watcher.start()
+        self.create("later")
+        wait_until(lambda: "later" in self.seen, "the watch to go on")
