Place chats by what engines have cached, and the rest by load

Change: the home replays each engine's cache as a list of chats used last, with a capacity that it learns from what answers say was found cached; chats cached nowhere go to the least loaded engine.

Also: engines that cannot be reached, fail in a row or flap are put aside (at most half at once), joined ones start slowly, retries spend from a budget of a tenth of requests.

--- /dev/null
+++ b/bench/engines.py
@@ -0,0 +1,139 @@
+"""Fake engines: a load, and a prefix cache of limited size. Whoever drives them sees the truth."""
+
+from collections import OrderedDict
+
+from attrs import define, field
+
+from bench.trace import Arrival, Churn, EngineChange, Workload
+from cherrylane.limits.work import PREFILL_COST
+
+LIST_DELAY_S = 3.0
+REPORT_EVERY_S = 1.0
+
+
+@define
+class FakeEngine:
+    """One engine; its cache holds whole chats, the least recently used go first."""
+
+    name: str
+    cache_tokens: float
+    born_s: float = -LIST_DELAY_S
+    died_s: float | None = None
+    load: float = 0.0
+    running: dict[int, float] = field(factory=dict)
+    cache: OrderedDict[int, int] = field(factory=OrderedDict)
+    held_tokens: int = 0
+
+    def cached(self, arrival: Arrival) -> int:
+        """Return how many tokens of the request's prefix are held."""
+        return min(self.cache.get(arrival.chat, 0), arrival.prefix_tokens)
+
+    def work_of(self, arrival: Arrival, expected_answer: float) -> float:
+        """Return the expected work of a request here, by the true state of the cache."""
+        uncached = arrival.prefix_tokens - self.cached(arrival)
+        return PREFILL_COST * uncached + expected_answer
+
+    def begin(self, number: int, work: float, arrival: Arrival) -> None:
+        """Take a request, and hold its prefix."""
+        self.running[number] = work
+        self.load += work
+        self._store(arrival.chat, arrival.prefix_tokens)
+
+    def end(self, number: int, arrival: Arrival) -> None:
+        """Finish a request, and hold its answer too."""
+        work = self.running.pop(number, None)
+        if work is None:
+            return
+        self.load = self.load - work if self.running else 0.0
+        self._store(arrival.chat, arrival.prefix_tokens + arrival.answer_tokens)
+
+    def _store(self, chat: int, tokens: int) -> None:
+        self.held_tokens += tokens - self.cache.pop(chat, 0)
+        self.cache[chat] = tokens
+        while self.held_tokens > self.cache_tokens:
+            _, gone = self.cache.popitem(last=False)
+            self.held_tokens -= gone
+
+
+class FakeFleet:
+    """All engines, live ones by slot, and what lagging lists and reports say of them."""
+
+    def __init__(self, workload: Workload) -> None:
+        self.workload = workload
+        self.now_s = 0.0
+        self.slots: dict[int, FakeEngine | None] = {
+            slot: FakeEngine(f"engine-{slot}.0", workload.cache_tokens)
+            for slot in range(workload.engines)
+        }
+        self.engines = {engine.name: engine for engine in self.slots.values() if engine}
+        self.reported: dict[str, float] = dict.fromkeys(self.engines, 0.0)
+        self.total_load = 0.0
+        self.version = 0
+        self._settled = workload.engines
+        self._settled_version = 0
+        self._settled_until = float("inf")
+        self._made = workload.engines
+        self._next_report_s = REPORT_EVERY_S
+
+    def live(self) -> list[FakeEngine]:
+        """Return the engines that are there."""
+        return [engine for engine in self.engines.values() if engine.died_s is None]
+
+    def settled_count(self) -> int:
+        """Return the number of live engines that every list shows by now."""
+        oldest = self.now_s - LIST_DELAY_S
+        if self._settled_until > self.now_s and self._settled_version == self.version:
+            return self._settled
+        births = [engine.born_s for engine in self.live()]
+        self._settled = sum(1 for born in births if born <= oldest)
+        self._settled_version = self.version
+        pending = [born + LIST_DELAY_S for born in births if born > oldest]
+        self._settled_until = min(pending, default=float("inf"))
+        return self._settled
+
+    def is_live(self, name: str) -> bool:
+        """Say whether the engine is there."""
+        engine = self.engines.get(name)
+        return engine is not None and engine.died_s is None
+
+    def is_listed(self, name: str, view: int) -> bool:
+        """Say whether a view's lagging list holds the engine."""
+        engine = self.engines.get(name)
+        if engine is None or self.now_s < engine.born_s + list_delay(view):
+            return False
+        return engine.died_s is None or self.now_s < engine.died_s + list_delay(view)
+
+    def advance(self, now_s: float) -> None:
+        """Move the clock, and take load reports that are due."""
+        self.now_s = now_s
+        if now_s >= self._next_report_s:
+            self._next_report_s = now_s + REPORT_EVERY_S
+            self.reported = {engine.name: engine.load for engine in self.live()}
+
+    def change(self, churn: Churn) -> None:
+        """Replace, take away or bring back the engine of a slot."""
+        self.version += 1
+        old = self.slots[churn.slot]
+        if old is not None:
+            old.died_s = self.now_s
+            self.total_load -= old.load
+            old.load = 0.0
+            old.running.clear()
+        self.slots[churn.slot] = None
+        if churn.change is not EngineChange.LEFT:
+            self._made += 1
+            name = f"engine-{churn.slot}.{self._made}"
+            fresh = FakeEngine(name, self.workload.cache_tokens, born_s=self.now_s)
+            self.slots[churn.slot] = fresh
+            self.engines[name] = fresh
+        forgotten = self.now_s - 2 * LIST_DELAY_S
+        self.engines = {
+            name: engine
+            for name, engine in self.engines.items()
+            if engine.died_s is None or engine.died_s > forgotten
+        }
+
+
+def list_delay(view: int) -> float:
+    """Return how late a view's list is, in seconds."""
+    return LIST_DELAY_S * ((view * 0.618034) % 1.0)
--- a/src/cherrylane/configuration/documents.py
+++ b/src/cherrylane/configuration/documents.py
@@ -38,12 +38,34 @@
 
     ``load_multiple`` is the bound as a multiple of the mean over the service's engines, in expected
     tokens of work. ``capacity_tokens`` is the most work one engine of weight 1 is given at all.
+    Work that is expected is not work done: ``estimate_margin`` is the share of the multiple that is
+    kept free for prompts that turn out not to be cached. ``mean_margin`` is the share by which the
+    reported load of the service's other pools may have fallen since.
     """
 
     load_multiple: float = field(default=1.5, validator=and_(gt(1.0), le(16.0)))
     capacity_tokens: float = field(default=200_000.0, validator=gt(0))
     pools: int = field(default=1, validator=and_(ge(1), le(65536)))
     mean_margin: float = field(default=0.05, validator=and_(ge(0.0), le(0.9)))
+    estimate_margin: float = field(default=0.02, validator=and_(ge(0.0), le(0.5)))
+
+
+@frozen
+class HealthSettings:
+    """When an engine is put aside, and how one that joins starts.
+
+    ``aside_s`` doubles each time up to ``max_aside_s``; ``max_aside_share`` of the engines may be
+    aside at once. An engine that joins begins with ``slow_start_share`` of its weight and has all
+    of it after ``slow_start_s``.
+    """
+
+    failures_tolerated: int = field(default=5, validator=ge(1))
+    aside_s: float = field(default=2.0, validator=gt(0))
+    max_aside_s: float = field(default=60.0, validator=gt(0))
+    max_aside_share: float = field(default=0.5, validator=and_(ge(0.0), le(1.0)))
+    slow_start_s: float = field(default=3.0, validator=gt(0))
+    slow_start_share: float = field(default=0.1, validator=and_(gt(0.0), le(1.0)))
+    flap_half_life_s: float = field(default=60.0, validator=gt(0))
 
 
 @frozen
@@ -68,6 +90,7 @@
     shared: bool = False
     bound: BoundSettings = field(factory=BoundSettings)
     queue: QueueSettings = field(factory=QueueSettings)
+    health: HealthSettings = field(factory=HealthSettings)
     fencing: Fencing = Fencing.IGNORED
     repeatable_methods: list[str] = field(factory=lambda: list(DEFAULT_REPEATABLE_METHODS))
     expected_answer_tokens: int = field(default=400, validator=gt(0))
@@ -101,6 +124,7 @@
     sites: dict[str, SiteEntry]
     bound: BoundSettings = field(factory=BoundSettings)
     queue: QueueSettings = field(factory=QueueSettings)
+    health: HealthSettings = field(factory=HealthSettings)
 
 
 @frozen
@@ -112,6 +136,7 @@
     shared: bool = False
     bound: BoundSettings | None = None
     queue: QueueSettings | None = None
+    health: HealthSettings | None = None
     fencing: Fencing = Fencing.IGNORED
     repeatable_methods: list[str] = field(factory=lambda: list(DEFAULT_REPEATABLE_METHODS))
     expected_answer_tokens: int = field(default=400, validator=gt(0))
--- a/src/cherrylane/delivery/admission.py
+++ b/src/cherrylane/delivery/admission.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from cherrylane.limits.homes import LocalHomes
-from cherrylane.limits.work import Ask, Busy, Grant
+from cherrylane.limits.work import UNREPORTED, Ask, Busy, Grant, GrantOutcome
 from cherrylane.membership.identity import OwnIdentity
 from cherrylane.membership.roster import HostRecord
 from cherrylane.peer.link import HomeLink
@@ -90,13 +90,13 @@
         message = "the home of the service's engines could not be reached in time"
         return Err(Busy(ask.id, UNREACHABLE, message, RETRY_AFTER_S))
 
-    def release(self, grant: Grant) -> None:
-        """Give ``grant`` back to whoever is home now."""
+    def release(self, grant: Grant, outcome: GrantOutcome = UNREPORTED) -> None:
+        """Give ``grant`` back to whoever is home now, with what came of it."""
         with self._lock:
             if self._grants.pop(grant.id, None) is None:
                 return
             home = self._view.homes.get(grant.pool)
-        self._send_release(grant, home)
+        self._send_release(grant, home, outcome)
 
     def handle_reply(self, reply: Grant | Busy) -> None:
         """Take a home's answer; a grant that nobody waits for any more is given back."""
@@ -153,13 +153,15 @@
         self._send_release(grant, home)
         return False
 
-    def _send_release(self, grant: Grant, home: HostRecord | None) -> None:
+    def _send_release(
+        self, grant: Grant, home: HostRecord | None, outcome: GrantOutcome = UNREPORTED
+    ) -> None:
         if home is None:
             return
         if home.holder == self._identity.holder:
-            self._homes.handle_release(grant.pool, grant.id)
+            self._homes.handle_release(grant.pool, grant.id, outcome)
         else:
-            self._link_to(home).release(grant)
+            self._link_to(home).release(grant, outcome)
 
     def _report(self, pool: PoolKey, home: HostRecord) -> None:
         with self._lock:
--- a/src/cherrylane/delivery/attempts.py
+++ b/src/cherrylane/delivery/attempts.py
@@ -9,9 +9,11 @@
 from result import Err, Ok, Result
 
 from cherrylane.delivery.admission import AdmissionDesk
+from cherrylane.delivery.budget import RetryBudget
 from cherrylane.delivery.exchange import Exchange, UpstreamClient, UpstreamRequest
+from cherrylane.delivery.usage import find_cached_tokens
 from cherrylane.errors import Execution, Refusal, UpstreamError
-from cherrylane.limits.work import Ask, Busy, Grant
+from cherrylane.limits.work import UNREPORTED, Ask, Busy, Grant, GrantOutcome
 from cherrylane.membership.runners import Runner
 from cherrylane.routing.homes import PoolKey
 from cherrylane.routing.view import FleetView, ServiceView
@@ -41,16 +43,28 @@
 
 @define
 class Delivered:
-    """An exchange whose answer has begun, under its grant."""
+    """An exchange whose answer has begun, under its grant.
+
+    ``outcome`` is what the home will be told when the grant is given back.
+    """
 
     grant: Grant
     exchange: Exchange
-    release: Callable[[], None] = field(repr=False)
+    release: Callable[[Grant, GrantOutcome], None] = field(repr=False)
+    outcome: GrantOutcome = UNREPORTED
 
     def finish(self) -> None:
         """End the exchange and give the grant back; may be called more than once."""
         self.exchange.close()
-        self.release()
+        self.release(self.grant, self.outcome)
+
+    def note_failure(self) -> None:
+        """Record that the answer broke off."""
+        self.outcome = GrantOutcome(failed=True)
+
+    def note_usage(self, answer: bytes) -> None:
+        """Read from the end of an answer how much of the prompt was found cached."""
+        self.outcome = GrantOutcome(found_tokens=find_cached_tokens(answer))
 
 
 class Attempts:
@@ -60,12 +74,14 @@
         self._desk = desk
         self._upstreams = upstreams
         self._metrics = metrics
+        self._budget = RetryBudget()
 
     def run(self, task: Task, view: FleetView, service: ServiceView) -> Result[Delivered, Refusal]:
         """Bring ``task`` to an upstream; at most ``MAX_ATTEMPTS`` times.
 
         Raises :class:`CallerGoneError` when the caller leaves while the upstream works.
         """
+        self._budget.deposit()
         excluded: tuple[str, ...] = ()
         last: Refusal | None = None
         for attempt in range(1, MAX_ATTEMPTS + 1):
@@ -85,6 +101,9 @@
                     last = refusal
             if refusal.execution is not Execution.NOT_RUN and not task.repeatable:
                 return Err(refusal)
+            if not self._budget.withdraw():
+                self._metrics.count("refusals", "retry_budget")
+                return Err(refusal)
             excluded = (*excluded, grant.engine)
             self._metrics.count("retries", service.entry.name)
         return Err(last or _refuse_no_engine(service))
@@ -133,14 +152,15 @@
         try:
             exchange = self._upstreams.open(runner, task.request, caller=task.caller)
         except UpstreamError as error:
-            self._desk.release(grant)
+            self._desk.release(grant, GrantOutcome(unreachable=not error.sent, failed=error.sent))
             log.warning(f"attempt failed: {error}", extra={"request": task.request_id})
             return Err(refuse_upstream(error, runner))
         except BaseException:
             self._desk.release(grant)
             raise
-        delivered = Delivered(grant, exchange, lambda: self._desk.release(grant))
+        delivered = Delivered(grant, exchange, self._desk.release)
         if exchange.status in STATUSES_NOT_RUN:
+            delivered.note_failure()
             delivered.finish()
             return Err(_refuse_declined(exchange, runner))
         return Ok(delivered)
--- a/src/cherrylane/delivery/chats.py
+++ b/src/cherrylane/delivery/chats.py
@@ -17,11 +17,12 @@
 from cherrylane.errors import Refusal, UpstreamError
 from cherrylane.limits.work import AccountShare, Ask
 from cherrylane.routing.chat import ChatCall, read_chat_call
-from cherrylane.routing.hint import Hint, read_hint, sign_hint
+from cherrylane.routing.hint import Hint, RecentHints, read_hint, sign_hint
 from cherrylane.routing.homes import PoolKey
 from cherrylane.routing.view import FleetView
 from cherrylane.telemetry.metrics import Metrics
 
+USAGE_BYTES = 1024
 CHAT_PATH = "/v1/chat/completions"
 HINT_HEADER = "Cherrylane-Hint"
 ENGINE_HEADER = "Cherrylane-Engine"
@@ -46,6 +47,7 @@
         self._attempts = attempts
         self._metrics = metrics
         self._zone = zone
+        self._recent = RecentHints()
 
     def deliver(self, request: ChatRequest, view: FleetView) -> Result[Answer, Refusal]:
         """Answer ``request``, or refuse it with whether it was run."""
@@ -115,8 +117,10 @@
     def _read_hint(
         self, request: ChatRequest, call: ChatCall, view: FleetView, entry: SiteService
     ) -> Hint | None:
+        """The caller's hint, else what this host remembers of the chat."""
         key = view.configuration.hint_keys.get(entry.site)
-        return read_hint(request.hint, key, chat=call.key) if key else None
+        given = read_hint(request.hint, key, chat=call.key) if key else None
+        return given or self._recent.find(call.key)
 
     def _answer(
         self,
@@ -137,7 +141,9 @@
             )
         try:
             body = exchange.read_whole()
+            delivered.note_usage(body[-USAGE_BYTES:])
         except UpstreamError as error:
+            delivered.note_failure()
             return Err(refuse_upstream(error, exchange.runner))
         finally:
             delivered.finish()
@@ -148,12 +154,12 @@
     def _hint_headers(
         self, delivered: Delivered, call: ChatCall, view: FleetView, entry: SiteService
     ) -> dict[str, str]:
-        key = view.configuration.hint_keys.get(entry.site)
-        if not key or delivered.exchange.status != 200:
+        if delivered.exchange.status != 200:
             return {}
-        tokens = call.prompt_tokens + call.answer_tokens
-        hint = Hint(chat=call.key, engine=delivered.grant.engine, cached_tokens=tokens)
-        return {HINT_HEADER: sign_hint(hint, key)}
+        hint = Hint(call.key, delivered.grant.engine, call.prompt_tokens)
+        self._recent.remember(hint)
+        key = view.configuration.hint_keys.get(entry.site)
+        return {HINT_HEADER: sign_hint(hint, key)} if key else {}
 
     def _count_cache(self, entry: SiteService, call: ChatCall, delivered: Delivered) -> None:
         cached = min(call.prompt_tokens, delivered.grant.cached_tokens)
--- a/src/cherrylane/delivery/plain.py
+++ b/src/cherrylane/delivery/plain.py
@@ -123,6 +123,7 @@
         try:
             whole = exchange.read_whole()
         except UpstreamError as error:
+            delivered.note_failure()
             return Err(refuse_upstream(error, exchange.runner))
         finally:
             delivered.finish()
--- a/src/cherrylane/delivery/relay.py
+++ b/src/cherrylane/delivery/relay.py
@@ -12,7 +12,7 @@
 from cherrylane.telemetry.metrics import Metrics
 
 DONE_MARK = b"data: [DONE]"
-TAIL_BYTES = 64
+TAIL_BYTES = 1024
 
 log = Logger("cherrylane.delivery")
 
@@ -36,11 +36,14 @@
                 tail = (tail + chunk)[-TAIL_BYTES:]
                 yield chunk
             if DONE_MARK not in tail:
+                self.delivered.note_failure()
                 yield self._end_early("the stream ended without its last event")
             else:
+                self.delivered.note_usage(tail)
                 self.metrics.count("answers", self.service)
         except UpstreamError as error:
             log.warning(f"stream broke off: {error}")
+            self.delivered.note_failure()
             yield self._end_early("the engine's answer broke off")
         finally:
             self.delivered.finish()
--- a/src/cherrylane/limits/choice.py
+++ b/src/cherrylane/limits/choice.py
@@ -4,6 +4,7 @@
 
 from attrs import frozen
 
+from cherrylane.limits.caches import CachedChat
 from cherrylane.limits.ledger import EngineLoad, Ledger
 from cherrylane.limits.work import Ask, estimate_work
 
@@ -13,7 +14,7 @@
     """An engine that an ask may go to, in the order of preference."""
 
     engine: str
-    cached_tokens: int = 0
+    cached: CachedChat | None = None
     reason: str = "order"
 
 
@@ -23,7 +24,7 @@
 
     engine: str
     work: float
-    cached_tokens: int
+    cached: CachedChat | None
     reason: str
 
 
@@ -37,14 +38,14 @@
     smallest_load = float("inf")
     for candidate in candidates:
         engine = ledger.engines.get(candidate.engine)
-        if engine is None:
+        if engine is None or not engine.takes_work:
             continue
-        work = estimate_work(ask, candidate.cached_tokens)
+        work = estimate_work(ask, candidate.cached)
         if not ledger.has_capacity(engine, work):
             continue
         if ledger.is_within_bound(engine, work):
             return _choose(candidate, work, candidate.reason)
-        resulting = (engine.load + work) / engine.weight
+        resulting = (engine.load + work) / (engine.weight * engine.ramp)
         if resulting < smallest_load and _may_round(ledger, engine):
             smallest_load = resulting
             smallest = _choose(candidate, work, f"{candidate.reason}, least load")
@@ -57,6 +58,4 @@
 
 
 def _choose(candidate: Candidate, work: float, reason: str) -> Choice:
-    return Choice(
-        engine=candidate.engine, work=work, cached_tokens=candidate.cached_tokens, reason=reason
-    )
+    return Choice(engine=candidate.engine, work=work, cached=candidate.cached, reason=reason)
--- a/src/cherrylane/limits/homes.py
+++ b/src/cherrylane/limits/homes.py
@@ -6,7 +6,7 @@
 from cherrylane.limits.ledger import OutsideLoad
 from cherrylane.limits.pool import PoolHome
 from cherrylane.limits.waiting import Reply
-from cherrylane.limits.work import Ask, Busy, Grant
+from cherrylane.limits.work import Ask, Busy, Grant, GrantOutcome
 from cherrylane.membership.identity import OwnIdentity
 from cherrylane.membership.roster import HostRecord
 from cherrylane.routing.homes import PoolKey
@@ -76,11 +76,11 @@
             return
         pool.submit(ask, reply)
 
-    def handle_release(self, pool: PoolKey, grant_id: str) -> None:
-        """Take a grant back."""
+    def handle_release(self, pool: PoolKey, grant_id: str, outcome: GrantOutcome) -> None:
+        """Take a grant back, with what came of it."""
         home = self._pools.get(pool)
         if home is not None:
-            home.release(grant_id)
+            home.release(grant_id, outcome)
             return
         with self._lock:
             for grants in self._early.get(pool, {}).values():
--- a/src/cherrylane/limits/ledger.py
+++ b/src/cherrylane/limits/ledger.py
@@ -24,6 +24,13 @@
     weight: float = 1.0
     load: float = 0.0
     grants: int = 0
+    ramp: float = 1.0
+    takes_work: bool = True
+
+    @property
+    def relative_load(self) -> float:
+        """The load over the weight that the engine takes part with."""
+        return self.load / (self.weight * self.ramp)
 
 
 @frozen
@@ -71,7 +78,8 @@
         outside_load = self.outside.load * (1.0 - self.bound.mean_margin)
         total = self._load + outside_load + work
         share = engine.weight / (self._weight + self.outside.weight)
-        return self.bound.load_multiple * total * share
+        multiple = self.bound.load_multiple * (1.0 - self.bound.estimate_margin)
+        return multiple * total * share
 
     def is_within_bound(self, engine: EngineLoad, work: float) -> bool:
         """Say whether ``engine`` stays within the multiple when it takes ``work``."""
--- a/src/cherrylane/limits/pool.py
+++ b/src/cherrylane/limits/pool.py
@@ -1,16 +1,17 @@
 """The home's side of admission: one pool's ledger, its queue, and its takeover from an old home."""
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from threading import RLock
 from time import monotonic
 
 from attrs import evolve
 
-from cherrylane.limits.chats import ChatMemory, ChatPlace
+from cherrylane.limits.caches import CachedChat, CacheKnowledge
 from cherrylane.limits.choice import Candidate, Choice, choose_engine
+from cherrylane.limits.health import EngineHealth
 from cherrylane.limits.ledger import Ledger, OutsideLoad
 from cherrylane.limits.waiting import FairQueue, Reply, Waiter
-from cherrylane.limits.work import Ask, Busy, Grant, estimate_work
+from cherrylane.limits.work import UNREPORTED, Ask, Busy, Grant, GrantOutcome, estimate_work
 from cherrylane.membership.runners import Runner
 from cherrylane.routing.homes import PoolKey
 from cherrylane.routing.view import ServiceView
@@ -44,26 +45,28 @@
         self._takeover_ends = clock() + takeover_s
         self._lock = RLock()
         self._ledger = Ledger(bound=service.entry.service.bound)
+        self._health = EngineHealth(service.entry.service.health)
         self._queue = FairQueue()
-        self._chats = ChatMemory()
+        self._caches = CacheKnowledge()
         self._account_load: dict[str, float] = {}
         self._account_grants: dict[str, int] = {}
         self._closed = False
         self._service = service
-        self._members: dict[str, Runner] = {}
+        self._members: Mapping[str, Runner] = {}
         self.set_service(service)
 
     def set_service(self, service: ServiceView) -> None:
         """Take over a changed list of engines or changed settings."""
         with self._lock:
-            gone = set(self._ledger.engines) - set(service.members(self.key))
-            for engine in gone:
-                self._chats.forget_engine(engine)
+            members = service.members(self.key)
+            for engine in set(self._members) - set(members):
+                self._caches.forget(engine)
             self._service = service
+            self._members = members
             self._ledger.bound = service.entry.service.bound
-            self._members = service.members(self.key)
-            weights = {name: runner.weight for name, runner in self._members.items()}
-            self._ledger.set_engines(weights)
+            self._health.settings = service.entry.service.health
+            self._health.set_listed(members, self._clock())
+            self._refresh_engines()
             self._serve_waiting()
 
     def set_outside(self, outside: OutsideLoad) -> None:
@@ -84,16 +87,18 @@
                 ask=ask,
                 reply=reply,
                 expires_at=self._clock() + ask.wait_s,
-                work=estimate_work(ask, ask.hinted_tokens),
+                work=estimate_work(ask, None),
             )
             self._queue.add(waiter)
             self._serve_waiting()
             self._trim_queue()
 
-    def release(self, grant_id: str) -> None:
-        """Give back a grant; one that is not known is ignored."""
+    def release(self, grant_id: str, outcome: GrantOutcome = UNREPORTED) -> None:
+        """Give back a grant, with what came of it; one that is not known is ignored."""
         with self._lock:
-            self._forget_grant(grant_id)
+            grant = self._forget_grant(grant_id)
+            if grant is not None:
+                self._learn(grant, outcome)
             self._serve_waiting()
 
     def take_holdings(self, holder: str, grants: Iterable[Grant]) -> None:
@@ -127,6 +132,7 @@
     def tick(self) -> None:
         """Answer asks whose time is up, and serve what can be served; called often."""
         with self._lock:
+            self._refresh_engines()
             for waiter in self._queue.find_expired(self._clock()):
                 self._queue.remove(waiter, served=False)
                 waiter.reply(_refuse(waiter.ask, "overloaded", "no engine became free in time"))
@@ -157,18 +163,26 @@
             return OutsideLoad(load=self._ledger.load, weight=self._ledger.weight)
 
     def rank_candidates(self, ask: Ask) -> Iterator[Candidate]:
-        """Yield the engines for ``ask``: where its chat ran last, then by the chat's order."""
+        """Yield the engines for ``ask``: where its chat is cached, then by load."""
         seen = set(ask.excluded)
-        place = self._chats.find(ask.chat)
-        if place is None and ask.hinted:
-            place = ChatPlace(engine=ask.hinted, cached_tokens=ask.hinted_tokens)
-        if place is not None and place.engine not in seen and self._serves(place.engine, ask.model):
-            seen.add(place.engine)
-            yield Candidate(place.engine, place.cached_tokens, reason="returning")
-        order = self._service.rank(ask.chat, len(self._members), model=ask.model, pool=self.key)
-        for name in order:
-            if name not in seen:
-                yield Candidate(name)
+        for cached in self._find_cached(ask):
+            if cached.engine not in seen and self._serves(cached.engine, ask.model):
+                seen.add(cached.engine)
+                yield Candidate(cached.engine, cached, reason="returning")
+        rest = [
+            load
+            for load in self._ledger.engines.values()
+            if load.name not in seen and self._serves(load.name, ask.model)
+        ]
+        rest.sort(key=lambda load: load.relative_load)
+        for load in rest:
+            yield Candidate(load.name, reason="least load")
+
+    def _find_cached(self, ask: Ask) -> list[CachedChat]:
+        cached = self._caches.find(ask.chat)
+        if cached or not ask.hinted:
+            return cached
+        return [CachedChat(ask.hinted, ask.hinted_tokens)]
 
     def _serves(self, engine: str, model: str) -> bool:
         runner = self._members.get(engine)
@@ -200,8 +214,7 @@
         self._queue.remove(waiter, served=True)
         grant = _make_grant(ask, choice)
         self._count_grant(grant)
-        place = ChatPlace(engine=choice.engine, cached_tokens=ask.prompt_tokens + ask.answer_tokens)
-        self._chats.remember(ask.chat, place)
+        self._caches.use(ask.chat, choice.engine, tokens=ask.prompt_tokens)
         waiter.reply(grant)
         return True
 
@@ -229,16 +242,41 @@
         self._account_load[name] = self._account_load.get(name, 0.0) + grant.work
         self._account_grants[name] = self._account_grants.get(name, 0) + 1
 
-    def _forget_grant(self, grant_id: str) -> None:
+    def _learn(self, grant: Grant, outcome: GrantOutcome) -> None:
+        self._health.report(grant.engine, outcome, self._clock())
+        if outcome.unreachable:
+            self._caches.forget(grant.engine)
+            self._refresh_engines()
+        if outcome.found_tokens is not None and grant.cached is not None:
+            self._caches.learn(
+                grant.engine,
+                grant.cached.certainty,
+                expected_tokens=grant.cached.tokens,
+                found_tokens=outcome.found_tokens,
+            )
+
+    def _refresh_engines(self) -> None:
+        """Let those engines take part that are listed and well, as fully as they may by now."""
+        now = self._clock()
+        counted = self._health.counted(now)
+        if counted != set(self._ledger.engines):
+            self._ledger.set_engines({name: self._members[name].weight for name in counted})
+        available = self._health.available(now)
+        for name, load in self._ledger.engines.items():
+            load.takes_work = name in available
+            load.ramp = self._health.ramp(name, now)
+
+    def _forget_grant(self, grant_id: str) -> Grant | None:
         grant = self._ledger.remove(grant_id)
         if grant is None:
-            return
+            return None
         name = grant.account
         self._account_grants[name] -= 1
         self._account_load[name] -= grant.work
         if self._account_grants[name] == 0:
             del self._account_grants[name]
             del self._account_load[name]
+        return grant
 
     def _grants_of(self, holder: str) -> list[Grant]:
         return [grant for grant in self._ledger.grants.values() if grant.holder == holder]
@@ -252,7 +290,7 @@
         engine=choice.engine,
         account=ask.account.name,
         work=choice.work,
-        cached_tokens=choice.cached_tokens,
+        cached=choice.cached,
         reason=choice.reason,
     )
 
--- a/src/cherrylane/limits/work.py
+++ b/src/cherrylane/limits/work.py
@@ -7,6 +7,7 @@
 from attrs import frozen
 
 from cherrylane.configuration.documents import Priority
+from cherrylane.limits.caches import CachedChat, Certainty
 from cherrylane.routing.homes import PoolKey
 
 PREFILL_COST = 0.05
@@ -56,9 +57,31 @@
     engine: str
     account: str
     work: float
-    cached_tokens: int = 0
+    cached: CachedChat | None = None
     reason: str = ""
 
+    @property
+    def cached_tokens(self) -> int:
+        """How much of the prompt the home counts as cached."""
+        return count_cached(self.cached)
+
+
+@frozen
+class GrantOutcome:
+    """What came of a grant.
+
+    ``found_tokens`` is how much of the prompt the engine found cached, None when it did not say.
+    ``unreachable`` says that no connection to the engine could be made, ``failed`` that it broke
+    off or answered with an error of its own.
+    """
+
+    found_tokens: int | None = None
+    unreachable: bool = False
+    failed: bool = False
+
+
+UNREPORTED = GrantOutcome()
+
 
 @frozen
 class Busy:
@@ -70,7 +93,14 @@
     retry_after_s: float
 
 
-def estimate_work(ask: Ask, cached_tokens: int) -> float:
+def count_cached(cached: CachedChat | None) -> int:
+    """Return the tokens that may be counted on; doubtful ones may not."""
+    if cached is None or cached.certainty is Certainty.DOUBTFUL:
+        return 0
+    return cached.tokens
+
+
+def estimate_work(ask: Ask, cached: CachedChat | None) -> float:
     """Return the expected work of ``ask`` in tokens, given what is cached."""
-    uncached = max(0, ask.prompt_tokens - cached_tokens)
+    uncached = max(0, ask.prompt_tokens - count_cached(cached))
     return PREFILL_COST * uncached + ask.answer_tokens
--- a/src/cherrylane/peer/link.py
+++ b/src/cherrylane/peer/link.py
@@ -7,7 +7,7 @@
 import grpc
 from logbook import Logger
 
-from cherrylane.limits.work import Ask, Busy, Grant
+from cherrylane.limits.work import Ask, Busy, Grant, GrantOutcome
 from cherrylane.peer import peer_pb2 as wire
 from cherrylane.peer.identity import PeerIdentity, make_metadata
 from cherrylane.peer.messages import (
@@ -72,9 +72,9 @@
         if self._stopping.is_set():
             self._on_down()
 
-    def release(self, grant: Grant) -> None:
-        """Give ``grant`` back."""
-        self._outgoing.put(release_to_wire(grant))
+    def release(self, grant: Grant, outcome: GrantOutcome) -> None:
+        """Give ``grant`` back, with what came of it."""
+        self._outgoing.put(release_to_wire(grant, outcome))
 
     def report_holdings(self, pool: PoolKey, grants: list[Grant]) -> None:
         """Tell a home that has just taken over ``pool`` what this host holds of it."""
--- a/src/cherrylane/peer/messages.py
+++ b/src/cherrylane/peer/messages.py
@@ -1,7 +1,8 @@
 """Conversion between cherrylane's own values and the messages on the wire."""
 
 from cherrylane.configuration.documents import Priority
-from cherrylane.limits.work import AccountShare, Ask, Busy, Grant
+from cherrylane.limits.caches import CachedChat
+from cherrylane.limits.work import AccountShare, Ask, Busy, Grant, GrantOutcome
 from cherrylane.peer import peer_pb2 as wire
 from cherrylane.routing.homes import PoolKey
 
@@ -84,7 +85,7 @@
         engine=message.engine,
         account=message.account,
         work=message.work,
-        cached_tokens=message.cached_tokens,
+        cached=CachedChat(message.engine, message.cached_tokens) if message.cached_tokens else None,
         reason=message.reason,
     )
 
@@ -128,6 +129,22 @@
     return wire.ToHome(holdings=wire.Holdings(pool=pool_to_wire(pool), grants=listed))
 
 
-def release_to_wire(grant: Grant) -> wire.ToHome:
-    """Return the release of ``grant`` as a message."""
-    return wire.ToHome(release=wire.Release(pool=pool_to_wire(grant.pool), id=grant.id))
+def release_to_wire(grant: Grant, outcome: GrantOutcome) -> wire.ToHome:
+    """Return the release of ``grant``, with what came of it, as a message."""
+    release = wire.Release(
+        pool=pool_to_wire(grant.pool),
+        id=grant.id,
+        found_tokens=outcome.found_tokens,
+        unreachable=outcome.unreachable,
+        failed=outcome.failed,
+    )
+    return wire.ToHome(release=release)
+
+
+def outcome_from_wire(message: wire.Release) -> GrantOutcome:
+    """Return what came of a grant, as its release tells."""
+    return GrantOutcome(
+        found_tokens=message.found_tokens if message.HasField("found_tokens") else None,
+        unreachable=message.unreachable,
+        failed=message.failed,
+    )
--- a/src/cherrylane/peer/server.py
+++ b/src/cherrylane/peer/server.py
@@ -11,12 +11,13 @@
 
 from cherrylane.errors import SettingsError
 from cherrylane.limits.waiting import Reply
-from cherrylane.limits.work import Ask, Grant
+from cherrylane.limits.work import Ask, Grant, GrantOutcome
 from cherrylane.peer import peer_pb2 as wire
 from cherrylane.peer.identity import PeerIdentity, read_metadata
 from cherrylane.peer.messages import (
     ask_from_wire,
     grant_from_wire,
+    outcome_from_wire,
     pool_from_wire,
     reply_to_wire,
 )
@@ -39,7 +40,7 @@
     def handle_ask(self, ask: Ask, reply: Reply) -> None:
         """Admit a peer's ask."""
 
-    def handle_release(self, pool: PoolKey, grant_id: str) -> None:
+    def handle_release(self, pool: PoolKey, grant_id: str, outcome: GrantOutcome) -> None:
         """Take a peer's grant back."""
 
     def handle_holdings(self, pool: PoolKey, holder: str, grants: list[Grant]) -> None:
@@ -168,7 +169,8 @@
                 self._homes.handle_ask(ask_from_wire(message.ask, peer.holder), reply)
             case "release":
                 pool = pool_from_wire(message.release.pool)
-                self._homes.handle_release(pool, message.release.id)
+                outcome = outcome_from_wire(message.release)
+                self._homes.handle_release(pool, message.release.id, outcome)
             case "holdings":
                 pool = pool_from_wire(message.holdings.pool)
                 grants = [grant_from_wire(item, peer.holder) for item in message.holdings.grants]
--- /dev/null
+++ b/tests/test_budget.py
@@ -0,0 +1,25 @@
+from testtools import TestCase
+
+from cherrylane.delivery.budget import MAX_SAVED, RetryBudget
+from cherrylane.delivery.usage import find_cached_tokens
+
+
+class RetryBudgetTest(TestCase):
+    def test_retries_are_a_share_of_requests(self) -> None:
+        budget = RetryBudget()
+        allowed = 0
+        for _ in range(1000):
+            budget.deposit()
+            allowed += budget.withdraw()
+        self.assertTrue(allowed <= 0.1 * 1000 + MAX_SAVED, str(allowed))
+        self.assertTrue(allowed >= 0.1 * 1000 - 1, str(allowed))
+
+
+class UsageTest(TestCase):
+    def test_the_last_count_is_read(self) -> None:
+        answer = b'..."x": {"cached_tokens" : 3}, "prompt_tokens_details": {"cached_tokens": 64}}'
+        self.assertEqual(64, find_cached_tokens(answer))
+
+    def test_an_answer_without_usage_says_nothing(self) -> None:
+        for answer in (b"", b"data: [DONE]", b'"cached_tokens": null', b'"cached_tokens": -4'):
+            self.assertIsNone(find_cached_tokens(answer))
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -28,12 +28,12 @@
 
     def test_a_returning_chat_goes_where_it_ran(self) -> None:
         home = make_home(make_view(), self.clock)
-        home.submit(make_ask("a", chat=7), self.replies)
+        home.submit(make_ask("a", chat=7, prompt_tokens=300), self.replies)
         home.release("a")
-        home.submit(make_ask("b", chat=7), self.replies)
+        home.submit(make_ask("b", chat=7, prompt_tokens=350), self.replies)
         first, second = self.replies.grants
         self.assertEqual(first.engine, second.engine)
-        self.assertTrue(second.cached_tokens > 0)
+        self.assertEqual(300, second.cached_tokens)
 
     def test_no_engine_exceeds_the_multiple_while_another_choice_would_not(self) -> None:
         view = make_view(engines=5, bound=BoundSettings(load_multiple=1.25))
