--- a/bench/engines.py
+++ b/bench/engines.py
@@ -21,6 +21,8 @@
     died_s: float | None = None
     load: float = 0.0
     running: dict[int, float] = field(factory=dict)
+    counted: dict[int, float] = field(factory=dict)
+    counted_load: float = 0.0
     cache: OrderedDict[int, int] = field(factory=OrderedDict)
     held_tokens: int = 0
 
@@ -33,6 +35,11 @@
         uncached = arrival.prefix_tokens - self.cached(arrival)
         return PREFILL_COST * uncached + expected_answer
 
+    def count(self, number: int, work: float) -> None:
+        """Keep what the way counts as a request's work, to check the bound apart from the way."""
+        self.counted[number] = work
+        self.counted_load += work
+
     def begin(self, number: int, work: float, arrival: Arrival) -> None:
         """Take a request, and hold its prefix."""
         self.running[number] = work
@@ -44,6 +51,7 @@
         work = self.running.pop(number, None)
         if work is None:
             return
+        self.counted_load -= self.counted.pop(number, 0.0)
         self.load = self.load - work if self.running else 0.0
         self._store(arrival.chat, arrival.prefix_tokens + arrival.answer_tokens)
 
@@ -119,6 +127,8 @@
             self.total_load -= old.load
             old.load = 0.0
             old.running.clear()
+            old.counted.clear()
+            old.counted_load = 0.0
         self.slots[churn.slot] = None
         if churn.change is not EngineChange.LEFT:
             self._made += 1
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -15,6 +15,7 @@
 WARM_UP_SHARE = 0.25
 SKEW_EVERY_S = 1.0
 ROUNDING = 1e-6
+ORACLE_LIMIT = 100
 
 UNREACHABLE = GrantOutcome(unreachable=True)
 
@@ -27,6 +28,7 @@
 
     ``violations`` are admissions after which an engine was above the multiple of the mean
     although another live engine would not have been; ``forced`` those where every one would.
+    Both go by the true state of caches; ``counted_violations`` by the work as the way counts it.
     """
 
     way: str
@@ -34,6 +36,7 @@
     hits: int = 0
     admissions: int = 0
     violations: int = 0
+    counted_violations: int = 0
     forced: int = 0
     highest: float = 0.0
     skew_sum: float = 0.0
@@ -119,6 +122,7 @@
         work = engine.work_of(arrival, expected)
         if self._fleet.now_s >= self._warm_s:
             self._count(arrival, engine, work)
+        self._check_counted(number, arrival, engine)
         self._found[number] = engine.cached(arrival)
         engine.begin(number, work, arrival)
         self._fleet.total_load += work
@@ -136,11 +140,31 @@
         outcome.highest = max(outcome.highest, ratio)
         if ratio <= self._multiple + ROUNDING:
             return
-        if self._has_better(arrival, engine):
+        if self._fleet.workload.engines > ORACLE_LIMIT or self._has_better(arrival, engine):
             outcome.violations += 1
         else:
             outcome.forced += 1
 
+    def _check_counted(self, number: int, arrival: Arrival, engine: FakeEngine) -> None:
+        """Check the bound on the work as the way counts it, over engines that every list shows."""
+        work = self._way.counted_work(number)
+        if work is None:
+            return
+        engine.count(number, work)
+        live = self._fleet.live()
+        if len(live) > ORACLE_LIMIT or self._fleet.now_s < self._warm_s:
+            return
+        mean = sum(other.counted_load for other in live) / self._fleet.settled_count()
+        if engine.counted_load <= self._multiple * mean + ROUNDING:
+            return
+        expected = self._fleet.workload.answer_tokens
+        least = min(
+            other.counted_load + other.work_of(arrival, expected)
+            for other in live
+            if other is not engine
+        )
+        self.outcome.counted_violations += least <= self._multiple * mean
+
     def _has_better(self, arrival: Arrival, chosen: FakeEngine) -> bool:
         live = self._fleet.live()
         expected = self._fleet.workload.answer_tokens
--- /dev/null
+++ b/bench/stream_load.py
@@ -0,0 +1,153 @@
+"""A load of concurrent streams from a process of its own; prints what it saw as JSON."""
+
+import asyncio
+from argparse import ArgumentParser
+from json import dumps
+from time import perf_counter
+
+from attrs import asdict, define, field, frozen
+
+TOKEN_S = 0.029
+PERCENT_95 = 0.95
+
+
+@frozen
+class Load:
+    """How many streams go where, and for how long."""
+
+    address: str
+    port: int
+    key: str
+    model: str
+    streams: int
+    duration_s: float
+    name: str
+
+
+@define
+class Seen:
+    """What the callers saw; times in seconds."""
+
+    first: list[float] = field(factory=list)
+    gaps: list[float] = field(factory=list)
+    durations: list[float] = field(factory=list)
+    failures: int = 0
+
+
+@frozen
+class Summary:
+    """The 95th percentiles, and counts."""
+
+    first_95_s: float
+    gap_95_s: float
+    events: int
+    whole: int
+    failures: int
+
+
+async def run_load(load: Load) -> Seen:
+    """Keep ``load.streams`` streams going until the time is up."""
+    seen = Seen()
+    ends_at = perf_counter() + load.duration_s
+    workers = [_work(load, number, ends_at, seen) for number in range(load.streams)]
+    await asyncio.gather(*workers)
+    return seen
+
+
+async def _work(load: Load, number: int, ends_at: float, seen: Seen) -> None:
+    await asyncio.sleep(TOKEN_S * 30 * number / max(1, load.streams))
+    turn = 0
+    while perf_counter() < ends_at:
+        turn += 1
+        try:
+            await _stream_once(load, f"{load.name}-{number}-{turn}", ends_at, seen)
+        except (OSError, asyncio.IncompleteReadError, ValueError):
+            seen.failures += 1
+            await asyncio.sleep(0.2)
+
+
+async def _stream_once(load: Load, chat: str, ends_at: float, seen: Seen) -> None:
+    tokens = 100
+    body = dumps(
+        {
+            "model": load.model,
+            "stream": True,
+            "max_tokens": tokens,
+            "messages": [{"role": "user", "content": f"{chat} " * 20}],
+        }
+    )
+    started = perf_counter()
+    reader, writer = await asyncio.open_connection(load.address, load.port)
+    try:
+        writer.write(
+            f"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {load.key}\r\n"
+            f"Cherrylane-Chat: {chat}\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode()
+        )
+        head = await reader.readuntil(b"\r\n\r\n")
+        if b" 200 " not in head.split(b"\r\n", 1)[0]:
+            raise ValueError("the stream was refused")
+        await _read_events(reader, started, seen)
+        seen.durations.append(perf_counter() - started)
+    finally:
+        writer.close()
+
+
+async def _read_events(reader: asyncio.StreamReader, started: float, seen: Seen) -> None:
+    previous = 0.0
+    tail = b""
+    while data := await reader.read(65536):
+        now = perf_counter()
+        if previous:
+            seen.gaps.append(now - previous)
+        else:
+            seen.first.append(now - started)
+        previous = now
+        tail = (tail + data)[-256:]
+        if tail.endswith(b"0\r\n\r\n"):
+            break
+    if b"[DONE]" not in tail:
+        raise ValueError("the stream was cut")
+
+
+def summarize(seen: Seen) -> Summary:
+    """Return the percentiles of what was seen."""
+    return Summary(
+        first_95_s=percentile(seen.first),
+        gap_95_s=percentile(seen.gaps),
+        events=len(seen.gaps) + len(seen.first),
+        whole=len(seen.durations),
+        failures=seen.failures,
+    )
+
+
+def percentile(values: list[float]) -> float:
+    """Return the 95th percentile, 0 without values."""
+    if not values:
+        return 0.0
+    return sorted(values)[min(len(values) - 1, int(PERCENT_95 * len(values)))]
+
+
+def main() -> None:
+    """Run one load and print its summary."""
+    parser = ArgumentParser()
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--streams", type=int, required=True)
+    parser.add_argument("--duration-s", type=float, required=True)
+    parser.add_argument("--key", required=True)
+    parser.add_argument("--model", required=True)
+    parser.add_argument("--name", required=True)
+    options = parser.parse_args()
+    load = Load(
+        address="127.0.0.1",
+        port=options.port,
+        key=options.key,
+        model=options.model,
+        streams=options.streams,
+        duration_s=options.duration_s,
+        name=options.name,
+    )
+    print(dumps(asdict(summarize(asyncio.run(run_load(load))))))
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/ways.py
+++ b/bench/ways.py
@@ -3,11 +3,14 @@
 from typing import Protocol
 
 import numpy as np
+from attrs import evolve
+from result import Err, Ok, Result
 
 from bench.engines import FakeFleet, list_delay
 from bench.services import SERVICE, make_service
 from bench.trace import Arrival
 from cherrylane.configuration.documents import BoundSettings, Priority, QueueSettings
+from cherrylane.delivery.pools import ask_pools, choose_pools
 from cherrylane.limits.ledger import OutsideLoad
 from cherrylane.limits.pool import PoolHome
 from cherrylane.limits.work import AccountShare, Ask, Busy, Grant, GrantOutcome
@@ -32,6 +35,9 @@
     def finish(self, number: int, outcome: GrantOutcome) -> None:
         """Hear that a request has ended, and how."""
 
+    def counted_work(self, number: int) -> float | None:
+        """Return the work that the way counts for a request, None when it counts none."""
+
     def refresh(self) -> None:
         """Hear that time has passed or that engines have changed."""
 
@@ -55,6 +61,10 @@
     def finish(self, number: int, outcome: GrantOutcome) -> None:
         """Nothing is kept of requests."""
 
+    def counted_work(self, number: int) -> float | None:
+        """Nothing is counted."""
+        return None
+
     def refresh(self) -> None:
         """Make the table anew when engines have changed."""
         if self._version != self.fleet.version:
@@ -178,6 +188,10 @@
     def finish(self, number: int, outcome: GrantOutcome) -> None:
         """Nothing to keep."""
 
+    def counted_work(self, number: int) -> float | None:
+        """Nothing is counted."""
+        return None
+
     def refresh(self) -> None:
         """Nothing to keep."""
 
@@ -204,18 +218,17 @@
         self._next_tick_s = 0.0
 
     def place(self, number: int, arrival: Arrival, excluded: Excluded) -> str | None:
-        """Ask the home of the chat's first pool, then the next ones."""
-        asked: set[PoolKey] = set()
-        for name in self._service.rank(chat_key(arrival), 4 + len(excluded), model=""):
-            pool = self._service.pools[name]
-            if name in excluded or pool in asked:
-                continue
-            asked.add(pool)
-            grant = self._ask(number, arrival, excluded, pool)
-            if grant is not None:
-                self._granted[number] = grant
-                return grant.engine
-        return None
+        """Ask the chat's pools as an entry host does."""
+        ask = self._make_ask(number, arrival, excluded)
+        result = ask_pools(ask, choose_pools(self._service, ask), self._admit)
+        if isinstance(result, Err):
+            return None
+        self._granted[number] = result.ok_value
+        return result.ok_value.engine
+
+    def counted_work(self, number: int) -> float | None:
+        """Return the work of the request's grant."""
+        return self._granted[number].work
 
     def finish(self, number: int, outcome: GrantOutcome) -> None:
         """Give the grant back."""
@@ -248,13 +261,19 @@
             own = totals[key]
             home.set_outside(OutsideLoad(load - own.load, weight - own.weight))
 
-    def _ask(
-        self, number: int, arrival: Arrival, excluded: Excluded, pool: PoolKey
-    ) -> Grant | None:
+    def _admit(self, ask: Ask) -> Result[Grant, Busy]:
         replies: list[Grant | Busy] = []
-        ask = Ask(
+        self._pools[ask.pool].submit(evolve(ask, may_wait=False), replies.append)
+        match replies[0]:
+            case Grant() as grant:
+                return Ok(grant)
+            case Busy() as busy:
+                return Err(busy)
+
+    def _make_ask(self, number: int, arrival: Arrival, excluded: Excluded) -> Ask:
+        return Ask(
             id=f"{number}.{len(excluded)}",
-            pool=pool,
+            pool=PoolKey(SERVICE, 0),
             account=BATCH if arrival.batch else INTERACTIVE,
             chat=chat_key(arrival),
             model="",
@@ -262,13 +281,7 @@
             answer_tokens=int(self.fleet.workload.answer_tokens),
             holder="view",
             excluded=tuple(excluded),
-            wait_s=0.0,
         )
-        home = self._pools[pool]
-        home.submit(ask, replies.append)
-        if not replies:
-            home.tick()
-        return replies[0] if replies and isinstance(replies[0], Grant) else None
 
     def _make_home(self, key: PoolKey) -> PoolHome:
         return PoolHome(
--- a/src/cherrylane/daemon/runtime.py
+++ b/src/cherrylane/daemon/runtime.py
@@ -13,6 +13,7 @@
 from cherrylane.delivery.chats import ChatDelivery
 from cherrylane.delivery.exchange import UpstreamClient
 from cherrylane.delivery.plain import PlainDelivery
+from cherrylane.delivery.streams import StreamLoop
 from cherrylane.errors import PlatformError
 from cherrylane.http.callers import CallerApplication
 from cherrylane.http.operators import OperatorApplication
@@ -82,6 +83,7 @@
         self._peer_server = PeerServer(
             settings.peers, self.homes, self._prober.handle_probe, self._traffic
         )
+        self._streams = StreamLoop()
         self._callers = self._make_caller_server()
         self._operators = self._make_operator_server()
         self._entry = RosterEntry(
@@ -98,6 +100,7 @@
         self._operators.start()
         self._peer_server.start()
         self.homes.start()
+        self._streams.start()
         self._knowledge.start()
         while not self._knowledge.wait_until_listed(PLATFORM_RETRY_S):
             if self._stopping.is_set():
@@ -125,6 +128,7 @@
         except PlatformError as error:
             log.warning(f"could not leave the roster: {error}")
         self._callers.stop()
+        self._streams.stop()
         self._prober.stop()
         self.homes.stop()
         self.desk.stop()
@@ -218,7 +222,13 @@
             settings.callers,
             settings.host,
             lambda: self._knowledge.view,
-            ChatDelivery(attempts, self.metrics, settings.host.zone),
+            ChatDelivery(
+                attempts,
+                self._streams,
+                self.metrics,
+                zone=settings.host.zone,
+                silence_timeout_s=settings.upstreams.silence_timeout_s,
+            ),
             PlainDelivery(attempts, self.metrics, settings.host.zone),
             self.metrics,
         )
--- a/src/cherrylane/delivery/answers.py
+++ b/src/cherrylane/delivery/answers.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable, Iterator
 from json import dumps
 from math import ceil
-from typing import Any
+from socket import socket
+from typing import Any, Protocol
 
 from attrs import field, frozen
 
@@ -43,13 +44,23 @@
         self._finish()
 
 
+class HandedOverBody(Protocol):
+    """A body whose sending is taken over from the HTTP server, together with the connection."""
+
+    def begin(self, caller: socket, *, chunked: bool) -> None:
+        """Send the body to ``caller`` from now on, and close it at the end."""
+
+    def abandon(self) -> None:
+        """Give the body up unsent."""
+
+
 @frozen
 class Answer:
-    """What goes back to a caller; a relayed ``body`` is sent as it comes."""
+    """What goes back to a caller; a ``body`` that is not bytes is sent as it comes."""
 
     status: int
     headers: dict[str, str]
-    body: bytes | RelayedBody = field(repr=False)
+    body: bytes | RelayedBody | HandedOverBody = field(repr=False)
 
 
 def render_error(refusal: Refusal) -> dict[str, Any]:
--- a/src/cherrylane/delivery/attempts.py
+++ b/src/cherrylane/delivery/attempts.py
@@ -11,11 +11,11 @@
 from cherrylane.delivery.admission import AdmissionDesk
 from cherrylane.delivery.budget import RetryBudget
 from cherrylane.delivery.exchange import Exchange, UpstreamClient, UpstreamRequest
+from cherrylane.delivery.pools import ask_pools, choose_pools
 from cherrylane.delivery.usage import find_cached_tokens
 from cherrylane.errors import Execution, Refusal, UpstreamError
 from cherrylane.limits.work import UNREPORTED, Ask, Busy, Grant, GrantOutcome
 from cherrylane.membership.runners import Runner
-from cherrylane.routing.homes import PoolKey
 from cherrylane.routing.view import FleetView, ServiceView
 from cherrylane.telemetry.decisions import RoutingDecision, log_routing
 from cherrylane.telemetry.metrics import Metrics
@@ -85,11 +85,11 @@
         excluded: tuple[str, ...] = ()
         last: Refusal | None = None
         for attempt in range(1, MAX_ATTEMPTS + 1):
-            pool = choose_pool(service, task.ask, excluded)
-            if pool is None:
+            ask = evolve(task.ask, id=f"{task.request_id}.{attempt}", excluded=excluded)
+            pools = choose_pools(service, ask)
+            if not pools:
                 return Err(last or _refuse_no_engine(service))
-            ask = evolve(task.ask, id=f"{task.request_id}.{attempt}", pool=pool, excluded=excluded)
-            match self._admit(task, ask, view, service, attempt):
+            match ask_pools(ask, pools, lambda asked: self._admit(task, asked, view)):
                 case Err(busy):
                     return Err(last or refuse_busy(busy))
                 case Ok(grant):
@@ -108,9 +108,7 @@
             self._metrics.count("retries", service.entry.name)
         return Err(last or _refuse_no_engine(service))
 
-    def _admit(
-        self, task: Task, ask: Ask, view: FleetView, service: ServiceView, attempt: int
-    ) -> Result[Grant, Busy]:
+    def _admit(self, task: Task, ask: Ask, view: FleetView) -> Result[Grant, Busy]:
         started = perf_counter()
         result = self._desk.admit(ask)
         elapsed = perf_counter() - started
@@ -120,9 +118,9 @@
             request=task.request_id,
             chat=f"{ask.chat:016x}",
             account=ask.account.name,
-            service=service.entry.name,
+            service=ask.pool.service,
             upstream="",
-            attempt=attempt,
+            attempt=len(ask.excluded) + 1,
             reason="",
             home=home.name if home else "",
             decision_ms=round(elapsed * 1000, 3),
@@ -166,17 +164,6 @@
         return Ok(delivered)
 
 
-def choose_pool(service: ServiceView, ask: Ask, excluded: tuple[str, ...]) -> PoolKey | None:
-    """Return the pool of the hinted engine, else of the chat's first engine not yet tried."""
-    hinted = service.runners.get(ask.hinted)
-    if hinted is not None and ask.hinted not in excluded and hinted.serves(ask.model):
-        return service.pools[ask.hinted]
-    for name in service.rank(ask.chat, len(excluded) + 1, model=ask.model):
-        if name not in excluded:
-            return service.pools[name]
-    return None
-
-
 def refuse_busy(busy: Busy) -> Refusal:
     """Return the refusal for a request that no engine was granted to."""
     return Refusal(
--- a/src/cherrylane/delivery/chats.py
+++ b/src/cherrylane/delivery/chats.py
@@ -10,10 +10,11 @@
 
 from cherrylane.configuration.documents import ServiceKind
 from cherrylane.configuration.merging import SiteAccount, SiteService
-from cherrylane.delivery.answers import EVENT_STREAM_TYPE, JSON_TYPE, Answer, RelayedBody
+from cherrylane.delivery.answers import EVENT_STREAM_TYPE, JSON_TYPE, Answer
 from cherrylane.delivery.attempts import Attempts, Delivered, Task, refuse_upstream
 from cherrylane.delivery.exchange import UpstreamRequest
 from cherrylane.delivery.relay import StreamRelay
+from cherrylane.delivery.streams import StreamLoop
 from cherrylane.errors import Refusal, UpstreamError
 from cherrylane.limits.work import AccountShare, Ask
 from cherrylane.routing.chat import ChatCall, read_chat_call
@@ -43,7 +44,17 @@
 class ChatDelivery:
     """Finds the engine for a chat and relays its answer."""
 
-    def __init__(self, attempts: Attempts, metrics: Metrics, zone: str) -> None:
+    def __init__(
+        self,
+        attempts: Attempts,
+        loop: StreamLoop,
+        metrics: Metrics,
+        *,
+        zone: str,
+        silence_timeout_s: float,
+    ) -> None:
+        self._loop = loop
+        self._silence_timeout_s = silence_timeout_s
         self._attempts = attempts
         self._metrics = metrics
         self._zone = zone
@@ -135,10 +146,15 @@
         headers = {"Content-Type": content_type, ENGINE_HEADER: delivered.grant.engine}
         headers.update(self._hint_headers(delivered, call, view, entry))
         if content_type.startswith(EVENT_STREAM_TYPE):
-            relay = StreamRelay(delivered, self._metrics, started, entry.name)
-            return Ok(
-                Answer(exchange.status, headers, RelayedBody(relay.relay(), delivered.finish))
+            relay = StreamRelay(
+                delivered,
+                self._loop,
+                self._metrics,
+                started=started,
+                service=entry.name,
+                silence_timeout_s=self._silence_timeout_s,
             )
+            return Ok(Answer(exchange.status, headers, relay))
         try:
             body = exchange.read_whole()
             delivered.note_usage(body[-USAGE_BYTES:])
--- a/src/cherrylane/delivery/exchange.py
+++ b/src/cherrylane/delivery/exchange.py
@@ -18,6 +18,7 @@
 
 MILLISECONDS_PER_SECOND = 1000
 READ_BYTES = 64 * 1024
+ENDS_AT_CLOSE = "Connection: close"
 MAX_WHOLE_ANSWER_BYTES = 64 * 1024 * 1024
 FAILURES = (HTTPError, HTTPException, OSError)
 
@@ -64,11 +65,12 @@
             self._connect(runner, connection)
             self._send(runner, connection, request)
             self._wait(runner, connection, caller)
+            bare = connection.sock
             response = self._begin(runner, connection)
         except BaseException:
             self.close(runner, connection)
             raise
-        return Exchange(self, runner, connection, response)
+        return Exchange(self, runner, connection, response, bare)
 
     def close(self, runner: Runner, connection: HTTPConnection) -> None:
         """Close a connection, which cancels what the upstream still does for it."""
@@ -144,6 +146,20 @@
             ) from error
 
 
+@frozen
+class DetachedBody:
+    """The rest of an answer, on its bare connection.
+
+    ``head`` frames it as the upstream did, ``leftover`` are bytes of it that were read already.
+    A body without framing ``ends_at_close`` of the connection.
+    """
+
+    connection: socket
+    head: bytes
+    leftover: bytes
+    ends_at_close: bool = False
+
+
 class Exchange:
     """An answer that has begun; read it with :meth:`chunks` or :meth:`read_whole`."""
 
@@ -153,7 +169,9 @@
         runner: Runner,
         connection: HTTPConnection,
         response: HTTPResponse,
+        bare: socket,
     ) -> None:
+        self._bare = bare
         self._client = client
         self._connection: HTTPConnection | None = connection
         self._response = response
@@ -186,6 +204,24 @@
                 raise self._truncated(size, "the answer is too long to be taken whole")
         return b"".join(parts)
 
+    def detach(self) -> DetachedBody:
+        """Return the connection itself, to read the rest of the body without blocking.
+
+        Closing the exchange no longer closes it; whoever took it does.
+        """
+        own = self._bare.dup()
+        own.setblocking(False)
+        leftover: bytes = self._response._fp.fp.peek()  # type: ignore[union-attr]
+        length = self.headers.get("Content-Length")
+        if length is not None:
+            framing = f"Content-Length: {length}"
+        elif self.headers.get("Transfer-Encoding", "").lower() == "chunked":
+            framing = "Transfer-Encoding: chunked"
+        else:
+            framing = ENDS_AT_CLOSE
+        head = f"HTTP/1.1 200 OK\r\n{framing}\r\n\r\n".encode()
+        return DetachedBody(own, head, leftover, ends_at_close=framing == ENDS_AT_CLOSE)
+
     def close(self) -> None:
         """Give up the rest of the answer; the upstream sees the connection close and cancels."""
         connection, self._connection = self._connection, None
--- a/src/cherrylane/delivery/relay.py
+++ b/src/cherrylane/delivery/relay.py
@@ -1,69 +1,209 @@
-"""Relay of a streamed answer: chunks pass as they come, and the end is checked."""
+"""Relay of a streamed answer: its events pass as they come, and its end is checked."""
 
-from collections.abc import Iterator
+from collections.abc import Generator
+from socket import socket
 from time import perf_counter
 
 from attrs import define
+from httptools import HttpParserError, HttpResponseParser
 from logbook import Logger
 
 from cherrylane.delivery.answers import render_error_event
 from cherrylane.delivery.attempts import Delivered
-from cherrylane.errors import Execution, Refusal, UpstreamError
+from cherrylane.delivery.exchange import DetachedBody
+from cherrylane.delivery.streams import Stream, StreamLoop, Task, Wake
+from cherrylane.errors import Execution, Refusal
 from cherrylane.telemetry.metrics import Metrics
 
 DONE_MARK = b"data: [DONE]"
 TAIL_BYTES = 1024
+READ_BYTES = 64 * 1024
+GAPS_PER_SAMPLE = 8
+LAST_CHUNK = b"0\r\n\r\n"
 
 log = Logger("cherrylane.delivery")
 
 
+class _BodyDecoder:
+    """Takes a body out of its framing; ``httptools`` calls the ``on_`` methods."""
+
+    def __init__(self, body: DetachedBody) -> None:
+        self.complete = False
+        self.ends_at_close = body.ends_at_close
+        self._parts: list[bytes] = []
+        self._parser = HttpResponseParser(self)
+        self._parser.feed_data(body.head)
+
+    def on_body(self, data: bytes) -> None:
+        """Take a part of the body."""
+        self._parts.append(data)
+
+    def on_message_complete(self) -> None:
+        """Note that the body is whole."""
+        self.complete = True
+
+    def decode(self, data: bytes) -> bytes:
+        """Return the part of the body that ``data`` holds; raises ``HttpParserError``."""
+        self._parser.feed_data(data)
+        if len(self._parts) == 1:
+            return self._parts.pop()
+        body = b"".join(self._parts)
+        self._parts.clear()
+        return body
+
+
 @define
 class StreamRelay:
-    """Relays one event stream and gives the grant back at its end, however it ends."""
+    """Relays one event stream, and gives its grant back however it ends.
+
+    ``chunked`` says that the caller's side uses chunked framing, as HTTP/1.1 callers do.
+    """
 
     delivered: Delivered
+    loop: StreamLoop
     metrics: Metrics
     started: float
     service: str
+    silence_timeout_s: float
 
-    def relay(self) -> Iterator[bytes]:
-        """Yield the engine's events; one that breaks off ends with an error event."""
-        tail = b""
-        previous: float | None = None
+    def begin(self, caller: socket, *, chunked: bool) -> None:
+        """Hand the stream to the loop; the relay owns ``caller`` from now on."""
+        body = self.delivered.exchange.detach()
+        caller.setblocking(False)
+        stream = Stream(body.connection, caller, self.silence_timeout_s)
+        run = _Run(self, stream, _BodyDecoder(body), chunked)
+        stream.task = run.relay(body.leftover)
+        self.loop.add(stream)
+
+    def abandon(self) -> None:
+        """Give up a stream that was not begun."""
+        self.delivered.finish()
+
+
+@define
+class _Run:
+    """One relay in progress."""
+
+    relay_of: StreamRelay
+    stream: Stream
+    decoder: _BodyDecoder
+    chunked: bool
+    tail: bytes = b""
+    unsent: bytes = b""
+    events: int = 0
+    previous: float = 0.0
+
+    def relay(self, leftover: bytes) -> Task:
+        """Pass events on until the answer ends, breaks off, or the caller leaves."""
         try:
-            for chunk in self.delivered.exchange.chunks():
-                previous = self._record(previous)
-                tail = (tail + chunk)[-TAIL_BYTES:]
-                yield chunk
-            if DONE_MARK not in tail:
-                self.delivered.note_failure()
-                yield self._end_early("the stream ended without its last event")
-            else:
-                self.delivered.note_usage(tail)
-                self.metrics.count("answers", self.service)
-        except UpstreamError as error:
-            log.warning(f"stream broke off: {error}")
-            self.delivered.note_failure()
-            yield self._end_early("the engine's answer broke off")
+            if leftover:
+                self._send(self._decode(leftover))
+            while not self.decoder.complete:
+                if self.unsent and not (yield from self._wait_for_caller()):
+                    return
+                wake = yield
+                if wake is not Wake.READABLE:
+                    self._give_up(wake)
+                    return
+                self._pass_on()
+            self._finish_whole()
+            if self.unsent:
+                yield from self._wait_for_caller()
+        except (OSError, HttpParserError) as error:
+            self._end_early(f"the stream broke off ({type(error).__name__})")
         finally:
-            self.delivered.finish()
+            self.relay_of.delivered.finish()
+
+    def _wait_for_caller(self) -> Generator[None, Wake, bool]:
+        """Wait until the caller has taken everything; False when it has gone."""
+        self.relay_of.loop.block(self.stream)
+        while self.unsent:
+            wake = yield
+            if wake is not Wake.WRITABLE:
+                self._note_caller_gone()
+                return False
+            self._send_unsent()
+        self.relay_of.loop.unblock(self.stream)
+        return True
 
-    def _record(self, previous: float | None) -> float:
-        now = perf_counter()
-        if previous is None:
-            self.metrics.first_token.record(now - self.started)
+    def _give_up(self, wake: Wake) -> None:
+        if wake is Wake.SILENT:
+            self._end_early("the engine fell silent")
         else:
-            self.metrics.token_gap.record(now - previous)
-        return now
-
-    def _end_early(self, message: str) -> bytes:
-        self.metrics.count("refusals", "stream_cut")
-        return render_error_event(
-            Refusal(
-                status=502,
-                code="stream_cut",
-                message=message,
-                remedy="send the request again; what came so far is not the whole answer",
-                execution=Execution.UNKNOWN,
-            )
-        )
+            self._note_caller_gone()
+
+    def _pass_on(self) -> None:
+        try:
+            data = self.stream.upstream.recv(READ_BYTES)
+        except BlockingIOError:
+            return
+        if not data and not self.decoder.ends_at_close:
+            raise ConnectionResetError("the engine closed the connection")
+        if not data:
+            self.decoder.complete = True
+            return
+        self._send(self._decode(data))
+
+    def _decode(self, data: bytes) -> bytes:
+        body = self.decoder.decode(data)
+        if body:
+            self.tail = body if len(body) >= TAIL_BYTES else (self.tail + body)[-TAIL_BYTES:]
+            self._record()
+        return body
+
+    def _record(self) -> None:
+        self.events += 1
+        if self.events == 1:
+            now = perf_counter()
+            self.relay_of.metrics.first_token.record(now - self.relay_of.started)
+        elif self.events % GAPS_PER_SAMPLE == 0:
+            self.previous = perf_counter()
+        elif self.events % GAPS_PER_SAMPLE == 1 and self.previous:
+            self.relay_of.metrics.token_gap.record(perf_counter() - self.previous)
+
+    def _send(self, body: bytes) -> None:
+        if body:
+            self.unsent += b"%x\r\n%b\r\n" % (len(body), body) if self.chunked else body
+            self._send_unsent()
+
+    def _send_unsent(self) -> None:
+        try:
+            sent = self.stream.caller.send(self.unsent)
+        except BlockingIOError:
+            return
+        self.unsent = self.unsent[sent:]
+
+    def _finish_whole(self) -> None:
+        relay = self.relay_of
+        if DONE_MARK not in self.tail:
+            self._end_early("the stream ended without its last event")
+            return
+        relay.delivered.note_usage(self.tail)
+        relay.metrics.count("answers", relay.service)
+        self._send_end()
+
+    def _end_early(self, message: str) -> None:
+        relay = self.relay_of
+        relay.delivered.note_failure()
+        relay.metrics.count("refusals", "stream_cut")
+        log.warning(f"stream from {relay.delivered.grant.engine} was cut: {message}")
+        self._send(render_error_event(_cut(message)))
+        self._send_end()
+
+    def _send_end(self) -> None:
+        if self.chunked:
+            self.unsent += LAST_CHUNK
+            self._send_unsent()
+
+    def _note_caller_gone(self) -> None:
+        self.relay_of.metrics.count("dropped_answers", "caller_gone")
+
+
+def _cut(message: str) -> Refusal:
+    return Refusal(
+        status=502,
+        code="stream_cut",
+        message=message,
+        remedy="send the request again; what came so far is not the whole answer",
+        execution=Execution.UNKNOWN,
+    )
--- a/src/cherrylane/http/server.py
+++ b/src/cherrylane/http/server.py
@@ -1,6 +1,6 @@
 """Set-up of ``cheroot`` servers, whose own errors are typed JSON too."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from json import dumps
 from math import ceil
 from socket import socket
@@ -10,7 +10,7 @@
 from cheroot.server import HTTPConnection, HTTPRequest
 from cheroot.wsgi import Gateway_10, Server
 
-from cherrylane.delivery.answers import JSON_TYPE, Answer, render_error
+from cherrylane.delivery.answers import JSON_TYPE, Answer, HandedOverBody, RelayedBody, render_error
 from cherrylane.errors import Refusal, SettingsError
 from cherrylane.settings.schema import Endpoint
 
@@ -38,6 +38,16 @@
 Application = Callable[[Environ, StartResponse], Iterable[bytes]]
 
 
+class HandOver(Iterable[bytes]):
+    """A WSGI answer whose body is sent by somebody else."""
+
+    def __init__(self, body: HandedOverBody) -> None:
+        self.body = body
+
+    def __iter__(self) -> Iterator[bytes]:
+        raise TypeError("the body is handed over, not iterated")
+
+
 class _TypedRequest(HTTPRequest):
     """Answers a request that cheroot itself turns away with the same JSON as any refusal."""
 
@@ -66,6 +76,35 @@
 class _ConnectionGateway(Gateway_10):
     """Gives the application the caller's socket, so that it sees a caller leave."""
 
+    def respond(self) -> None:
+        """Send the application's answer, or hand the connection to whoever sends it."""
+        response = self.req.server.wsgi_app(self.env, self.start_response)
+        if isinstance(response, HandOver):
+            self._hand_over(response.body)
+            return
+        try:
+            for chunk in filter(None, response):
+                self.write(chunk)
+        finally:
+            self.req.ensure_headers_sent()
+            if isinstance(response, RelayedBody):
+                response.close()
+
+    def _hand_over(self, body: HandedOverBody) -> None:
+        """Send the headers, and give the body's sender a descriptor of its own."""
+        try:
+            self.req.close_connection = True
+            self.req.ensure_headers_sent()
+            own = self.req.conn.socket.dup()
+        except BaseException:
+            body.abandon()
+            raise
+        chunked = self.req.chunked_write
+        # What follows is not this server's to write or to shut down.
+        self.req.chunked_write = False
+        self.req.conn.linger = True
+        body.begin(own, chunked=chunked)
+
     def get_environ(self) -> Environ:  # type: ignore[override]
         environ: Environ = {}
         environ.update(super().get_environ())
@@ -138,4 +177,6 @@
         start_response(status, headers)
         return [answer.body]
     start_response(status, headers)
-    return answer.body
+    if isinstance(answer.body, RelayedBody):
+        return answer.body
+    return HandOver(answer.body)
--- a/src/cherrylane/limits/choice.py
+++ b/src/cherrylane/limits/choice.py
@@ -45,16 +45,16 @@
             continue
         if ledger.is_within_bound(engine, work):
             return _choose(candidate, work, candidate.reason)
-        resulting = (engine.load + work) / (engine.weight * engine.ramp)
-        if resulting < smallest_load and _may_round(ledger, engine):
+        resulting = (engine.load + work) / engine.weight
+        if resulting < smallest_load and _may_round(ledger, engine, ask):
             smallest_load = resulting
             smallest = _choose(candidate, work, f"{candidate.reason}, least load")
     return smallest
 
 
-def _may_round(ledger: Ledger, engine: EngineLoad) -> bool:
-    """Rounding needs exact sight of all engines, or an engine with nothing to do."""
-    return ledger.outside.weight == 0.0 or engine.grants == 0
+def _may_round(ledger: Ledger, engine: EngineLoad, ask: Ask) -> bool:
+    """Rounding needs sight of all engines, an idle engine, or an ask that went round the pools."""
+    return ledger.outside.weight == 0.0 or engine.grants == 0 or ask.may_round
 
 
 def _choose(candidate: Candidate, work: float, reason: str) -> Choice:
--- a/src/cherrylane/limits/pool.py
+++ b/src/cherrylane/limits/pool.py
@@ -91,6 +91,9 @@
             )
             self._queue.add(waiter)
             self._serve_waiting()
+            if not ask.may_wait and not waiter.served:
+                self._queue.remove(waiter, served=False)
+                reply(self._refuse_over_bound(ask))
             self._trim_queue()
 
     def release(self, grant_id: str, outcome: GrantOutcome = UNREPORTED) -> None:
@@ -188,6 +191,11 @@
         runner = self._members.get(engine)
         return runner is not None and runner.serves(model)
 
+    def _refuse_over_bound(self, ask: Ask) -> Busy:
+        loads = [load.load / load.weight for load in self._ledger.engines.values()]
+        refusal = _refuse(ask, "over_bound", "no engine of this pool is within the bound", 0.0)
+        return evolve(refusal, least_load=min(loads, default=float("inf")))
+
     def _has_candidate(self, ask: Ask) -> bool:
         return any(
             runner.serves(ask.model) and name not in ask.excluded
--- a/src/cherrylane/limits/waiting.py
+++ b/src/cherrylane/limits/waiting.py
@@ -26,6 +26,7 @@
     expires_at: float
     work: float
     start_tag: float = 0.0
+    served: bool = False
 
 
 @define
@@ -68,6 +69,7 @@
         queue = self._queues[key]
         queue.waiters.remove(waiter)
         self.size -= 1
+        waiter.served = served
         if not queue.waiters:
             del self._queues[key]
         if served:
--- a/src/cherrylane/limits/work.py
+++ b/src/cherrylane/limits/work.py
@@ -29,7 +29,9 @@
 
     ``id`` is unique in the fleet and becomes the grant's. ``holder`` is the host, and the run of
     its daemon, that will talk to the engine. ``hinted`` is the engine that the caller's hint
-    names. ``excluded`` engines were tried already. ``wait_s`` is how long it may wait.
+    names. ``excluded`` engines were tried already. ``wait_s`` is how long it may wait for one;
+    without ``may_wait`` a home that has none free refuses at once, so that another can be asked.
+    ``may_round`` says that other pools were asked and the least loaded engine is to be taken.
     """
 
     id: str
@@ -45,6 +47,8 @@
     excluded: tuple[str, ...] = ()
     zone: str = ""
     wait_s: float = 5.0
+    may_wait: bool = True
+    may_round: bool = False
 
 
 @frozen
@@ -85,12 +89,16 @@
 
 @frozen
 class Busy:
-    """The home's answer when it admits the request to no engine, with the remedy's details."""
+    """The home's answer when it admits the request to no engine.
+
+    ``least_load`` is the smallest load over weight among the pool's engines, in tokens.
+    """
 
     id: str
     code: str
     message: str
     retry_after_s: float
+    least_load: float = 0.0
 
 
 def count_cached(cached: CachedChat | None) -> int:
--- a/src/cherrylane/peer/messages.py
+++ b/src/cherrylane/peer/messages.py
@@ -35,6 +35,8 @@
         excluded=ask.excluded,
         zone=ask.zone,
         wait_s=ask.wait_s,
+        refuse_at_once=not ask.may_wait,
+        may_round=ask.may_round,
     )
 
 
@@ -60,6 +62,8 @@
         excluded=tuple(message.excluded),
         zone=message.zone,
         wait_s=message.wait_s,
+        may_wait=not message.refuse_at_once,
+        may_round=message.may_round,
     )
 
 
@@ -93,7 +97,11 @@
 def busy_to_wire(busy: Busy) -> wire.Busy:
     """Return ``busy`` as a message."""
     return wire.Busy(
-        id=busy.id, code=busy.code, message=busy.message, retry_after_s=busy.retry_after_s
+        id=busy.id,
+        code=busy.code,
+        message=busy.message,
+        retry_after_s=busy.retry_after_s,
+        least_load=busy.least_load,
     )
 
 
@@ -104,6 +112,7 @@
         code=message.code,
         message=message.message,
         retry_after_s=message.retry_after_s,
+        least_load=message.least_load,
     )
 
 
