Measure streaming as the target has it; tests of relay, bound and pools; benchmarks

Ruled out: the wake-up of new streams (they begin at once), the histogram (3 us, sampled). Change: streams of 395 events start evenly over the length of one, engines don't slow down.

Fault found by a test: when an engine broke its framing in the same read as a whole event, the event was lost before the error event (tests.test_relay, failed before).

--- /dev/null
+++ b/bench/decision.py
@@ -0,0 +1,177 @@
+"""How long a decision takes at 10,000 engines, and what one more of each thing weighs."""
+
+import tracemalloc
+from collections.abc import Callable
+from time import perf_counter
+
+from result import Err, Ok, Result
+
+from bench.figures import Figure, Target
+from bench.services import SERVICE, make_service
+from cherrylane.configuration.documents import (
+    Base,
+    BoundSettings,
+    ClientAccount,
+    Overlay,
+    QueueSettings,
+    SiteEntry,
+)
+from cherrylane.configuration.merging import merge_documents
+from cherrylane.delivery.pools import ask_pools, choose_pools
+from cherrylane.limits.caches import CacheKnowledge
+from cherrylane.limits.pool import PoolHome
+from cherrylane.limits.work import AccountShare, Ask, Busy, Grant
+from cherrylane.membership.runners import Runner
+from cherrylane.routing.homes import PoolKey, pool_of
+from cherrylane.routing.rendezvous import hash_text
+from cherrylane.routing.view import ServiceView
+from cherrylane.telemetry.metrics import DurationHistogram
+
+ENGINES = 10_000
+POOLS = 1_700
+DECISIONS = 5_000
+RUNNING = 60
+ACCOUNTS = 47_000
+MEDIAN = Target(50.0)
+TAIL = Target(200.0)
+MEMORY = Target(64.0)
+MICROSECONDS = 1e6
+MEGABYTE = 1e6
+
+
+class DecisionBench:
+    """One service's view and its homes, as many as there are pools."""
+
+    def __init__(self, engines: int, pools: int) -> None:
+        bound = BoundSettings(pools=pools, capacity_tokens=1e12)
+        self.service = make_view(engines, bound)
+        self._homes: dict[PoolKey, PoolHome] = {}
+
+    def decide(self, number: int) -> Grant | None:
+        """Make one decision, as an entry host and a home together do."""
+        ask = Ask(
+            id=str(number),
+            pool=PoolKey(SERVICE, 0),
+            account=AccountShare(name="account", max_concurrent=10**9),
+            chat=hash_text(f"chat-{number}"),
+            model="",
+            prompt_tokens=4000,
+            answer_tokens=250,
+            holder="host",
+        )
+        result = ask_pools(ask, choose_pools(self.service, ask), self._admit)
+        return result.ok_value if isinstance(result, Ok) else None
+
+    def release(self, grant: Grant) -> None:
+        """Give a grant back."""
+        self._homes[grant.pool].release(grant.id)
+
+    def _admit(self, ask: Ask) -> Result[Grant, Busy]:
+        replies: list[Grant | Busy] = []
+        home = self._homes.get(ask.pool)
+        if home is None:
+            home = self._homes[ask.pool] = make_home(ask.pool, self.service)
+        home.submit(ask, replies.append)
+        match replies[0]:
+            case Grant() as grant:
+                return Ok(grant)
+            case Busy() as busy:
+                return Err(busy)
+
+
+def make_view(engines: int, bound: BoundSettings) -> ServiceView:
+    """Return a service with so many engines."""
+    runners = {
+        f"engine-{index}": Runner(
+            name=f"engine-{index}", service=SERVICE, site="s", zone="z", address="-", port=1
+        )
+        for index in range(engines)
+    }
+    pools = {name: pool_of(SERVICE, name, bound.pools) for name in runners}
+    entry = make_service(bound, QueueSettings())
+    return ServiceView(entry=entry, runners=runners, pools=pools, homes={})
+
+
+def make_home(pool: PoolKey, service: ServiceView) -> PoolHome:
+    """Return a home that may admit at once."""
+    return PoolHome(pool, service, awaited_holders=(), takeover_s=0.0, may_admit=lambda: True)
+
+
+def measure_decision() -> list[Figure]:
+    """Decision times, and memory for each engine, chat and account."""
+    large = time_decisions(DecisionBench(ENGINES, POOLS))
+    small = time_decisions(DecisionBench(6, 1))
+    plain = time_plain_scoring()
+    per_engine = weigh(lambda: make_view(ENGINES, BoundSettings(pools=POOLS))) / ENGINES
+    per_chat = weigh(lambda: fill_caches(20_000)) / 20_000
+    accounts = weigh(lambda: make_accounts(ACCOUNTS))
+    name = f"decision, {ENGINES} engines"
+    return [
+        Figure(
+            f"{name}: median",
+            large.quantile(50.0) * MICROSECONDS,
+            "us",
+            "score all in Python",
+            plain * MICROSECONDS,
+            MEDIAN,
+        ),
+        Figure(f"{name}: 99th", large.quantile(99.0) * MICROSECONDS, "us", target=TAIL),
+        Figure("decision, 6 engines: median", small.quantile(50.0) * MICROSECONDS, "us"),
+        Figure("decision, 6 engines: 99th", small.quantile(99.0) * MICROSECONDS, "us"),
+        Figure("memory: an engine in a view", per_engine, "bytes"),
+        Figure("memory: a chat at its home", per_chat, "bytes"),
+        Figure("memory: a client account", accounts / ACCOUNTS, "bytes"),
+        Figure(f"memory: {ACCOUNTS} accounts", accounts / MEGABYTE, "MB", target=MEMORY),
+    ]
+
+
+def time_decisions(bench: DecisionBench) -> DurationHistogram:
+    """Return the times of decisions, with some grants out all the time."""
+    times = DurationHistogram()
+    running: list[Grant] = []
+    for number in range(DECISIONS):
+        started = perf_counter()
+        grant = bench.decide(number)
+        times.record(perf_counter() - started)
+        if grant is not None:
+            running.append(grant)
+        if len(running) > RUNNING:
+            bench.release(running.pop(0))
+    return times
+
+
+def time_plain_scoring() -> float:
+    """Return the time in seconds to score every engine for one chat in a Python loop."""
+    names = [f"engine-{index}" for index in range(ENGINES)]
+    started = perf_counter()
+    max(names, key=lambda name: hash_text(f"chat{name}"))
+    return perf_counter() - started
+
+
+def fill_caches(chats: int) -> CacheKnowledge:
+    """Return a home's knowledge of so many chats on six engines."""
+    knowledge = CacheKnowledge(entry_limit=chats)
+    for number in range(chats):
+        knowledge.use(hash_text(str(number)), f"engine-{number % 6}", tokens=4000)
+    return knowledge
+
+
+def make_accounts(count: int) -> object:
+    """Return a configuration with so many accounts, merged as a daemon holds it."""
+    accounts = [
+        ClientAccount(name=f"account-{number}", key_sha256=f"{number:064x}")
+        for number in range(count)
+    ]
+    overlay = Overlay(site="s", hint_key="a-hint-key-for-bench", accounts=accounts)
+    base = Base(sites={"s": SiteEntry(firm="f")})
+    return merge_documents(base, [overlay], generation=1).unwrap()
+
+
+def weigh(make: Callable[[], object]) -> float:
+    """Return the bytes that what ``make`` returns keeps."""
+    tracemalloc.start()
+    kept = make()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return float(size)
--- /dev/null
+++ b/bench/path.py
@@ -0,0 +1,33 @@
+"""The path: an ask for admission once a request, beside forwarding every event through the home."""
+
+from bench.figures import Figure, Target
+from bench.wire import WireBench, time_forwarded_events
+
+EVENTS = 20_000
+ADMISSIONS = 1_000
+EVENTS_PER_REQUEST = 395
+MICROSECONDS = 1e6
+CHEAPER = Target(1.0)
+
+
+def measure_path() -> list[Figure]:
+    """Processor time of both ways for one request of the target's mean length."""
+    forwarded = time_forwarded_events(EVENTS) * EVENTS_PER_REQUEST
+    with WireBench() as bench:
+        asked = bench.admit_many(ADMISSIONS)
+    return [
+        Figure(
+            f"path: processor time a request of {EVENTS_PER_REQUEST} events beside relaying",
+            asked * MICROSECONDS,
+            "us",
+            "forward by gRPC",
+            forwarded * MICROSECONDS,
+            CHEAPER,
+            target_on_ratio=True,
+        ),
+        Figure(
+            "path: processor time of an event forwarded by gRPC",
+            forwarded / EVENTS_PER_REQUEST * MICROSECONDS,
+            "us",
+        ),
+    ]
--- a/bench/stream_load.py
+++ b/bench/stream_load.py
@@ -9,6 +9,8 @@
 
 TOKEN_S = 0.029
 PERCENT_95 = 0.95
+ANSWER_TOKENS = 395
+RAMP_S = ANSWER_TOKENS * TOKEN_S
 
 
 @frozen
@@ -20,13 +22,15 @@
     key: str
     model: str
     streams: int
-    duration_s: float
+    measured_s: float
     name: str
 
 
 @define
 class Seen:
-    """What the callers saw; times in seconds."""
+    """What the callers saw after ``counts_from``; times in seconds."""
+
+    counts_from: float = 0.0
 
     first: list[float] = field(factory=list)
     gaps: list[float] = field(factory=list)
@@ -46,33 +50,32 @@
 
 
 async def run_load(load: Load) -> Seen:
-    """Keep ``load.streams`` streams going until the time is up."""
-    seen = Seen()
-    ends_at = perf_counter() + load.duration_s
+    """Start streams evenly over ``RAMP_S``, keep them going, and look after the ramp."""
+    seen = Seen(counts_from=perf_counter() + RAMP_S)
+    ends_at = seen.counts_from + load.measured_s
     workers = [_work(load, number, ends_at, seen) for number in range(load.streams)]
     await asyncio.gather(*workers)
     return seen
 
 
 async def _work(load: Load, number: int, ends_at: float, seen: Seen) -> None:
-    await asyncio.sleep(TOKEN_S * 30 * number / max(1, load.streams))
+    await asyncio.sleep(RAMP_S * number / max(1, load.streams))
     turn = 0
     while perf_counter() < ends_at:
         turn += 1
         try:
-            await _stream_once(load, f"{load.name}-{number}-{turn}", ends_at, seen)
+            await _stream_once(load, f"{load.name}-{number}-{turn}", seen)
         except (OSError, asyncio.IncompleteReadError, ValueError):
             seen.failures += 1
             await asyncio.sleep(0.2)
 
 
-async def _stream_once(load: Load, chat: str, ends_at: float, seen: Seen) -> None:
-    tokens = 100
+async def _stream_once(load: Load, chat: str, seen: Seen) -> None:
     body = dumps(
         {
             "model": load.model,
             "stream": True,
-            "max_tokens": tokens,
+            "max_tokens": ANSWER_TOKENS,
             "messages": [{"role": "user", "content": f"{chat} " * 20}],
         }
     )
@@ -97,10 +100,11 @@
     tail = b""
     while data := await reader.read(65536):
         now = perf_counter()
-        if previous:
-            seen.gaps.append(now - previous)
-        else:
-            seen.first.append(now - started)
+        if now >= seen.counts_from:
+            if previous:
+                seen.gaps.append(now - previous)
+            else:
+                seen.first.append(now - started)
         previous = now
         tail = (tail + data)[-256:]
         if tail.endswith(b"0\r\n\r\n"):
@@ -132,7 +136,7 @@
     parser = ArgumentParser()
     parser.add_argument("--port", type=int, required=True)
     parser.add_argument("--streams", type=int, required=True)
-    parser.add_argument("--duration-s", type=float, required=True)
+    parser.add_argument("--measured-s", type=float, required=True)
     parser.add_argument("--key", required=True)
     parser.add_argument("--model", required=True)
     parser.add_argument("--name", required=True)
@@ -143,7 +147,7 @@
         key=options.key,
         model=options.model,
         streams=options.streams,
-        duration_s=options.duration_s,
+        measured_s=options.measured_s,
         name=options.name,
     )
     print(dumps(asdict(summarize(asyncio.run(run_load(load))))))
--- a/bench/streaming.py
+++ b/bench/streaming.py
@@ -6,23 +6,24 @@
 from pathlib import Path
 from subprocess import PIPE, Popen
 from time import perf_counter, sleep
+from typing import Any
 
 from attrs import frozen
 
 from bench.figures import Figure, Target
-from bench.stream_load import Summary
+from bench.stream_load import RAMP_S, Summary
 from standins.example import UNION_KEY
 from standins.fleet import ROOT, EngineSpec, Fleet, HostSpec, open_fleet
 
 ENGINES = 4
 MODEL = "drafting-8b"
-STREAMS = (100, 300, 614)
-BASELINE_STREAMS = (100, 300)
-DURATION_S = 10.0
-SETTLE_S = 3.0
+STREAMS = (100, 614)
+BASELINE_STREAMS = (100,)
+MEASURED_S = 12.0
 FIRST_TOKEN = Target(0.72)
-TOKEN_GAP = Target(0.029 * 1.5)
-ENGINE_OPTIONS = ("--token-interval-s", "0.029")
+TOKEN_GAP = Target(0.029)
+ENGINE_OPTIONS = ("--token-interval-s", "0.029", "--batch-slowdown", "0")
+SETTLE_S = 1.0
 CLOCK_TICKS = sysconf("SC_CLK_TCK")
 
 
@@ -38,7 +39,7 @@
     @property
     def cpu_per_event_us(self) -> float:
         """Processor time for each event that was relayed while it was watched."""
-        events = self.summary.events * self.wall_s / DURATION_S
+        events = self.summary.events * self.wall_s / MEASURED_S
         return self.cpu_s / events * 1e6 if events else 0.0
 
 
@@ -49,8 +50,10 @@
         daemon = fleet.daemons["hsinchu-1"].process.pid
         port = int(fleet.url_of("hsinchu-1").rsplit(":", 1)[1])
         baseline = _run_baseline(fleet)
-        runs = [_run_load(port, daemon, streams) for streams in STREAMS]
-    return _make_figures(runs, baseline)
+        runs = [_run_load([port, port], daemon, streams) for streams in STREAMS]
+        engine_ports = [engine.port for engine in fleet.engines.values()]
+        direct = _run_load(engine_ports, daemon, STREAMS[-1])
+    return _make_figures(runs, baseline, direct)
 
 
 def _start(fleet: Fleet) -> None:
@@ -68,7 +71,7 @@
         )
     documents = [str(ROOT / "examples" / name) for name in ("base.yaml", "tw-north.yaml")]
     fleet.run_cli("apply", *documents)
-    changes = {"callers": {"threads": 128}, "log": {"level": "WARNING"}}
+    changes: dict[str, dict[str, Any]] = {"callers": {"threads": 128}, "log": {"level": "WARNING"}}
     fleet.start_daemon(HostSpec("hsinchu-1", "tw-north", "hsinchu-a", changes))
     fleet.wait_until_serving()
 
@@ -80,28 +83,29 @@
     try:
         assert process.stdout is not None
         port = int(process.stdout.readline())
-        return {streams: _run_load(port, process.pid, streams) for streams in BASELINE_STREAMS}
+        return {n: _run_load([port, port], process.pid, n) for n in BASELINE_STREAMS}
     finally:
         process.kill()
         process.wait()
 
 
-def _run_load(port: int, pid: int, streams: int) -> Run:
-    command = [sys.executable, "-m", "bench.stream_load", "--port", str(port)]
-    command += ["--duration-s", str(DURATION_S), "--key", UNION_KEY, "--model", MODEL]
-    halves = [streams // 2, streams - streams // 2]
+def _run_load(ports: list[int], pid: int, streams: int) -> Run:
+    """Load ``ports`` with a client process each, and watch the processor time of ``pid``."""
+    command = [sys.executable, "-m", "bench.stream_load"]
+    command += ["--measured-s", str(MEASURED_S), "--key", UNION_KEY, "--model", MODEL]
+    shares = [streams // len(ports) + (n < streams % len(ports)) for n in range(len(ports))]
     loads_running = [
         Popen(
-            [*command, "--streams", str(half), "--name", f"{streams}-{index}"],
+            [*command, "--port", str(port), "--streams", str(share), "--name", f"{streams}-{n}"],
             stdout=PIPE,
             text=True,
             cwd=ROOT,
         )
-        for index, half in enumerate(halves)
+        for n, (port, share) in enumerate(zip(ports, shares, strict=True))
     ]
-    sleep(SETTLE_S)
+    sleep(RAMP_S + SETTLE_S)
     began, cpu = perf_counter(), _cpu_seconds(pid)
-    sleep(DURATION_S - SETTLE_S - 1.0)
+    sleep(MEASURED_S - 2 * SETTLE_S)
     wall_s, cpu_s = perf_counter() - began, _cpu_seconds(pid) - cpu
     summaries = [Summary(**loads(process.communicate()[0])) for process in loads_running]
     return Run(streams, _merge(summaries), cpu_s, wall_s)
@@ -122,8 +126,17 @@
     return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
 
 
-def _make_figures(runs: list[Run], baseline: dict[int, Run]) -> list[Figure]:
-    figures: list[Figure] = []
+def _make_figures(runs: list[Run], baseline: dict[int, Run], direct: Run) -> list[Figure]:
+    last = runs[-1]
+    figures = [
+        Figure(
+            f"streaming, {last.streams} streams: gap between events, 95th, beside no router",
+            last.summary.gap_95_s,
+            "s",
+            "straight from engines",
+            direct.summary.gap_95_s,
+        )
+    ]
     for run in runs:
         name = f"streaming, {run.streams} streams"
         other = baseline.get(run.streams)
--- a/bench/thread_relay.py
+++ b/bench/thread_relay.py
@@ -20,7 +20,12 @@
         self._client = UpstreamClient(UpstreamSettings(max_connections=THREADS))
         self._runners = [
             Runner(
-                name=f"engine-{port}", service="-", site="-", zone="-", address="127.0.0.1", port=port
+                name=f"engine-{port}",
+                service="-",
+                site="-",
+                zone="-",
+                address="127.0.0.1",
+                port=port,
             )
             for port in ports
         ]
--- a/bench/ways.py
+++ b/bench/ways.py
@@ -197,7 +197,7 @@
 
 
 class Homes:
-    """The product: a :class:`PoolHome` for each pool, asked by views that know only the order."""
+    """The product: a :class:`PoolHome` for each pool, and callers that hand back their hints."""
 
     name = "home"
 
@@ -212,6 +212,7 @@
             for number in range(workload.pools)
         }
         self._granted: dict[int, Grant] = {}
+        self._hints: dict[int, str] = {}
         self._pending_lists: list[tuple[float, ServiceView]] = []
         self._version = 0
         self._next_exchange_s = 0.0
@@ -224,6 +225,8 @@
         if isinstance(result, Err):
             return None
         self._granted[number] = result.ok_value
+        if not arrival.batch:
+            self._hints[arrival.chat] = result.ok_value.engine
         return result.ok_value.engine
 
     def counted_work(self, number: int) -> float | None:
@@ -280,6 +283,7 @@
             prompt_tokens=arrival.prefix_tokens,
             answer_tokens=int(self.fleet.workload.answer_tokens),
             holder="view",
+            hinted=self._hints.get(arrival.chat, ""),
             excluded=tuple(excluded),
         )
 
--- /dev/null
+++ b/bench/wire.py
@@ -0,0 +1,209 @@
+"""Two daemons' gRPC sides on loopback with a forwarder between them that counts bytes."""
+
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from socket import create_connection, create_server, socket
+from threading import Event, Thread
+from time import process_time
+from types import TracebackType
+
+import grpc
+
+from bench.decision import make_home, make_view
+from bench.services import SERVICE
+from cherrylane.configuration.documents import BoundSettings
+from cherrylane.limits.pool import PoolHome
+from cherrylane.limits.waiting import Reply
+from cherrylane.limits.work import AccountShare, Ask, Busy, Grant, GrantOutcome
+from cherrylane.peer import peer_pb2 as wire
+from cherrylane.peer.identity import PeerIdentity
+from cherrylane.peer.link import HomeLink
+from cherrylane.peer.probe import Knowledge, ProbeAnswer, ProbeClient
+from cherrylane.peer.server import PeerServer
+from cherrylane.routing.homes import PoolKey
+from cherrylane.routing.rendezvous import hash_text
+from cherrylane.settings.schema import Endpoint, PeerSettings
+from cherrylane.telemetry.traffic import TrafficCounter
+
+KEY = "bench-peer-key-0001"
+POOL = PoolKey(SERVICE, 0)
+WAIT_S = 10.0
+PROBE_TIMEOUT_S = 5.0
+
+
+class OneHome:
+    """The home side of a server, with one pool."""
+
+    def __init__(self) -> None:
+        self.home: PoolHome = make_home(POOL, make_view(6, BoundSettings()))
+
+    def handle_ask(self, ask: Ask, reply: Reply) -> None:
+        """Admit a peer's ask."""
+        self.home.submit(ask, reply)
+
+    def handle_release(self, pool: PoolKey, grant_id: str, outcome: GrantOutcome) -> None:
+        """Take a grant back."""
+        self.home.release(grant_id, outcome)
+
+    def handle_holdings(self, pool: PoolKey, holder: str, grants: list[Grant]) -> None:
+        """Count what a peer holds."""
+
+    def handle_link_down(self, holder: str) -> None:
+        """Nothing waits."""
+
+
+class CountingForwarder:
+    """Passes TCP connections on and counts their bytes in both directions."""
+
+    def __init__(self, port: int) -> None:
+        self._target = port
+        self._listener = create_server(("127.0.0.1", 0))
+        self.port: int = self._listener.getsockname()[1]
+        self.count = 0
+        Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        """Take no more connections."""
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                near, _ = self._listener.accept()
+            except OSError:
+                return
+            far = create_connection(("127.0.0.1", self._target))
+            Thread(target=self._pass_on, args=(near, far), daemon=True).start()
+            Thread(target=self._pass_on, args=(far, near), daemon=True).start()
+
+    def _pass_on(self, source: socket, target: socket) -> None:
+        try:
+            while data := source.recv(65536):
+                self.count += len(data)
+                target.sendall(data)
+        except OSError:
+            return
+
+
+class WireBench:
+    """A server, the forwarder and a client's ends."""
+
+    def __init__(self) -> None:
+        self._traffic = TrafficCounter()
+        self._identity = PeerIdentity("host-1", "0123456789abcdef")
+        settings = PeerSettings(listen=Endpoint("127.0.0.1", 0), shared_key=KEY)
+        self._server = PeerServer(settings, OneHome(), self._answer_probe, self._traffic)
+        self._server.start()
+        self._forwarder = CountingForwarder(self._server.port)
+        self._answers = 0
+        self._answered = Event()
+
+    def __enter__(self) -> "WireBench":
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._forwarder.close()
+        self._server.stop()
+
+    def bytes_per_probe(self, count: int) -> float:
+        """Return the bytes on the wire of a probe and its answer, both directions."""
+        client = ProbeClient(lambda: self._identity, KEY, self._traffic)
+        endpoint = f"127.0.0.1:{self._forwarder.port}"
+        client.probe(endpoint, Knowledge(), timeout_s=PROBE_TIMEOUT_S)
+        before = self._forwarder.count
+        for _ in range(count):
+            client.probe(endpoint, Knowledge(generation=7), timeout_s=PROBE_TIMEOUT_S)
+        spent = self._forwarder.count - before
+        client.close()
+        return spent / count
+
+    def bytes_per_admission(self, count: int) -> float:
+        """Return the bytes on the wire of an ask, its grant and its release."""
+        before = self._forwarder.count
+        self.admit_many(count, self._forwarder.port)
+        return (self._forwarder.count - before) / count
+
+    def admit_many(self, count: int, port: int = 0) -> float:
+        """Admit and release so many requests; return the processor seconds for one, both sides."""
+        link = HomeLink(
+            f"127.0.0.1:{port or self._server.port}",
+            self._identity,
+            KEY,
+            list_holdings=dict,
+            on_reply=self._take_reply,
+            on_down=lambda: None,
+            traffic=self._traffic,
+        )
+        started = process_time()
+        for number in range(count):
+            self._answered.clear()
+            link.ask(make_ask(number))
+            if not self._answered.wait(WAIT_S):
+                raise TimeoutError("the home did not answer")
+            link.release(self._last, GrantOutcome(found_tokens=900))
+        spent = process_time() - started
+        link.close()
+        return spent / count
+
+    def _take_reply(self, reply: Grant | Busy) -> None:
+        assert isinstance(reply, Grant)
+        self._last = reply
+        self._answered.set()
+
+    def _answer_probe(self, peer: PeerIdentity, target: str, knowledge: Knowledge) -> ProbeAnswer:
+        return ProbeAnswer(
+            identity=PeerIdentity("host-2", "0123456789abcdef"),
+            acknowledged=True,
+            target_heard=False,
+            knowledge=knowledge,
+        )
+
+
+def make_ask(number: int) -> Ask:
+    """Return an ask as an entry host sends it."""
+    return Ask(
+        id=f"{number:016x}.1",
+        pool=POOL,
+        account=AccountShare(name="tw-north/union-desk"),
+        chat=hash_text(str(number)),
+        model="",
+        prompt_tokens=4000,
+        answer_tokens=250,
+        zone="hsinchu-a",
+    )
+
+
+def time_forwarded_events(events: int) -> float:
+    """Return the processor seconds for one 200-byte event over a gRPC stream, both sides."""
+
+    def send_all(request: wire.ToHome, context: object) -> Iterator[wire.FromHome]:
+        for _ in range(events):
+            yield wire.FromHome(busy=wire.Busy(message="x" * 200))
+
+    handler = grpc.unary_stream_rpc_method_handler(
+        send_all,
+        request_deserializer=wire.ToHome.FromString,
+        response_serializer=wire.FromHome.SerializeToString,
+    )
+    server = grpc.server(ThreadPoolExecutor(2))
+    server.add_generic_rpc_handlers(
+        (grpc.method_handlers_generic_handler("bench.Stream", {"Run": handler}),)
+    )
+    port = server.add_insecure_port("127.0.0.1:0")
+    server.start()
+    with grpc.insecure_channel(f"127.0.0.1:{port}") as channel:
+        call = channel.unary_stream(
+            "/bench.Stream/Run",
+            request_serializer=wire.ToHome.SerializeToString,
+            response_deserializer=wire.FromHome.FromString,
+        )
+        started = process_time()
+        received = sum(1 for _ in call(wire.ToHome()))
+        spent = process_time() - started
+    server.stop(0)
+    return spent / received
--- a/src/cherrylane/delivery/relay.py
+++ b/src/cherrylane/delivery/relay.py
@@ -29,6 +29,7 @@
 
     def __init__(self, body: DetachedBody) -> None:
         self.complete = False
+        self.broken = False
         self.ends_at_close = body.ends_at_close
         self._parts: list[bytes] = []
         self._parser = HttpResponseParser(self)
@@ -43,8 +44,11 @@
         self.complete = True
 
     def decode(self, data: bytes) -> bytes:
-        """Return the part of the body that ``data`` holds; raises ``HttpParserError``."""
-        self._parser.feed_data(data)
+        """Return the part of the body that ``data`` holds, up to where its framing is broken."""
+        try:
+            self._parser.feed_data(data)
+        except HttpParserError:
+            self.broken = True
         if len(self._parts) == 1:
             return self._parts.pop()
         body = b"".join(self._parts)
@@ -97,7 +101,7 @@
         """Pass events on until the answer ends, breaks off, or the caller leaves."""
         try:
             if leftover:
-                self._send(self._decode(leftover))
+                self._take(leftover)
             while not self.decoder.complete:
                 if self.unsent and not (yield from self._wait_for_caller()):
                     return
@@ -109,7 +113,7 @@
             self._finish_whole()
             if self.unsent:
                 yield from self._wait_for_caller()
-        except (OSError, HttpParserError) as error:
+        except OSError as error:
             self._end_early(f"the stream broke off ({type(error).__name__})")
         finally:
             self.relay_of.delivered.finish()
@@ -142,7 +146,12 @@
         if not data:
             self.decoder.complete = True
             return
+        self._take(data)
+
+    def _take(self, data: bytes) -> None:
         self._send(self._decode(data))
+        if self.decoder.broken:
+            raise ConnectionResetError("the engine broke the framing of its answer")
 
     def _decode(self, data: bytes) -> bytes:
         body = self.decoder.decode(data)
--- a/src/cherrylane/limits/pool.py
+++ b/src/cherrylane/limits/pool.py
@@ -18,6 +18,7 @@
 
 RETRY_AFTER_S = 1.0
 RESERVED_SHARE = 0.1
+BURST_SHARES = 2.0
 
 
 class PoolHome:
@@ -227,14 +228,14 @@
         return True
 
     def _account_may_start(self, waiter: Waiter) -> bool:
-        """Keep the last of the capacity for accounts that use less than their share."""
+        """Keep the last of the capacity for accounts that are near their fair share."""
         account = waiter.ask.account
         if self._account_grants.get(account.name, 0) >= account.max_concurrent:
             return False
         capacity = self._ledger.capacity()
         own = self._account_load.get(account.name, 0.0)
         fair_share = capacity / (len(self._account_load) + 1)
-        if own + waiter.work <= fair_share:
+        if own + waiter.work <= BURST_SHARES * fair_share:
             return True
         return self._ledger.load + waiter.work <= (1.0 - RESERVED_SHARE) * capacity or own == 0.0
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -230,6 +230,7 @@
     parser.add_argument("--port", type=int, default=0)
     parser.add_argument("--weight", type=float, default=1.0)
     parser.add_argument("--token-interval-s", type=float, default=0.005)
+    parser.add_argument("--batch-slowdown", type=float, default=0.01)
     parser.add_argument("--cache-blocks", type=int, default=4096)
     parser.add_argument("--drop-event-every", type=int, default=0)
     parser.add_argument("--refuse-old-orders", action="store_true")
@@ -243,6 +244,7 @@
         name=arguments.name,
         models=list(arguments.model),
         token_interval_s=arguments.token_interval_s,
+        batch_slowdown=arguments.batch_slowdown,
         cache_blocks=arguments.cache_blocks,
         drop_event_every=arguments.drop_event_every,
         refuse_old_orders=arguments.refuse_old_orders,
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,116 @@
+"""The load bound as a property: whatever is asked, admitted and given back."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from cherrylane.configuration.documents import BoundSettings
+from cherrylane.limits.choice import Candidate, choose_engine
+from cherrylane.limits.ledger import Ledger, OutsideLoad
+from cherrylane.limits.work import Grant, estimate_work
+from tests.builders import POOL, make_ask
+
+EXACT = 1e-6
+weights = st.lists(st.sampled_from([0.5, 1.0, 2.0]), min_size=1, max_size=7)
+steps = st.lists(
+    st.tuples(st.booleans(), st.integers(1, 2000), st.integers(0, 30)), min_size=1, max_size=80
+)
+
+
+def make_ledger(engine_weights: list[float], multiple: float) -> Ledger:
+    ledger = Ledger(bound=BoundSettings(load_multiple=multiple, capacity_tokens=1e9))
+    ledger.set_engines({f"e{index}": weight for index, weight in enumerate(engine_weights)})
+    return ledger
+
+
+def admit(ledger: Ledger, number: int, answer_tokens: int, first: int) -> Grant | None:
+    """Admit one ask whose first choice is engine ``first``, as a router with a fixed order."""
+    ask = make_ask(f"ask-{number}", answer_tokens=answer_tokens)
+    names = sorted(ledger.engines)
+    order = names[first % len(names) :] + names[: first % len(names)]
+    choice = choose_engine(ledger, ask, [Candidate(name) for name in order])
+    if choice is None:
+        return None
+    grant = Grant(ask.id, ask.holder, POOL, choice.engine, "account", choice.work)
+    ledger.add(grant)
+    return grant
+
+
+class LedgerTest(TestCase):
+    @settings(derandomize=True, deadline=None, max_examples=150)
+    @given(weights, st.sampled_from([1.1, 1.25, 1.5]), steps)
+    def test_the_bound_holds_at_every_admission_that_could_keep_it(
+        self, engine_weights: list[float], multiple: float, plan: list[tuple[bool, int, int]]
+    ) -> None:
+        ledger = make_ledger(engine_weights, multiple)
+        running: list[Grant] = []
+        for number, (gives_back, tokens, first) in enumerate(plan):
+            if gives_back and running:
+                ledger.remove(running.pop(first % len(running)).id)
+                continue
+            before = {name: engine.load for name, engine in ledger.engines.items()}
+            grant = admit(ledger, number, tokens, first)
+            assert grant is not None
+            running.append(grant)
+            self.check_admission(ledger, grant, before, multiple)
+            self.check_sums(ledger, running)
+
+    def check_admission(
+        self, ledger: Ledger, grant: Grant, before: dict[str, float], multiple: float
+    ) -> None:
+        mean = ledger.load / ledger.weight
+        chosen = ledger.engines[grant.engine]
+        if chosen.load / chosen.weight <= multiple * mean + EXACT:
+            return
+        for name, engine in ledger.engines.items():
+            other = (before[name] + grant.work) / engine.weight
+            self.assertTrue(other >= chosen.load / chosen.weight - EXACT, f"{name} had less")
+
+    def check_sums(self, ledger: Ledger, running: list[Grant]) -> None:
+        self.assertAlmostEqual(sum(grant.work for grant in running), ledger.load, places=3)
+        for name, engine in ledger.engines.items():
+            own = sum(grant.work for grant in running if grant.engine == name)
+            self.assertAlmostEqual(own, engine.load, places=3)
+
+    def test_lagged_sight_breaks_the_bound_and_exact_sight_keeps_it(self) -> None:
+        """The baseline way: every router admits by a report that is one second old."""
+        exact = make_ledger([1.0] * 5, 1.25)
+        lagged = make_ledger([1.0] * 5, 1.25)
+        true_loads = dict.fromkeys(lagged.engines, 0.0)
+        lagged_highest: list[float] = []
+        for number in range(200):
+            admit(exact, number, 100, first=number % 2)
+            ask = make_ask(f"ask-{number}")
+            order = [Candidate(f"e{(number % 2 + step) % 5}") for step in range(5)]
+            choice = choose_engine(lagged, ask, order)
+            assert choice is not None
+            true_loads[choice.engine] += estimate_work(ask, None)
+            if number % 50 == 49:
+                lagged_highest.append(highest_over_mean(list(true_loads.values())))
+                self.report(lagged, true_loads, number)
+        self.assertTrue(lagged_highest[-2] > 1.25, str(lagged_highest))
+        loads = [engine.load for engine in exact.engines.values()]
+        self.assertTrue(highest_over_mean(loads) <= 1.25 + EXACT, str(loads))
+
+    def report(self, lagged: Ledger, true_loads: dict[str, float], number: int) -> None:
+        for grant_id in list(lagged.grants):
+            lagged.remove(grant_id)
+        for name, load in true_loads.items():
+            lagged.add(Grant(f"{name}-{number}", "h", POOL, name, "account", load))
+
+    def test_reported_load_of_other_pools_counts_less_a_margin(self) -> None:
+        ledger = make_ledger([1.0, 1.0], 1.5)
+        ledger.outside = OutsideLoad(load=1000.0, weight=8.0)
+        engine = ledger.engines["e0"]
+        expected = 1.5 * (1 - ledger.bound.estimate_margin) * (950.0 + 50.0) / 10.0
+        self.assertAlmostEqual(expected, ledger.limit_of(engine, 50.0))
+
+    def test_an_idle_engine_takes_a_request_of_any_size(self) -> None:
+        ledger = make_ledger([1.0], 1.5)
+        ledger.bound = BoundSettings(capacity_tokens=10.0)
+        self.assertIsNotNone(admit(ledger, 1, 500, 0))
+        self.assertIsNone(admit(ledger, 2, 1, 0))
+
+
+def highest_over_mean(loads: list[float]) -> float:
+    return max(loads) / (sum(loads) / len(loads))
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,120 @@
+"""Relay of streams in the loop, against upstreams that say what a test scripts."""
+
+from json import loads
+from socket import socket, socketpair
+from threading import Event
+
+from testtools import TestCase
+
+from cherrylane.delivery.attempts import Delivered
+from cherrylane.delivery.exchange import UpstreamClient, UpstreamRequest
+from cherrylane.delivery.relay import StreamRelay
+from cherrylane.delivery.streams import StreamLoop
+from cherrylane.limits.work import Grant, GrantOutcome
+from cherrylane.settings.schema import UpstreamSettings
+from cherrylane.telemetry.metrics import Metrics
+from cherrylane.telemetry.traffic import TrafficCounter
+from tests.builders import POOL
+from tests.scripted import Script, ScriptedUpstream, say, say_then_hang
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+EVENT = b'data: {"n": 1}\n\n'
+DONE = b'data: {"usage": {"cached_tokens": 64}}\n\ndata: [DONE]\n\n'
+END = b"0\r\n\r\n"
+GRANT = Grant(id="g", holder="h", pool=POOL, engine="scripted", account="a", work=1.0)
+WAIT_S = 10.0
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+class RelayTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.loop = StreamLoop()
+        self.loop.start()
+        self.addCleanup(self.loop.stop)
+        self.released = Event()
+        self.outcomes: list[GrantOutcome] = []
+
+    def release(self, grant: Grant, outcome: GrantOutcome) -> None:
+        self.outcomes.append(outcome)
+        self.released.set()
+
+    def begin(self, script: Script, *, silence_timeout_s: float = 30.0) -> socket:
+        upstream = ScriptedUpstream(script)
+        self.addCleanup(upstream.close)
+        request = UpstreamRequest("POST", "/", {}, b"")
+        exchange = UpstreamClient(UpstreamSettings()).open(upstream.runner, request)
+        near, far = socketpair()
+        far.settimeout(WAIT_S)
+        self.addCleanup(far.close)
+        metrics = Metrics(TrafficCounter())
+        relay = StreamRelay(
+            Delivered(GRANT, exchange, self.release),
+            self.loop,
+            metrics,
+            started=0.0,
+            service="s",
+            silence_timeout_s=silence_timeout_s,
+        )
+        relay.begin(near, chunked=False)
+        return far
+
+    def read_all(self, caller: socket) -> bytes:
+        received = b""
+        while data := caller.recv(65536):
+            received += data
+        self.assertTrue(self.released.wait(WAIT_S), "the grant is given back")
+        return received
+
+    def assert_cut(self, received: bytes, *, after: bytes) -> None:
+        self.assertTrue(received.startswith(after))
+        error = loads(received[len(after) :].removeprefix(b"data: "))["error"]
+        self.assertEqual(("stream_cut", "outcome_unknown"), (error["code"], error["execution"]))
+        self.assertNotIn(b"[DONE]", received)
+        self.assertTrue(self.outcomes[0].failed)
+
+    def test_a_whole_stream_passes_unchanged(self) -> None:
+        for framed in (
+            CHUNKED + chunk(EVENT) + chunk(EVENT + DONE) + END,
+            HEAD + b"Content-Length: %d\r\n\r\n" % len(EVENT + EVENT + DONE) + EVENT * 2 + DONE,
+            HEAD + b"\r\n" + EVENT * 2 + DONE,
+        ):
+            for script in (say(framed), say(*(framed[i : i + 7] for i in range(0, 400, 7)))):
+                self.assertEqual(EVENT * 2 + DONE, self.read_all(self.begin(script)))
+        self.assertEqual(64, self.outcomes[0].found_tokens)
+
+    def test_a_stream_that_breaks_off_ends_with_an_error_event(self) -> None:
+        for script in (
+            say(CHUNKED + chunk(EVENT)),
+            say(CHUNKED + chunk(EVENT) + b"ff\r\nhalf"),
+            say(CHUNKED + chunk(EVENT) + b"garbage\r\n"),
+        ):
+            received = self.read_all(self.begin(script))
+            self.assertTrue(received.startswith(EVENT))
+            self.assertIn(b"stream_cut", received)
+            self.assertNotIn(b"[DONE]", received)
+
+    def test_a_stream_without_its_last_event_is_not_whole(self) -> None:
+        received = self.read_all(self.begin(say(CHUNKED + chunk(EVENT) + END)))
+        self.assert_cut(received, after=EVENT)
+
+    def test_a_stream_that_falls_silent_is_ended(self) -> None:
+        script = say_then_hang(CHUNKED + chunk(EVENT))
+        received = self.read_all(self.begin(script, silence_timeout_s=0.2))
+        self.assert_cut(received, after=EVENT)
+
+    def test_a_slow_caller_gets_everything(self) -> None:
+        many = EVENT * 200_000
+        caller = self.begin(say(CHUNKED + chunk(many) + chunk(DONE) + END))
+        self.assertFalse(self.released.wait(0.5), "the stream waits for its caller")
+        self.assertEqual(many + DONE, self.read_all(caller))
+
+    def test_a_caller_that_leaves_ends_the_stream(self) -> None:
+        caller = self.begin(say_then_hang(CHUNKED + chunk(EVENT)))
+        caller.recv(1)
+        caller.close()
+        self.assertTrue(self.released.wait(WAIT_S), "the grant is given back")
