Run requests that may not be repeated at most once, by claims in the platform

Cause: nothing stopped a second run of a filing when its caller tried again by another host. Ruled out: ids bound to one host's run (callers must fetch them, and every replaced host leaves them unknown), forwarding once (nothing against the caller's second try); docs/design/007. Change: a claim by conditional update before a byte leaves, batched by the home of the key's shard; withdrawn when the request was surely not sent; first answers kept at the host that ran them. A request that may not be repeated is seen through when its caller leaves. Before: the same key through three hosts ran up to nine times. Left: a repeat at another host than the first gets "outcome unknown" though the answer exists.

--- a/bench/wire.py
+++ b/bench/wire.py
@@ -12,12 +12,15 @@
 from bench.decision import make_home, make_view
 from bench.services import SERVICE
 from cherrylane.configuration.documents import BoundSettings
+from cherrylane.idempotency.claims import ClaimAsk
+from cherrylane.idempotency.shards import ClaimReply
 from cherrylane.limits.pool import PoolHome
 from cherrylane.limits.waiting import Reply
-from cherrylane.limits.work import AccountShare, Ask, Busy, Grant, GrantOutcome
+from cherrylane.limits.work import AccountShare, Ask, Grant, GrantOutcome
 from cherrylane.peer import peer_pb2 as wire
 from cherrylane.peer.identity import PeerIdentity
 from cherrylane.peer.link import HomeLink
+from cherrylane.peer.messages import HomeReply
 from cherrylane.peer.probe import Knowledge, ProbeAnswer, ProbeClient
 from cherrylane.peer.server import PeerServer
 from cherrylane.routing.homes import PoolKey
@@ -48,6 +51,9 @@
     def handle_holdings(self, pool: PoolKey, holder: str, grants: list[Grant]) -> None:
         """Count what a peer holds."""
 
+    def handle_claim(self, ask: ClaimAsk, reply: ClaimReply) -> None:
+        """No claims are made."""
+
     def handle_link_down(self, holder: str) -> None:
         """Nothing waits."""
 
@@ -150,7 +156,7 @@
         link.close()
         return spent / count
 
-    def _take_reply(self, reply: Grant | Busy) -> None:
+    def _take_reply(self, reply: HomeReply) -> None:
         assert isinstance(reply, Grant)
         self._last = reply
         self._answered.set()
--- a/src/cherrylane/daemon/runtime.py
+++ b/src/cherrylane/daemon/runtime.py
@@ -18,6 +18,8 @@
 from cherrylane.http.callers import CallerApplication
 from cherrylane.http.operators import OperatorApplication
 from cherrylane.http.server import HttpServer
+from cherrylane.idempotency.guard import RepeatGuard
+from cherrylane.idempotency.shards import ClaimShards
 from cherrylane.limits.homes import LocalHomes
 from cherrylane.limits.ledger import OutsideLoad
 from cherrylane.membership.identity import OwnIdentity
@@ -60,6 +62,7 @@
         self._lease = HomeLease(settings.peers.lease_s)
         self.homes = LocalHomes(
             self.identity,
+            ClaimShards(self._platform),
             takeover_s=settings.peers.suspect_after_s + TAKEOVER_SLACK_S,
             may_admit=self._lease.is_held,
         )
@@ -84,6 +87,7 @@
             settings.peers, self.homes, self._prober.handle_probe, self._traffic
         )
         self._streams = StreamLoop()
+        self._guard = RepeatGuard(self.desk)
         self._callers = self._make_caller_server()
         self._operators = self._make_operator_server()
         self._entry = RosterEntry(
@@ -101,6 +105,7 @@
         self._peer_server.start()
         self.homes.start()
         self._streams.start()
+        self._guard.start()
         self._knowledge.start()
         while not self._knowledge.wait_until_listed(PLATFORM_RETRY_S):
             if self._stopping.is_set():
@@ -129,6 +134,7 @@
             log.warning(f"could not leave the roster: {error}")
         self._callers.stop()
         self._streams.stop()
+        self._guard.stop()
         self._prober.stop()
         self.homes.stop()
         self.desk.stop()
@@ -229,7 +235,7 @@
                 zone=settings.host.zone,
                 silence_timeout_s=settings.upstreams.silence_timeout_s,
             ),
-            PlainDelivery(attempts, self.metrics, settings.host.zone),
+            PlainDelivery(attempts, self._guard, self.metrics, zone=settings.host.zone),
             self.metrics,
         )
         return HttpServer(
--- a/src/cherrylane/delivery/admission.py
+++ b/src/cherrylane/delivery/admission.py
@@ -8,12 +8,14 @@
 from attrs import evolve, frozen
 from result import Err, Ok, Result
 
+from cherrylane.idempotency.claims import ClaimAnswer, ClaimAsk, ClaimOutcome
 from cherrylane.limits.homes import LocalHomes
 from cherrylane.limits.work import UNREPORTED, Ask, Busy, Grant, GrantOutcome
 from cherrylane.membership.identity import OwnIdentity
 from cherrylane.membership.roster import HostRecord
 from cherrylane.peer.link import HomeLink
-from cherrylane.routing.homes import PoolKey
+from cherrylane.peer.messages import HomeReply
+from cherrylane.routing.homes import PoolKey, home_of
 from cherrylane.routing.view import EMPTY_VIEW, FleetView
 from cherrylane.settings.schema import PeerSettings
 from cherrylane.telemetry.traffic import TrafficCounter
@@ -21,6 +23,7 @@
 RETRY_HOME_S = 0.05
 ANSWER_SLACK_S = 0.5
 RETRY_AFTER_S = 1.0
+CLAIMS_SERVICE = "claims"
 MOVED = "home_moved"
 UNREACHABLE = "home_unreachable"
 
@@ -28,7 +31,7 @@
 @frozen
 class _Pending:
     home: str
-    answer: "Future[Grant | Busy]"
+    answer: "Future[HomeReply]"
 
 
 class AdmissionDesk:
@@ -98,7 +101,21 @@
             home = self._view.homes.get(grant.pool)
         self._send_release(grant, home, outcome)
 
-    def handle_reply(self, reply: Grant | Busy) -> None:
+    def claim(self, ask: ClaimAsk, wait_s: float) -> ClaimOutcome:
+        """Ask the home of the claim's shard; unavailable when no answer came in ``wait_s``."""
+        deadline = monotonic() + wait_s
+        while (left := deadline - monotonic()) > 0:
+            home = self._claim_home_of(ask)
+            if home is None:
+                self._wait_for_view(left)
+                continue
+            reply = self._exchange(home, ask, left)
+            if isinstance(reply, ClaimAnswer) and reply.outcome is not ClaimOutcome.UNAVAILABLE:
+                return reply.outcome
+            self._wait_for_view(min(left, RETRY_HOME_S))
+        return ClaimOutcome.UNAVAILABLE
+
+    def handle_reply(self, reply: HomeReply) -> None:
         """Take a home's answer; a grant that nobody waits for any more is given back."""
         with self._lock:
             pending = self._pending.pop(reply.id, None)
@@ -123,25 +140,40 @@
         for link in links:
             link.close()
 
-    def _ask_home(self, home: HostRecord, ask: Ask) -> Grant | Busy:
-        answer: Future[Grant | Busy] = Future()
+    def _ask_home(self, home: HostRecord, ask: Ask) -> HomeReply:
+        return self._exchange(home, ask, ask.wait_s + ANSWER_SLACK_S)
+
+    def _exchange(self, home: HostRecord, ask: Ask | ClaimAsk, wait_s: float) -> HomeReply:
+        """Bring an ask to ``home``, which may be this host, and wait for its answer."""
+        answer: Future[HomeReply] = Future()
         with self._lock:
             self._pending[ask.id] = _Pending(home.holder, answer)
-        if home.holder == self._identity.holder:
-            self._homes.handle_ask(ask, self.handle_reply)
-        else:
-            self._link_to(home).ask(ask)
+        is_own = home.holder == self._identity.holder
+        match ask:
+            case Ask() if is_own:
+                self._homes.handle_ask(ask, self.handle_reply)
+            case ClaimAsk() if is_own:
+                self._homes.handle_claim(ask, self.handle_reply)
+            case Ask():
+                self._link_to(home).ask(ask)
+            case ClaimAsk():
+                self._link_to(home).claim(ask)
         try:
-            return answer.result(timeout=ask.wait_s + ANSWER_SLACK_S)
+            return answer.result(timeout=wait_s)
         except FutureTimeoutError:
-            return self._give_up(ask, answer)
+            return self._give_up(ask.id, answer)
 
-    def _give_up(self, ask: Ask, answer: "Future[Grant | Busy]") -> Grant | Busy:
+    def _give_up(self, ask_id: str, answer: "Future[HomeReply]") -> HomeReply:
         with self._lock:
-            withdrawn = self._pending.pop(ask.id, None)
+            withdrawn = self._pending.pop(ask_id, None)
         if withdrawn is None:
             return answer.result()
-        return Busy(ask.id, UNREACHABLE, "the engine's home did not answer", RETRY_AFTER_S)
+        return Busy(ask_id, UNREACHABLE, "the home did not answer", RETRY_AFTER_S)
+
+    def _claim_home_of(self, ask: ClaimAsk) -> HostRecord | None:
+        with self._lock:
+            roster = self._view.roster
+        return home_of(PoolKey(CLAIMS_SERVICE, ask.claim.shard), ask.site, roster)
 
     def _keep(self, grant: Grant, home: HostRecord) -> bool:
         """Hold ``grant``, unless its home has moved: the new one was told that it isn't held."""
--- a/src/cherrylane/delivery/plain.py
+++ b/src/cherrylane/delivery/plain.py
@@ -13,6 +13,8 @@
 from cherrylane.delivery.chats import ENGINE_HEADER, account_key, may_use
 from cherrylane.delivery.exchange import UpstreamRequest
 from cherrylane.errors import Refusal, UpstreamError
+from cherrylane.idempotency.claims import make_claim
+from cherrylane.idempotency.guard import RepeatGuard
 from cherrylane.limits.work import AccountShare, Ask
 from cherrylane.routing.homes import PoolKey
 from cherrylane.routing.rendezvous import hash_text
@@ -52,12 +54,16 @@
     headers: Mapping[str, str]
     body: bytes
     caller: socket | None = None
+    idempotency_key: str = ""
 
 
 class PlainDelivery:
     """Passes requests to the upstreams of plain services."""
 
-    def __init__(self, attempts: Attempts, metrics: Metrics, zone: str) -> None:
+    def __init__(
+        self, attempts: Attempts, guard: RepeatGuard, metrics: Metrics, *, zone: str
+    ) -> None:
+        self._guard = guard
         self._attempts = attempts
         self._metrics = metrics
         self._zone = zone
@@ -70,14 +76,33 @@
         if not may_use(request.account, service.entry):
             return Err(_refuse_unknown(request.service))
         self._metrics.count("requests", request.service)
-        task = self._make_task(request, service)
+        repeatable = request.method in service.entry.service.repeatable_methods
+        if repeatable or not request.idempotency_key:
+            return self._send(request, view, service, repeatable=repeatable)
+        claim = make_claim(
+            account_key(request.account),
+            request.service,
+            request.idempotency_key,
+            claimant=request.request_id,
+            request=b"\n".join((request.method.encode(), request.path.encode(), request.body)),
+        )
+        return self._guard.run(
+            claim,
+            lambda: self._send(request, view, service, repeatable=False),
+            site=service.entry.site,
+        )
+
+    def _send(
+        self, request: PlainRequest, view: FleetView, service: ServiceView, *, repeatable: bool
+    ) -> Result[Answer, Refusal]:
+        task = self._make_task(request, service, repeatable=repeatable)
         match self._attempts.run(task, view, service):
             case Err(refusal):
                 return Err(refusal)
             case Ok(delivered):
                 return self._answer(request, delivered)
 
-    def _make_task(self, request: PlainRequest, service: ServiceView) -> Task:
+    def _make_task(self, request: PlainRequest, service: ServiceView, *, repeatable: bool) -> Task:
         settings = service.entry.service
         account = request.account.account
         ask = Ask(
@@ -103,8 +128,9 @@
             ask,
             upstream_request,
             request.request_id,
-            repeatable=request.method in settings.repeatable_methods,
-            caller=request.caller,
+            repeatable=repeatable,
+            # A request that may not be repeated is seen through even when its caller leaves.
+            caller=request.caller if repeatable else None,
         )
 
     def _answer(self, request: PlainRequest, delivered: Delivered) -> Result[Answer, Refusal]:
--- a/src/cherrylane/http/callers.py
+++ b/src/cherrylane/http/callers.py
@@ -12,10 +12,12 @@
 from cherrylane.delivery.plain import PlainDelivery, PlainRequest
 from cherrylane.errors import CallerGoneError, Execution, Refusal
 from cherrylane.http.requests import (
+    CHAT_HEADER,
     HINT_HEADER,
+    IDEMPOTENCY_HEADER,
     CallerRequest,
     authenticate,
-    read_chat_id,
+    read_identifier,
     read_request,
 )
 from cherrylane.http.server import Environ, StartResponse, write_answer
@@ -98,7 +100,7 @@
     def _deliver_chat(
         self, request: CallerRequest, account: SiteAccount, view: FleetView
     ) -> Result[Answer, Refusal]:
-        match read_chat_id(request):
+        match read_identifier(request, CHAT_HEADER):
             case Err(refusal):
                 return Err(refusal)
             case Ok(chat_id):
@@ -107,7 +109,7 @@
             request_id=request.id,
             account=account,
             body=request.body,
-            chat_id=chat_id,
+            chat_id=chat_id or None,
             hint=request.header(HINT_HEADER),
             caller=request.caller,
         )
@@ -116,6 +118,11 @@
     def _deliver_plain(
         self, request: CallerRequest, account: SiteAccount, view: FleetView, path: str
     ) -> Result[Answer, Refusal]:
+        match read_identifier(request, IDEMPOTENCY_HEADER):
+            case Err(refusal):
+                return Err(refusal)
+            case Ok(idempotency_key):
+                pass
         _, service, *rest = path.split("/", 2)
         target = "/" + (rest[0] if rest else "")
         plain = PlainRequest(
@@ -127,6 +134,7 @@
             headers=request.headers,
             body=request.body,
             caller=request.caller,
+            idempotency_key=idempotency_key,
         )
         return self._plain.deliver(plain, view)
 
--- a/src/cherrylane/http/requests.py
+++ b/src/cherrylane/http/requests.py
@@ -18,7 +18,8 @@
 BEARER_PREFIX = "bearer "
 CHAT_HEADER = "Cherrylane-Chat"
 HINT_HEADER = "Cherrylane-Hint"
-_CHAT_PATTERN = compile_pattern(r"[\x21-\x7e]{1,256}")
+IDEMPOTENCY_HEADER = "Idempotency-Key"
+_IDENTIFIER_PATTERN = compile_pattern(r"[\x21-\x7e]{1,256}")
 
 
 @frozen
@@ -83,18 +84,16 @@
     )
 
 
-def read_chat_id(request: CallerRequest) -> Result[str | None, Refusal]:
-    """Return the chat id that the header names, None when there is none."""
-    value = request.header(CHAT_HEADER)
-    if not value:
-        return Ok(None)
-    if _CHAT_PATTERN.fullmatch(value):
+def read_identifier(request: CallerRequest, header: str) -> Result[str, Refusal]:
+    """Return the id that ``header`` holds, an empty text when it is not given."""
+    value = request.header(header)
+    if not value or _IDENTIFIER_PATTERN.fullmatch(value):
         return Ok(value)
     return Err(
         Refusal(
             status=400,
             code="invalid_header",
-            message=f"the header {CHAT_HEADER} is not a chat id",
+            message=f"the header {header} is not an id",
             remedy="use 1 to 256 visible ASCII characters",
         )
     )
--- /dev/null
+++ b/src/cherrylane/idempotency/shards.py
@@ -0,0 +1,172 @@
+"""Shards of claims, kept as objects of the platform and written in batches.
+
+All claims that arrive while a shard's write is under way go into its next one, so a few hundred
+writes a second carry many thousand claims. Each write is conditional on the version it was decided
+on: whoever writes, two claims of one key cannot both be accepted, and a write whose answer was
+lost is recognised by its claimant when the object is read again.
+"""
+
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from threading import Lock
+from time import sleep, time
+
+from attrs import define, field, frozen
+from logbook import Logger
+from result import Ok
+
+from cherrylane.errors import (
+    ConflictError,
+    ObjectNotFoundError,
+    PlatformError,
+    PlatformUnavailableError,
+)
+from cherrylane.idempotency.claims import ClaimAnswer, ClaimAsk, ClaimOutcome
+from cherrylane.platform.client import PlatformClient
+from cherrylane.platform.objects import Kind, PlatformObject
+from cherrylane.settings.documents import structure_document, unstructure
+
+WRITERS = 4
+WRITE_ATTEMPTS = 5
+RETRY_S = 0.05
+RETENTION_S = 24 * 3600
+MAX_RECORDS = 7_000
+
+ClaimReply = Callable[[ClaimAnswer], None]
+
+log = Logger("cherrylane.idempotency")
+
+
+@frozen
+class ClaimRecord:
+    """An accepted claim; ``at`` is in seconds since the epoch."""
+
+    claimant: str
+    digest: str
+    at: float
+
+
+@frozen
+class ShardRecords:
+    """All claims of a shard by key, as one object's content."""
+
+    records: dict[str, ClaimRecord] = field(factory=dict)
+
+
+@frozen
+class _Pending:
+    ask: ClaimAsk
+    reply: ClaimReply
+
+
+@define
+class _Shard:
+    """One shard on this host: what waits for a write, and the object as it was seen last."""
+
+    name: str
+    pending: list[_Pending] = field(factory=list)
+    is_busy: bool = False
+    version: str | None = None
+    records: dict[str, ClaimRecord] = field(factory=dict)
+
+
+class ClaimShards:
+    """Decides claims for the hosts that take this one as their shard's home."""
+
+    def __init__(self, client: PlatformClient, *, clock: Callable[[], float] = time) -> None:
+        self._client = client
+        self._clock = clock
+        self._shards: dict[str, _Shard] = {}
+        self._lock = Lock()
+        self._writers = ThreadPoolExecutor(WRITERS, thread_name_prefix="claims")
+
+    def submit(self, ask: ClaimAsk, reply: ClaimReply) -> None:
+        """Decide ``ask``; ``reply`` is called once, on another thread."""
+        name = f"{ask.site}.{ask.claim.shard}"
+        with self._lock:
+            shard = self._shards.setdefault(name, _Shard(name))
+            shard.pending.append(_Pending(ask, reply))
+            if shard.is_busy:
+                return
+            shard.is_busy = True
+        self._writers.submit(self._drain, shard)
+
+    def stop(self) -> None:
+        """Finish what is being written, and take no more."""
+        self._writers.shutdown(wait=True, cancel_futures=True)
+
+    def _drain(self, shard: _Shard) -> None:
+        while True:
+            with self._lock:
+                batch, shard.pending = shard.pending, []
+                if not batch:
+                    shard.is_busy = False
+                    return
+            outcomes = self._decide_batch(shard, batch)
+            for pending, outcome in zip(batch, outcomes, strict=True):
+                pending.reply(ClaimAnswer(pending.ask.id, outcome))
+
+    def _decide_batch(self, shard: _Shard, batch: list[_Pending]) -> list[ClaimOutcome]:
+        for _ in range(WRITE_ATTEMPTS):
+            try:
+                if shard.version is None:
+                    self._read(shard)
+                return self._write(shard, [pending.ask for pending in batch])
+            except ConflictError:
+                shard.version = None
+            except PlatformUnavailableError:
+                shard.version = None
+                sleep(RETRY_S)
+            except PlatformError as error:
+                log.error(f"claims of shard {shard.name} cannot be kept: {error}")
+                break
+        shard.version = None
+        return [ClaimOutcome.UNAVAILABLE for _ in batch]
+
+    def _read(self, shard: _Shard) -> None:
+        try:
+            stored = self._client.get(Kind.CLAIMS, shard.name)
+        except ObjectNotFoundError:
+            shard.version, shard.records = "", {}
+            return
+        match structure_document(stored.spec, ShardRecords, source=f"claims {shard.name}"):
+            case Ok(content):
+                shard.version, shard.records = stored.version, dict(content.records)
+            case error:
+                raise PlatformError(str(error.err_value), remedy="mend or remove the object")
+
+    def _write(self, shard: _Shard, asks: list[ClaimAsk]) -> list[ClaimOutcome]:
+        now = self._clock()
+        kept = {
+            key: record for key, record in shard.records.items() if record.at > now - RETENTION_S
+        }
+        before = dict(kept)
+        outcomes = [_decide(kept, ask, now) for ask in asks]
+        if kept != before:
+            self._store(shard, kept)
+        return outcomes
+
+    def _store(self, shard: _Shard, records: dict[str, ClaimRecord]) -> None:
+        spec = unstructure(ShardRecords(records))
+        changed = PlatformObject(Kind.CLAIMS, shard.name, spec, shard.version or "")
+        write = self._client.update if shard.version else self._client.create
+        shard.version = write(changed).version
+        shard.records = records
+
+
+def _decide(records: dict[str, ClaimRecord], ask: ClaimAsk, now: float) -> ClaimOutcome:
+    """Decide one ask over ``records``, and change them accordingly."""
+    claim = ask.claim
+    known = records.get(claim.key)
+    if ask.withdraw:
+        if known is not None and known.claimant == claim.claimant:
+            del records[claim.key]
+        return ClaimOutcome.WITHDRAWN
+    if known is None:
+        if len(records) >= MAX_RECORDS:
+            return ClaimOutcome.UNAVAILABLE
+        records[claim.key] = ClaimRecord(claim.claimant, claim.digest, now)
+        return ClaimOutcome.FRESH
+    if known.claimant == claim.claimant:
+        return ClaimOutcome.FRESH
+    return ClaimOutcome.TAKEN if known.digest == claim.digest else ClaimOutcome.MISMATCH
--- a/src/cherrylane/limits/homes.py
+++ b/src/cherrylane/limits/homes.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from threading import Event, Lock, Thread
 
+from cherrylane.idempotency.claims import ClaimAsk
+from cherrylane.idempotency.shards import ClaimReply, ClaimShards
 from cherrylane.limits.ledger import OutsideLoad
 from cherrylane.limits.pool import PoolHome
 from cherrylane.limits.waiting import Reply
@@ -20,8 +22,14 @@
     """Takes over and gives up pools as the view changes, and answers asks for them."""
 
     def __init__(
-        self, identity: OwnIdentity, *, takeover_s: float, may_admit: Callable[[], bool]
+        self,
+        identity: OwnIdentity,
+        claims: ClaimShards,
+        *,
+        takeover_s: float,
+        may_admit: Callable[[], bool],
     ) -> None:
+        self._claims = claims
         self._identity = identity
         self._takeover_s = takeover_s
         self._may_admit = may_admit
@@ -43,6 +51,7 @@
             pools, self._pools = self._pools, {}
         for pool in pools.values():
             pool.close()
+        self._claims.stop()
 
     def update_view(self, view: FleetView) -> None:
         """Take over, keep or give up pools so as to match ``view``."""
@@ -100,6 +109,10 @@
         if home is not None:
             home.take_holdings(holder, grants)
 
+    def handle_claim(self, ask: ClaimAsk, reply: ClaimReply) -> None:
+        """Decide a claim; any host may, as each write is conditional."""
+        self._claims.submit(ask, reply)
+
     def handle_link_down(self, holder: str) -> None:
         """Forget the asks of a host whose conversation broke; its grants stay for now."""
         for pool in list(self._pools.values()):
--- a/src/cherrylane/peer/link.py
+++ b/src/cherrylane/peer/link.py
@@ -7,11 +7,14 @@
 import grpc
 from logbook import Logger
 
-from cherrylane.limits.work import Ask, Busy, Grant, GrantOutcome
+from cherrylane.idempotency.claims import ClaimAsk
+from cherrylane.limits.work import Ask, Grant, GrantOutcome
 from cherrylane.peer import peer_pb2 as wire
 from cherrylane.peer.identity import PeerIdentity, make_metadata
 from cherrylane.peer.messages import (
+    HomeReply,
     ask_to_wire,
+    claim_to_wire,
     holdings_to_wire,
     release_to_wire,
     reply_from_wire,
@@ -48,7 +51,7 @@
         key: str,
         *,
         list_holdings: Callable[[], dict[PoolKey, list[Grant]]],
-        on_reply: Callable[[Grant | Busy], None],
+        on_reply: Callable[[HomeReply], None],
         on_down: Callable[[], None],
         traffic: TrafficCounter,
     ) -> None:
@@ -68,14 +71,16 @@
 
     def ask(self, ask: Ask) -> None:
         """Send ``ask``; its answer comes to ``on_reply``, or ``on_down`` is called after it."""
-        self._outgoing.put(wire.ToHome(ask=ask_to_wire(ask)))
-        if self._stopping.is_set():
-            self._on_down()
+        self._send(wire.ToHome(ask=ask_to_wire(ask)))
 
     def release(self, grant: Grant, outcome: GrantOutcome) -> None:
         """Give ``grant`` back, with what came of it."""
         self._outgoing.put(release_to_wire(grant, outcome))
 
+    def claim(self, ask: ClaimAsk) -> None:
+        """Send an ask to claim; its answer comes as that of an ask for admission does."""
+        self._send(claim_to_wire(ask))
+
     def report_holdings(self, pool: PoolKey, grants: list[Grant]) -> None:
         """Tell a home that has just taken over ``pool`` what this host holds of it."""
         self._outgoing.put(holdings_to_wire(pool, grants))
@@ -86,6 +91,11 @@
         self._outgoing.put(None)
         self._channel.close()
 
+    def _send(self, message: wire.ToHome) -> None:
+        self._outgoing.put(message)
+        if self._stopping.is_set():
+            self._on_down()
+
     def _run(self) -> None:
         while not self._stopping.is_set():
             self._converse(self._outgoing)
--- a/src/cherrylane/peer/messages.py
+++ b/src/cherrylane/peer/messages.py
@@ -1,11 +1,14 @@
 """Conversion between cherrylane's own values and the messages on the wire."""
 
 from cherrylane.configuration.documents import Priority
+from cherrylane.idempotency.claims import Claim, ClaimAnswer, ClaimAsk, ClaimOutcome
 from cherrylane.limits.caches import CachedChat
 from cherrylane.limits.work import AccountShare, Ask, Busy, Grant, GrantOutcome
 from cherrylane.peer import peer_pb2 as wire
 from cherrylane.routing.homes import PoolKey
 
+HomeReply = Grant | Busy | ClaimAnswer
+
 
 def pool_to_wire(pool: PoolKey) -> wire.Pool:
     """Return ``pool`` as a message."""
@@ -116,20 +119,47 @@
     )
 
 
-def reply_to_wire(reply: Grant | Busy) -> wire.FromHome:
-    """Return the home's answer to an ask as a message."""
+def claim_to_wire(ask: ClaimAsk) -> wire.ToHome:
+    """Return an ask to claim as a message."""
+    claim = wire.Claim(
+        id=ask.id,
+        site=ask.site,
+        key=ask.claim.key,
+        claimant=ask.claim.claimant,
+        digest=ask.claim.digest,
+        withdraw=ask.withdraw,
+    )
+    return wire.ToHome(claim=claim)
+
+
+def claim_from_wire(message: wire.Claim) -> ClaimAsk:
+    """Return the ask to claim that ``message`` holds."""
+    claim = Claim(key=message.key, claimant=message.claimant, digest=message.digest)
+    return ClaimAsk(id=message.id, site=message.site, claim=claim, withdraw=message.withdraw)
+
+
+def reply_to_wire(reply: HomeReply) -> wire.FromHome:
+    """Return a home's answer as a message."""
     match reply:
+        case ClaimAnswer():
+            answer = wire.ClaimAnswer(id=reply.id, outcome=reply.outcome.value)
+            return wire.FromHome(claim_answer=answer)
         case Grant():
             return wire.FromHome(grant=grant_to_wire(reply))
         case Busy():
             return wire.FromHome(busy=busy_to_wire(reply))
 
 
-def reply_from_wire(message: wire.FromHome, holder: str) -> Grant | Busy:
-    """Return the home's answer to an ask of ``holder``."""
-    if message.WhichOneof("body") == "grant":
-        return grant_from_wire(message.grant, holder)
-    return busy_from_wire(message.busy)
+def reply_from_wire(message: wire.FromHome, holder: str) -> HomeReply:
+    """Return the home's answer to ``holder``."""
+    match message.WhichOneof("body"):
+        case "grant":
+            return grant_from_wire(message.grant, holder)
+        case "claim_answer":
+            answer = message.claim_answer
+            return ClaimAnswer(answer.id, ClaimOutcome(answer.outcome))
+        case _:
+            return busy_from_wire(message.busy)
 
 
 def holdings_to_wire(pool: PoolKey, grants: list[Grant]) -> wire.ToHome:
--- a/src/cherrylane/peer/server.py
+++ b/src/cherrylane/peer/server.py
@@ -10,12 +10,16 @@
 from logbook import Logger
 
 from cherrylane.errors import SettingsError
+from cherrylane.idempotency.claims import ClaimAsk
+from cherrylane.idempotency.shards import ClaimReply
 from cherrylane.limits.waiting import Reply
 from cherrylane.limits.work import Ask, Grant, GrantOutcome
 from cherrylane.peer import peer_pb2 as wire
 from cherrylane.peer.identity import PeerIdentity, read_metadata
 from cherrylane.peer.messages import (
+    HomeReply,
     ask_from_wire,
+    claim_from_wire,
     grant_from_wire,
     outcome_from_wire,
     pool_from_wire,
@@ -46,6 +50,9 @@
     def handle_holdings(self, pool: PoolKey, holder: str, grants: list[Grant]) -> None:
         """Count what a peer holds."""
 
+    def handle_claim(self, ask: ClaimAsk, reply: ClaimReply) -> None:
+        """Decide a peer's claim."""
+
     def handle_link_down(self, holder: str) -> None:
         """Forget the asks that a peer still waited for."""
 
@@ -150,7 +157,7 @@
         requests: Iterator[wire.ToHome],
         outgoing: "SimpleQueue[wire.FromHome | None]",
     ) -> None:
-        def reply(answer: Any) -> None:
+        def reply(answer: HomeReply) -> None:
             outgoing.put(reply_to_wire(answer))
 
         try:
@@ -163,10 +170,14 @@
             self._homes.handle_link_down(peer.holder)
             outgoing.put(None)
 
-    def _handle(self, peer: PeerIdentity, message: wire.ToHome, reply: Reply) -> None:
+    def _handle(
+        self, peer: PeerIdentity, message: wire.ToHome, reply: Callable[[HomeReply], None]
+    ) -> None:
         match message.WhichOneof("body"):
             case "ask":
                 self._homes.handle_ask(ask_from_wire(message.ask, peer.holder), reply)
+            case "claim":
+                self._homes.handle_claim(claim_from_wire(message.claim), reply)
             case "release":
                 pool = pool_from_wire(message.release.pool)
                 outcome = outcome_from_wire(message.release)
--- a/src/cherrylane/platform/objects.py
+++ b/src/cherrylane/platform/objects.py
@@ -16,6 +16,7 @@
     GENERATIONS = "generations"
     FRAGMENTS = "fragments"
     RUNNERS = "runners"
+    CLAIMS = "claims"
 
 
 class EventType(Enum):
