--- /dev/null
+++ b/tests/scenarios/runner.py
@@ -0,0 +1,268 @@
+"""Running of a scenario on daemons and stand-ins as separate processes."""
+
+from concurrent.futures import Future, ThreadPoolExecutor
+from json import dumps, loads
+from typing import Any
+
+from attrs import define, evolve, field
+from urllib3 import PoolManager, Timeout
+from urllib3.exceptions import HTTPError
+from yaml import safe_dump, safe_load
+
+from standins.engine import answer_words
+from standins.example import HOSTS, UNION_KEY
+from standins.fleet import ROOT, EngineSpec, Fleet, PlainSpec, wait_until
+from standins.registration import RUNNERS_PATH
+from tests.scenarios.history import Call, History, find_breaches
+from tests.scenarios.language import (
+    Act,
+    Action,
+    ApplyAccounts,
+    Command,
+    Expectation,
+    ExpectExit,
+    ExpectGeneration,
+    ExpectResult,
+    ExpectUnmoved,
+    Kind,
+    Look,
+    Send,
+    SetPlatform,
+    StartEngine,
+    StartHosts,
+    StartPlain,
+    WaitUntil,
+)
+
+MODEL = "drafting-8b"
+CALL_TIMEOUT_S = 60.0
+TOKEN_INTERVAL_S = "0.02"
+FILING_DELAY_S = "0.5"
+SETTLE_CALLS = 12
+AUTHORIZED = {"Authorization": f"Bearer {UNION_KEY}", "Content-Type": "application/json"}
+
+
+@define
+class Load:
+    """A load under way."""
+
+    calls: list["Future[Call]"]
+
+    def finish(self) -> list[Call]:
+        """Wait for every call."""
+        return [call.result(CALL_TIMEOUT_S) for call in self.calls]
+
+
+@define
+class ScenarioRunner:
+    """Executes commands one after the other; loads run beside them."""
+
+    fleet: Fleet
+    pool: ThreadPoolExecutor = field(factory=lambda: ThreadPoolExecutor(64))
+    http: PoolManager = field(factory=lambda: PoolManager(maxsize=64, retries=False))
+    loads: dict[str, Load] = field(factory=dict)
+    urls: dict[str, str] = field(factory=dict)
+    numbers: int = 0
+
+    def run(self, commands: list[Command]) -> None:
+        """Run a whole scenario."""
+        self.fleet.start_platform()
+        documents = [str(ROOT / "examples" / name) for name in ("base.yaml", "tw-north.yaml")]
+        self.fleet.run_cli("apply", *documents)
+        for command in commands:
+            self.execute(command)
+
+    def execute(self, command: Command) -> None:
+        """Run one command; raises AssertionError when an expectation fails."""
+        match command:
+            case StartHosts() | StartEngine() | StartPlain():
+                self._start(command)
+            case Send():
+                self._send(command)
+            case Act():
+                self._act(command)
+            case SetPlatform(down=down):
+                self.fleet.set_faults(down=down)
+            case ApplyAccounts(count=count):
+                self._apply_accounts(count)
+            case WaitUntil():
+                self._wait(command)
+            case _:
+                self._expect(command)
+
+    def _start(self, command: StartHosts | StartEngine | StartPlain) -> None:
+        match command:
+            case StartHosts(names=names):
+                for name in names:
+                    self.fleet.start_daemon(next(host for host in HOSTS if host.name == name))
+                self.fleet.wait_until_serving()
+                self.urls.update({name: self.fleet.url_of(name) for name in names})
+            case StartEngine(name=name):
+                options = ("--token-interval-s", TOKEN_INTERVAL_S)
+                spec = EngineSpec(name, "drafting-llm", "tw-north", "hsinchu-a", MODEL, options)
+                self.fleet.start_engine(spec)
+            case StartPlain(name=name):
+                delay = ("--delay-s", FILING_DELAY_S)
+                spec_of = PlainSpec(name, "case-service", "tw-north", "hsinchu-a", delay)
+                self.fleet.start_plain(spec_of)
+
+    def _send(self, command: Send) -> None:
+        calls: list[Future[Call]] = []
+        for _ in range(command.count):
+            self.numbers += 1
+            call = Call(self.numbers, f"{command.load}-{self.numbers}")
+            work = self._file if command.kind is Kind.FILINGS else self._chat
+            calls.append(self.pool.submit(work, call, command))
+        self.loads[command.load] = Load(calls)
+
+    def _chat(self, call: Call, command: Send) -> Call:
+        body = {
+            "model": MODEL,
+            "messages": [{"role": "user", "content": f"{call.key} " * 40}],
+            "max_tokens": command.tokens,
+            "stream": command.kind is Kind.STREAMS,
+        }
+        call = evolve(call, key="", expected="".join(answer_words(body)))
+        try:
+            status, data = self._post(command.host, "/v1/chat/completions", body, {})
+        except (HTTPError, OSError):
+            return call
+        if status != 200:
+            return evolve(call, status=status, execution=loads(data)["error"]["execution"])
+        if command.kind is Kind.STREAMS:
+            return _read_stream(call, data)
+        words = loads(data)["choices"][0]["message"]["content"]
+        return evolve(call, status=status, words=words)
+
+    def _file(self, call: Call, command: Send) -> Call:
+        headers = {"Idempotency-Key": call.key}
+        call = evolve(call, expected=call.key)
+        try:
+            status, data = self._post(
+                command.host, "/case-service/filings", {"key": call.key}, headers
+            )
+        except (HTTPError, OSError):
+            return call
+        answer = loads(data)
+        if status != 201:
+            return evolve(call, status=status, execution=answer["error"]["execution"])
+        return evolve(call, status=status, words=answer["key"])
+
+    def _post(
+        self, host: str, path: str, body: dict[str, Any], headers: dict[str, str]
+    ) -> tuple[int, bytes]:
+        response = self.http.request(
+            "POST",
+            self.urls[host] + path,
+            body=dumps(body).encode(),
+            headers={**AUTHORIZED, **headers},
+            timeout=Timeout(total=CALL_TIMEOUT_S),
+        )
+        return response.status, response.data
+
+    def _act(self, command: Act) -> None:
+        member = next(m for m in self.fleet.members() if m.name == command.name)
+        match command.action:
+            case Action.KILL:
+                member.kill()
+            case Action.FREEZE:
+                member.freeze()
+            case Action.THAW:
+                member.thaw()
+            case Action.STOP:
+                member.terminate(CALL_TIMEOUT_S)
+            case Action.LEAVE:
+                self._mark_leaving(command.name)
+
+    def _mark_leaving(self, engine: str) -> None:
+        url = f"{self.fleet.platform_url}{RUNNERS_PATH}/{engine}"
+        listed = self.fleet.request("GET", url)
+        assert listed is not None
+        listed["spec"]["state"] = "leaving"
+        self.fleet.request("PUT", url, listed)
+
+    def _apply_accounts(self, count: int) -> None:
+        overlay = safe_load((ROOT / "examples" / "tw-north.yaml").read_text(encoding="utf-8"))
+        overlay["accounts"] += [
+            {"name": f"account-{number}", "key_sha256": f"{number:064x}"} for number in range(count)
+        ]
+        path = self.fleet.directory / "overlay.yaml"
+        path.write_text(safe_dump(overlay), encoding="utf-8")
+        self.fleet.run_cli("apply", str(path))
+
+    def _wait(self, command: WaitUntil) -> None:
+        match command.look:
+            case Look.SERVES:
+                wait_until(lambda: self._serves(command.name), f"{command.name} to serve")
+            case Look.LEAVES:
+                wait_until(
+                    lambda: self.fleet.record_of(command.name) is None, f"{command.name} to leave"
+                )
+            case Look.RUNS:
+                wait_until(lambda: self._runs(command.name), f"{command.name} to run")
+
+    def _serves(self, name: str) -> bool:
+        status = self.fleet.status_of(name)
+        return status is not None and bool(status["serving"]) and bool(status["lease_held"])
+
+    def _runs(self, load: str) -> bool:
+        """Whether every call of a load that isn't over has reached an upstream."""
+        open_calls = sum(1 for call in self.loads[load].calls if not call.done())
+        running = sum(self.fleet.engine_counts(name)["running"] for name in self.fleet.engines)
+        return running >= open_calls
+
+    def _expect(self, command: Command) -> None:
+        match command:
+            case ExpectResult(load=load, expectation=expectation):
+                self._check_load(load, expectation)
+            case ExpectExit(name=name, code=code):
+                ended = next(m for m in self.fleet.members() if m.name == name).process.poll()
+                assert ended == code, f"{name} exited with {ended}"
+            case ExpectUnmoved(engine=engine, load=load):
+                self._check_unmoved(engine, load)
+            case ExpectGeneration(number=number):
+                self.fleet.wait_until_serving(number)
+            case _:
+                raise AssertionError(f"no such expectation: {command}")
+
+    def _check_load(self, load: str, expectation: Expectation) -> None:
+        calls = self.loads[load].finish()
+        history = History(calls, self._executions())
+        breaches = find_breaches(history)
+        assert not breaches, breaches
+        match expectation:
+            case Expectation.WHOLE:
+                bad = [call for call in calls if not call.is_whole]
+            case Expectation.ANSWERED:
+                bad = [call for call in calls if not call.is_answered]
+            case Expectation.TRUTHFUL:
+                bad = []
+        assert not bad, bad
+
+    def _executions(self) -> dict[str, int]:
+        counts: dict[str, int] = {}
+        for member in self.fleet.plain.values():
+            counts.update(
+                self.fleet.request("GET", f"http://127.0.0.1:{member.port}/executions") or {}
+            )
+        return counts
+
+    def _check_unmoved(self, engine: str, load: str) -> None:
+        before = self.fleet.engine_counts(engine)
+        self.loads[load].finish()
+        after = self.fleet.engine_counts(engine)
+        began = after["served"] + after["cancelled"] + after["running"]
+        assert began == before["served"] + before["cancelled"] + before["running"], (before, after)
+
+
+def _read_stream(call: Call, data: bytes) -> Call:
+    words: list[str] = []
+    for line in data.decode().splitlines():
+        if not line.startswith("data: ") or line == "data: [DONE]":
+            continue
+        event = loads(line.removeprefix("data: "))
+        if "error" in event:
+            return evolve(call, status=200, execution=event["error"]["execution"])
+        words.append(event["choices"][0]["delta"].get("content", ""))
+    whole = data.rstrip().endswith(b"data: [DONE]")
+    return evolve(call, status=200, words="".join(words) if whole else "cut")
