Explain a chat as its home decides it; order pools, not engines, for a chat without a hint

Cause: explain showed the hash order of engines, which no longer decides; and ranking 10,000 engines for a chat that is cached nowhere chose only the pool in the end. Change: pools are ranked by rendezvous hash of chat and pool, weighted by their engines; explain asks the pool's home for its candidates with reason, cached tokens, load and bound.

--- a/src/cherrylane/cli/inspect.py
+++ b/src/cherrylane/cli/inspect.py
@@ -20,6 +20,11 @@
 from cherrylane.settings.schema import PlatformSettings
 
 OPERATOR_TIMEOUT_S = 2.0
+EXPLAIN_HEADINGS = ("pool", "home", "engine", "zone", "reason", "cached", "load", "within_bound")
+EXPLANATION = """
+Pools are asked in this order. A pool's home takes the first engine within the load bound:
+those that have the chat cached first, then the least loaded. When no engine is within the
+bound, the least loaded one takes the request."""
 
 _http = PoolManager(retries=False)
 
@@ -53,20 +58,37 @@
     query = urlencode(
         {"chat": arguments.chat, "account": arguments.account, "model": arguments.model}
     )
-    for host in _hosts(_connect(arguments)):
-        answer = _ask_host(host, f"/explain?{query}")
-        if answer is None:
-            continue
-        if "error" in answer:
-            raise ObjectNotFoundError(answer["error"]["message"], remedy="check the arguments")
-        rows = [
-            (item["rank"], item["engine"], item["zone"], item["home"]) for item in answer["order"]
-        ]
-        print_table(Table(("rank", "engine", "zone", "home"), rows), arguments.output)
-        if arguments.output is OutputFormat.TABLE:
-            print(f"\n{answer['reason']}")
-        return
-    raise PlatformUnavailableError("no host of the roster answered", remedy="start a daemon")
+    answers = [_ask_host(host, f"/explain?{query}") for host in _hosts(_connect(arguments))]
+    given = [answer for answer in answers if answer is not None]
+    if not given:
+        raise PlatformUnavailableError("no host of the roster answered", remedy="start a daemon")
+    if "error" in given[0]:
+        raise ObjectNotFoundError(given[0]["error"]["message"], remedy="check the arguments")
+    rows = [row for index in range(len(given[0]["pools"])) for row in _explain(given, index)]
+    print_table(Table(EXPLAIN_HEADINGS, rows), arguments.output)
+    if arguments.output is OutputFormat.TABLE:
+        print(EXPLANATION)
+
+
+def _explain(answers: list[dict[str, Any]], index: int) -> list[tuple[Any, ...]]:
+    """Return the rows of one pool, as its home told them; one row without them if it did not."""
+    pools = [answer["pools"][index] for answer in answers if len(answer["pools"]) > index]
+    told = next((pool for pool in pools if pool["engines"] is not None), None)
+    if told is None:
+        return [(pools[0]["pool"], pools[0]["home"], "", "", "", "", "", "")]
+    return [
+        (
+            told["pool"],
+            told["home"],
+            engine["engine"],
+            engine["zone"],
+            engine["reason"],
+            engine["cached_tokens"],
+            round(engine["load"], 1),
+            engine["takes_it"],
+        )
+        for engine in told["engines"]
+    ]
 
 
 def _connect(arguments: Namespace) -> PlatformClient:
--- a/src/cherrylane/daemon/runtime.py
+++ b/src/cherrylane/daemon/runtime.py
@@ -248,7 +248,9 @@
         )
 
     def _make_operator_server(self) -> HttpServer:
-        application = OperatorApplication(lambda: self._knowledge.view, self.status, self.metrics)
+        application = OperatorApplication(
+            lambda: self._knowledge.view, self.status, self.homes, self.metrics
+        )
         return HttpServer(
             self.settings.operators.listen,
             application,
--- a/src/cherrylane/delivery/pools.py
+++ b/src/cherrylane/delivery/pools.py
@@ -41,20 +41,14 @@
 
 
 def rank_pools(service: ServiceView, ask: Ask) -> Iterator[PoolKey]:
-    """Yield the pools to ask: the hinted engine's, then those of the chat's first engines.
+    """Yield the pools to ask: the hinted engine's, then those that the chat prefers.
 
-    The order of engines is made only when the hinted engine's pool has no room.
+    The order of pools is made only when the hinted engine's pool has no room.
     """
-    asked: set[PoolKey] = set()
+    first: PoolKey | None = None
     hinted = service.runners.get(ask.hinted)
     if hinted is not None and hinted.serves(ask.model) and ask.hinted not in ask.excluded:
-        asked.add(service.pools[ask.hinted])
-        yield service.pools[ask.hinted]
-    for name in service.rank(ask.chat, MAX_POOLS + len(ask.excluded), model=ask.model):
-        pool = service.pools[name]
-        if name in ask.excluded or pool in asked:
-            continue
-        if len(asked) == MAX_POOLS:
-            return
-        asked.add(pool)
-        yield pool
+        first = service.pools[ask.hinted]
+        yield first
+    ranked = service.rank_pools(ask.chat, MAX_POOLS, model=ask.model)
+    yield from [pool for pool in ranked if pool != first][: MAX_POOLS - (first is not None)]
--- a/src/cherrylane/http/operators.py
+++ b/src/cherrylane/http/operators.py
@@ -3,18 +3,23 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from attrs import asdict, evolve
 from result import Err, Ok
 
 from cherrylane.delivery.answers import Answer, answer_json, answer_refusal
+from cherrylane.delivery.pools import MAX_POOLS
 from cherrylane.errors import Refusal
 from cherrylane.http.requests import CallerRequest, read_request
 from cherrylane.http.server import Environ, StartResponse, write_answer
+from cherrylane.limits.homes import LocalHomes
+from cherrylane.limits.work import AccountShare, Ask
+from cherrylane.routing.homes import PoolKey
 from cherrylane.routing.rendezvous import hash_text
 from cherrylane.routing.view import FleetView, ServiceView
 from cherrylane.telemetry.metrics import Metrics
 
 MAX_BODY_BYTES = 64 * 1024
-EXPLAIN_RANKS = 5
+EXPLAINED_PROMPT_TOKENS = 1000
 
 StatusReader = Callable[[], dict[str, Any]]
 
@@ -23,8 +28,13 @@
     """The WSGI application on the operators' side."""
 
     def __init__(
-        self, read_view: Callable[[], FleetView], read_status: StatusReader, metrics: Metrics
+        self,
+        read_view: Callable[[], FleetView],
+        read_status: StatusReader,
+        homes: LocalHomes,
+        metrics: Metrics,
     ) -> None:
+        self._homes = homes
         self._read_view = read_view
         self._read_status = read_status
         self._metrics = metrics
@@ -76,33 +86,39 @@
                     remedy=f"name one of {known or 'none yet: apply a configuration first'}",
                 )
             )
-        key = hash_text(f"{request.parameter('account')}\n{request.parameter('chat')}")
-        return answer_json(explain_chat(view, view.services[entry.name], model, key))
+        ask = _make_ask(request, entry.name, entry.service.expected_answer_tokens)
+        return answer_json(self._explain_pools(view, view.services[entry.name], ask))
 
+    def _explain_pools(self, view: FleetView, service: ServiceView, ask: Ask) -> dict[str, Any]:
+        pools = [
+            self._explain_pool(service, evolve(ask, pool=pool))
+            for pool in service.rank_pools(ask.chat, MAX_POOLS, model=ask.model)
+        ]
+        return {
+            "chat": f"{ask.chat:016x}",
+            "service": service.entry.name,
+            "generation": view.configuration.generation,
+            "pools": pools,
+        }
 
-def explain_chat(view: FleetView, service: ServiceView, model: str, key: int) -> dict[str, Any]:
-    """Return where the chat with hash ``key`` would go, and why."""
-    ranked = service.rank(key, EXPLAIN_RANKS, model=model)
-    order = [_explain_engine(service, name, rank) for rank, name in enumerate(ranked, start=1)]
-    reason = (
-        "the order is a rendezvous hash of the chat and the engines; the home takes the engine "
-        "where the chat ran last, else the first within the load bound"
-    )
-    return {
-        "chat": f"{key:016x}",
-        "service": service.entry.name,
-        "generation": view.configuration.generation,
-        "order": order,
-        "reason": reason,
-    }
+    def _explain_pool(self, service: ServiceView, ask: Ask) -> dict[str, Any]:
+        home = service.homes.get(ask.pool)
+        engines = self._homes.explain(ask)
+        return {
+            "pool": str(ask.pool),
+            "home": home.name if home is not None else "",
+            "engines": None if engines is None else [asdict(engine) for engine in engines],
+        }
 
 
-def _explain_engine(service: ServiceView, name: str, rank: int) -> dict[str, Any]:
-    pool = service.pools[name]
-    home = service.homes.get(pool)
-    return {
-        "rank": rank,
-        "engine": name,
-        "zone": service.runners[name].zone,
-        "home": home.name if home is not None else "",
-    }
+def _make_ask(request: CallerRequest, service: str, answer_tokens: int) -> Ask:
+    account = request.parameter("account")
+    return Ask(
+        id="explain",
+        pool=PoolKey(service, 0),
+        account=AccountShare(name=account),
+        chat=hash_text(f"{account}\n{request.parameter('chat')}"),
+        model=request.parameter("model"),
+        prompt_tokens=EXPLAINED_PROMPT_TOKENS,
+        answer_tokens=answer_tokens,
+    )
--- a/src/cherrylane/limits/choice.py
+++ b/src/cherrylane/limits/choice.py
@@ -28,6 +28,19 @@
     reason: str
 
 
+@frozen
+class EngineView:
+    """How an engine stands for one ask; loads and limits are in tokens of expected work."""
+
+    engine: str
+    zone: str
+    reason: str
+    cached_tokens: int
+    load: float
+    limit: float
+    takes_it: bool
+
+
 def choose_engine(ledger: Ledger, ask: Ask, candidates: Iterable[Candidate]) -> Choice | None:
     """Return the first candidate that can take ``ask`` within the bound.
 
--- a/src/cherrylane/limits/homes.py
+++ b/src/cherrylane/limits/homes.py
@@ -5,6 +5,7 @@
 
 from cherrylane.idempotency.claims import ClaimAsk
 from cherrylane.idempotency.shards import ClaimReply, ClaimShards
+from cherrylane.limits.choice import EngineView
 from cherrylane.limits.ledger import OutsideLoad
 from cherrylane.limits.pool import PoolHome
 from cherrylane.limits.waiting import Reply
@@ -130,6 +131,11 @@
             weight = sum(load.weight for load in others)
             home.set_outside(OutsideLoad(load=total, weight=weight))
 
+    def explain(self, ask: Ask) -> list[EngineView] | None:
+        """Return how engines stand for ``ask``, None when this host is not its pool's home."""
+        pool = self._pools.get(ask.pool)
+        return None if pool is None else pool.explain(ask)
+
     def totals(self) -> dict[PoolKey, OutsideLoad]:
         """Return load and weight of each pool that is home here."""
         return {key: home.totals() for key, home in list(self._pools.items())}
--- a/src/cherrylane/limits/pool.py
+++ b/src/cherrylane/limits/pool.py
@@ -7,7 +7,7 @@
 from attrs import evolve
 
 from cherrylane.limits.caches import CachedChat, CacheKnowledge, Certainty
-from cherrylane.limits.choice import Candidate, Choice, choose_engine
+from cherrylane.limits.choice import Candidate, Choice, EngineView, choose_engine
 from cherrylane.limits.health import EngineHealth
 from cherrylane.limits.ledger import Ledger, OutsideLoad
 from cherrylane.limits.waiting import FairQueue, Reply, Waiter
@@ -181,6 +181,25 @@
         for load in rest:
             yield Candidate(load.name, reason="least load")
 
+    def explain(self, ask: Ask) -> list[EngineView]:
+        """Return the engines that ``ask`` would be offered, in order, and what speaks for each."""
+        with self._lock:
+            return [self._view(candidate, ask) for candidate in self.rank_candidates(ask)]
+
+    def _view(self, candidate: Candidate, ask: Ask) -> EngineView:
+        engine = self._ledger.engines[candidate.engine]
+        work = estimate_work(ask, candidate.cached)
+        limit = self._ledger.limit_of(engine, work)
+        return EngineView(
+            engine=engine.name,
+            zone=self._members[engine.name].zone,
+            reason=candidate.reason,
+            cached_tokens=candidate.cached.tokens if candidate.cached else 0,
+            load=engine.load,
+            limit=limit,
+            takes_it=engine.takes_work and engine.load + work <= limit,
+        )
+
     def _find_cached(self, ask: Ask) -> list[CachedChat]:
         cached = self._caches.find(ask.chat)
         if cached or not ask.hinted or self._caches.has_seen_all(ask.hinted):
--- a/src/cherrylane/routing/view.py
+++ b/src/cherrylane/routing/view.py
@@ -18,27 +18,36 @@
     pools: dict[str, PoolKey]
     homes: dict[PoolKey, HostRecord]
     _members: dict[PoolKey, dict[str, Runner]] = field(factory=dict)
-    _tables: dict[tuple[str, PoolKey | None], RendezvousTable] = field(factory=dict)
+    _by_name: dict[str, PoolKey] = field(factory=dict)
+    _tables: dict[str, RendezvousTable] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         for name, pool in self.pools.items():
             self._members.setdefault(pool, {})[name] = self.runners[name]
+            self._by_name[str(pool)] = pool
 
     def members(self, pool: PoolKey) -> dict[str, Runner]:
         """Return the live runners of ``pool`` by name."""
         return self._members.get(pool, {})
 
-    def rank(self, key: int, count: int, *, model: str, pool: PoolKey | None = None) -> list[str]:
-        """Return the best ``count`` runners that serve ``model`` for ``key``, best first.
+    def rank_pools(self, key: int, count: int, *, model: str) -> list[PoolKey]:
+        """Return the ``count`` pools that the chat with hash ``key`` prefers, best first.
 
-        With ``pool``, only its runners are ranked. Tables are made when first asked for.
+        Pools without a runner that serves ``model`` are left out. Tables are made when first
+        asked for.
         """
-        table = self._tables.get((model, pool))
+        table = self._tables.get(model)
         if table is None:
-            runners = self.runners if pool is None else self.members(pool)
-            table = _make_table(runners, model)
-            self._tables[(model, pool)] = table
-        return table.rank(key, count)
+            table = self._tables[model] = self._make_table(model)
+        return [self._by_name[name] for name in table.rank(key, count)]
+
+    def _make_table(self, model: str) -> RendezvousTable:
+        weights: dict[str, float] = {}
+        for pool, members in self._members.items():
+            weight = sum(runner.weight for runner in members.values() if runner.serves(model))
+            if weight > 0.0:
+                weights[str(pool)] = weight
+        return RendezvousTable(list(weights), list(weights.values()))
 
 
 @frozen
@@ -82,8 +91,3 @@
         if home is not None:
             homes[pool] = home
     return ServiceView(entry=entry, runners=runners, pools=pools, homes=homes)
-
-
-def _make_table(runners: dict[str, Runner], model: str) -> RendezvousTable:
-    able = [runner for runner in runners.values() if runner.serves(model)]
-    return RendezvousTable([runner.name for runner in able], [runner.weight for runner in able])
