Serve callers with an old address answer until it lapses; measure probes' processor time

Cause: an idle host that was told to stop left at once, so a caller who had just learned its address found nobody. Found by reading Daemon.stop against its own comment. Ruled out: a first version of the script passed with the fault in, because its requests came before the host noticed that it was idle; it now waits for the roster to say that it drains. Change: the wait lasts until the address answers have lapsed, and then until nothing runs.

--- a/bench/wire.py
+++ b/bench/wire.py
@@ -128,6 +128,18 @@
         client.close()
         return spent / count
 
+    def time_probes(self, count: int) -> float:
+        """Return the processor seconds of a probe, both sides."""
+        client = ProbeClient(lambda: self._identity, KEY, self._traffic)
+        endpoint = f"127.0.0.1:{self._server.port}"
+        client.probe(endpoint, Knowledge(), timeout_s=PROBE_TIMEOUT_S)
+        started = process_time()
+        for _ in range(count):
+            client.probe(endpoint, Knowledge(generation=7), timeout_s=PROBE_TIMEOUT_S)
+        spent = process_time() - started
+        client.close()
+        return spent / count
+
     def bytes_per_admission(self, count: int) -> float:
         """Return the bytes on the wire of an ask, its grant and its release."""
         before = self._forwarder.count
--- a/src/cherrylane/daemon/runtime.py
+++ b/src/cherrylane/daemon/runtime.py
@@ -1,7 +1,7 @@
 """The running daemon: every part made from the settings, started and stopped in order."""
 
 from threading import Event, Lock
-from time import monotonic
+from time import monotonic, sleep
 from typing import Any
 
 from logbook import Logger
@@ -164,14 +164,10 @@
         }
 
     def _wait_until_idle(self) -> None:
+        """Wait until old address answers have lapsed, and then until nothing runs here."""
         lapse = monotonic() + self.settings.callers.address_lifetime_s
-        while monotonic() < lapse or self.desk.held():
-            if not self.desk.held() and not self._has_callers():
-                return
-            Event().wait(DRAIN_POLL_S)
-
-    def _has_callers(self) -> bool:
-        return self._callers.is_busy()
+        while monotonic() < lapse or self.desk.held() or self._callers.is_busy():
+            sleep(DRAIN_POLL_S)
 
     def _join(self) -> None:
         while not self._stopping.is_set():
--- a/tests/scenarios/language.py
+++ b/tests/scenarios/language.py
@@ -18,7 +18,8 @@
 
 GRAMMAR = r"""
 start: (command _NL)+
-command: "start" "hosts" NAME+                                         -> start_hosts
+command: "addresses" "last" INT "s"                                    -> keep_addresses
+       | "start" "hosts" NAME+                                         -> start_hosts
        | "start" "engine" NAME                                         -> start_engine
        | "start" "plain" NAME                                          -> start_plain
        | "send" INT KIND ("of" INT "tokens")? "through" NAME "as" NAME -> send
@@ -31,9 +32,9 @@
        | "expect" NAME "unmoved" "by" NAME                             -> expect_unmoved
        | "expect" "generation" INT                                     -> expect_generation
 KIND: "streams" | "chats" | "filings"
-ACTION: "kill" | "freeze" | "thaw" | "stop" | "leave"
+ACTION: "kill" | "freeze" | "thaw" | "stop" | "drain" | "leave"
 PLATFORM: "down" | "up"
-LOOK: "serves" | "leaves" | "runs"
+LOOK: "serves" | "drains" | "leaves" | "runs"
 RESULT: "whole" | "answered" | "refused" | "truthful"
 NAME: /[a-z][a-z0-9-]*/
 _NL: /(\r?\n[ \t]*(#[^\n]*)?)+/
@@ -52,12 +53,17 @@
 
 
 class Action(Enum):
-    """What is done to a process; ``leave`` marks an engine as leaving on the platform's list."""
+    """What is done to a process.
+
+    ``drain`` sends the signal that ``stop`` sends, without waiting for the end; ``leave`` marks an
+    engine as leaving on the platform's list.
+    """
 
     KILL = "kill"
     FREEZE = "freeze"
     THAW = "thaw"
     STOP = "stop"
+    DRAIN = "drain"
     LEAVE = "leave"
 
 
@@ -65,6 +71,7 @@
     """What is waited for."""
 
     SERVES = "serves"
+    DRAINS = "drains"
     LEAVES = "leaves"
     RUNS = "runs"
 
@@ -83,6 +90,13 @@
     TRUTHFUL = "truthful"
 
 
+@frozen
+class KeepAddresses:
+    """Set how long address answers last, for hosts that start later."""
+
+    seconds: int
+
+
 @frozen
 class StartHosts:
     """Start daemons and wait until they serve."""
@@ -177,7 +191,8 @@
 
 
 Command = (
-    StartHosts
+    KeepAddresses
+    | StartHosts
     | StartEngine
     | StartPlain
     | Send
@@ -196,6 +211,9 @@
     def start(self, commands: list[Command]) -> list[Command]:
         return commands
 
+    def keep_addresses(self, parts: list[Any]) -> Command:
+        return KeepAddresses(int(parts[0]))
+
     def start_hosts(self, names: list[Any]) -> Command:
         return StartHosts(tuple(str(name) for name in names))
 
--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -24,6 +24,7 @@
     ExpectGeneration,
     ExpectResult,
     ExpectUnmoved,
+    KeepAddresses,
     Kind,
     Look,
     Send,
@@ -63,6 +64,7 @@
     loads: dict[str, Load] = field(factory=dict)
     urls: dict[str, str] = field(factory=dict)
     numbers: int = 0
+    host_changes: dict[str, dict[str, Any]] = field(factory=dict)
 
     def run(self, commands: list[Command]) -> None:
         """Run a whole scenario."""
@@ -75,6 +77,8 @@
     def execute(self, command: Command) -> None:
         """Run one command; raises AssertionError when an expectation fails."""
         match command:
+            case KeepAddresses(seconds=seconds):
+                self.host_changes = {"callers": {"address_lifetime_s": float(seconds)}}
             case StartHosts() | StartEngine() | StartPlain():
                 self._start(command)
             case Send():
@@ -94,17 +98,18 @@
         match command:
             case StartHosts(names=names):
                 for name in names:
-                    self.fleet.start_daemon(next(host for host in HOSTS if host.name == name))
+                    spec = next(host for host in HOSTS if host.name == name)
+                    self.fleet.start_daemon(evolve(spec, changes=self.host_changes))
                 self.fleet.wait_until_serving()
                 self.urls.update({name: self.fleet.url_of(name) for name in names})
             case StartEngine(name=name):
                 options = ("--token-interval-s", TOKEN_INTERVAL_S)
-                spec = EngineSpec(name, "drafting-llm", "tw-north", "hsinchu-a", MODEL, options)
-                self.fleet.start_engine(spec)
+                engine = EngineSpec(name, "drafting-llm", "tw-north", "hsinchu-a", MODEL, options)
+                self.fleet.start_engine(engine)
             case StartPlain(name=name):
                 delay = ("--delay-s", FILING_DELAY_S)
-                spec_of = PlainSpec(name, "case-service", "tw-north", "hsinchu-a", delay)
-                self.fleet.start_plain(spec_of)
+                plain = PlainSpec(name, "case-service", "tw-north", "hsinchu-a", delay)
+                self.fleet.start_plain(plain)
 
     def _send(self, command: Send) -> None:
         calls: list[Future[Call]] = []
@@ -171,6 +176,8 @@
                 member.thaw()
             case Action.STOP:
                 member.terminate(CALL_TIMEOUT_S)
+            case Action.DRAIN:
+                member.process.terminate()
             case Action.LEAVE:
                 self._mark_leaving(command.name)
 
@@ -194,6 +201,8 @@
         match command.look:
             case Look.SERVES:
                 wait_until(lambda: self._serves(command.name), f"{command.name} to serve")
+            case Look.DRAINS:
+                wait_until(lambda: self._drains(command.name), f"{command.name} to drain")
             case Look.LEAVES:
                 wait_until(
                     lambda: self.fleet.record_of(command.name) is None, f"{command.name} to leave"
@@ -205,6 +214,10 @@
         status = self.fleet.status_of(name)
         return status is not None and bool(status["serving"]) and bool(status["lease_held"])
 
+    def _drains(self, name: str) -> bool:
+        record = self.fleet.record_of(name)
+        return record is not None and bool(record["draining"])
+
     def _runs(self, load: str) -> bool:
         """Whether every call of a load that isn't over has reached an upstream."""
         open_calls = sum(1 for call in self.loads[load].calls if not call.done())
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -21,6 +21,9 @@
     def test_stop_under_load(self) -> None:
         self.run_script("stop_under_load")
 
+    def test_old_address(self) -> None:
+        self.run_script("old_address")
+
     def test_leaving_engine(self) -> None:
         self.run_script("leaving_engine")
 
