--- a/bench/routing.py
+++ b/bench/routing.py
@@ -80,14 +80,6 @@
             REUSE_OF_PLAIN,
             target_on_ratio=True,
         ),
-        Figure(
-            f"{prefix}: home: over the bound, work counted",
-            home.counted_violations,
-            "admissions",
-            plain.way,
-            plain.violations,
-            NONE,
-        ),
         Figure(
             f"{prefix}: home: over the bound, true caches",
             home.violations,
@@ -101,6 +93,16 @@
     ]
     oracle = others.get("oracle")
     if oracle is not None:
+        figures.append(
+            Figure(
+                f"{prefix}: home: over the bound, work counted",
+                home.counted_violations,
+                "admissions",
+                plain.way,
+                plain.violations,
+                NONE,
+            )
+        )
         figures.append(
             Figure(
                 f"{prefix}: home: reuse beside the oracle",
