Say codes, the chat's key and the hint header once

Refusal codes stood as literals in three modules that have to agree (an asker that misses "home_moved" would refuse instead of asking the new home), the hash of a chat stood in routing and again in explain, the hint header in two modules, and a script runner had a constant that nothing used. Change: one definition of each. Besides, a stream whose hand-over fails after its headers gives its grant back; before, only a failure up to the headers did.

--- a/bench/ways.py
+++ b/bench/ways.py
@@ -15,8 +15,9 @@
 from cherrylane.limits.pool import PoolHome
 from cherrylane.limits.work import AccountShare, Ask, Busy, Grant, GrantOutcome
 from cherrylane.membership.runners import Runner
+from cherrylane.routing.chat import hash_chat
 from cherrylane.routing.homes import PoolKey, pool_of
-from cherrylane.routing.rendezvous import RendezvousTable, hash_text
+from cherrylane.routing.rendezvous import RendezvousTable
 from cherrylane.routing.view import ServiceView
 
 Excluded = frozenset[str]
@@ -315,5 +316,5 @@
     """Return the hash by which a chat is known."""
     key = _keys.get(arrival.chat)
     if key is None:
-        key = _keys[arrival.chat] = hash_text(f"account\nchat-{arrival.chat}")
+        key = _keys[arrival.chat] = hash_chat("account", f"chat-{arrival.chat}")
     return key
--- a/src/cherrylane/delivery/admission.py
+++ b/src/cherrylane/delivery/admission.py
@@ -10,7 +10,7 @@
 
 from cherrylane.idempotency.claims import ClaimAnswer, ClaimAsk, ClaimOutcome
 from cherrylane.limits.homes import LocalHomes
-from cherrylane.limits.work import UNREPORTED, Ask, Busy, Grant, GrantOutcome
+from cherrylane.limits.work import HOME_MOVED, UNREPORTED, Ask, Busy, Grant, GrantOutcome
 from cherrylane.membership.identity import OwnIdentity
 from cherrylane.membership.roster import HostRecord
 from cherrylane.peer.link import HomeLink
@@ -24,7 +24,6 @@
 ANSWER_SLACK_S = 0.5
 RETRY_AFTER_S = 1.0
 CLAIMS_SERVICE = "claims"
-MOVED = "home_moved"
 UNREACHABLE = "home_unreachable"
 
 
@@ -86,7 +85,7 @@
                 case Grant():
                     if self._keep(reply, home):
                         return Ok(reply)
-                case Busy(code=code) if code in (MOVED, UNREACHABLE):
+                case Busy(code=code) if code in (HOME_MOVED, UNREACHABLE):
                     self._wait_for_view(min(left, RETRY_HOME_S))
                 case Busy():
                     return Err(reply)
--- a/src/cherrylane/delivery/pools.py
+++ b/src/cherrylane/delivery/pools.py
@@ -5,13 +5,11 @@
 from attrs import evolve
 from result import Err, Ok, Result
 
-from cherrylane.limits.work import Ask, Busy, Grant
+from cherrylane.limits.work import NO_ENGINE, OVER_BOUND, Ask, Busy, Grant
 from cherrylane.routing.homes import PoolKey
 from cherrylane.routing.view import ServiceView
 
 MAX_POOLS = 3
-OVER_BOUND = "over_bound"
-NO_ENGINE = "no_engine"
 RETRY_AFTER_S = 1.0
 
 Admit = Callable[[Ask], Result[Grant, Busy]]
--- a/src/cherrylane/http/callers.py
+++ b/src/cherrylane/http/callers.py
@@ -9,12 +9,11 @@
 from cherrylane.configuration.merging import SiteAccount
 from cherrylane.delivery.accounts import may_use
 from cherrylane.delivery.answers import Answer, answer_json, answer_refusal
-from cherrylane.delivery.chats import CHAT_PATH, ChatDelivery, ChatRequest
+from cherrylane.delivery.chats import CHAT_PATH, HINT_HEADER, ChatDelivery, ChatRequest
 from cherrylane.delivery.plain import PlainDelivery, PlainRequest
 from cherrylane.errors import CallerGoneError, Execution, Refusal
 from cherrylane.http.requests import (
     CHAT_HEADER,
-    HINT_HEADER,
     IDEMPOTENCY_HEADER,
     CallerRequest,
     authenticate,
--- a/src/cherrylane/http/operators.py
+++ b/src/cherrylane/http/operators.py
@@ -13,8 +13,8 @@
 from cherrylane.http.server import Environ, StartResponse, write_answer
 from cherrylane.limits.homes import LocalHomes
 from cherrylane.limits.work import AccountShare, Ask
+from cherrylane.routing.chat import hash_chat
 from cherrylane.routing.homes import PoolKey
-from cherrylane.routing.rendezvous import hash_text
 from cherrylane.routing.view import FleetView, ServiceView
 from cherrylane.telemetry.metrics import Metrics
 
@@ -117,7 +117,7 @@
         id="explain",
         pool=PoolKey(service, 0),
         account=AccountShare(name=account),
-        chat=hash_text(f"{account}\n{request.parameter('chat')}"),
+        chat=hash_chat(account, request.parameter("chat")),
         model=request.parameter("model"),
         prompt_tokens=EXPLAINED_PROMPT_TOKENS,
         answer_tokens=answer_tokens,
--- a/src/cherrylane/http/requests.py
+++ b/src/cherrylane/http/requests.py
@@ -17,7 +17,6 @@
 REQUEST_ID_BYTES = 8
 BEARER_PREFIX = "bearer "
 CHAT_HEADER = "Cherrylane-Chat"
-HINT_HEADER = "Cherrylane-Hint"
 IDEMPOTENCY_HEADER = "Idempotency-Key"
 _IDENTIFIER_PATTERN = compile_pattern(r"[\x21-\x7e]{1,256}")
 
--- a/src/cherrylane/http/server.py
+++ b/src/cherrylane/http/server.py
@@ -98,15 +98,14 @@
         try:
             self.req.close_connection = True
             self.req.ensure_headers_sent()
-            own = self.req.conn.socket.dup()
+            chunked = self.req.chunked_write
+            # What follows is not this server's to write or to shut down.
+            self.req.chunked_write = False
+            self.req.conn.linger = True
+            body.begin(self.req.conn.socket.dup(), chunked=chunked)
         except BaseException:
             body.abandon()
             raise
-        chunked = self.req.chunked_write
-        # What follows is not this server's to write or to shut down.
-        self.req.chunked_write = False
-        self.req.conn.linger = True
-        body.begin(own, chunked=chunked)
 
     def get_environ(self) -> Environ:  # type: ignore[override]
         environ: Environ = {}
--- a/src/cherrylane/limits/homes.py
+++ b/src/cherrylane/limits/homes.py
@@ -9,7 +9,7 @@
 from cherrylane.limits.ledger import OutsideLoad
 from cherrylane.limits.pool import PoolHome
 from cherrylane.limits.waiting import Reply
-from cherrylane.limits.work import Ask, Busy, Grant, GrantOutcome
+from cherrylane.limits.work import HOME_MOVED, Ask, Busy, Grant, GrantOutcome
 from cherrylane.membership.identity import OwnIdentity
 from cherrylane.membership.roster import HostRecord
 from cherrylane.routing.homes import PoolKey
@@ -78,7 +78,7 @@
         """Admit ``ask``; one for a pool of another home is told so."""
         pool = self._pools.get(ask.pool)
         if pool is None:
-            reply(Busy(ask.id, "home_moved", "this host is not the engine's home", 0.0))
+            reply(Busy(ask.id, HOME_MOVED, "this host is not the engine's home", 0.0))
             return
         pool.submit(ask, reply)
 
--- a/src/cherrylane/limits/pool.py
+++ b/src/cherrylane/limits/pool.py
@@ -11,7 +11,18 @@
 from cherrylane.limits.health import EngineHealth
 from cherrylane.limits.ledger import Ledger, OutsideLoad
 from cherrylane.limits.waiting import FairQueue, Reply, Waiter
-from cherrylane.limits.work import UNREPORTED, Ask, Busy, Grant, GrantOutcome, estimate_work
+from cherrylane.limits.work import (
+    HOME_MOVED,
+    NO_ENGINE,
+    OVER_BOUND,
+    OVERLOADED,
+    UNREPORTED,
+    Ask,
+    Busy,
+    Grant,
+    GrantOutcome,
+    estimate_work,
+)
 from cherrylane.membership.runners import Runner
 from cherrylane.routing.homes import PoolKey
 from cherrylane.routing.view import ServiceView
@@ -79,10 +90,10 @@
         """Admit ``ask`` now or later; ``reply`` is called exactly once, maybe on this thread."""
         with self._lock:
             if self._closed:
-                reply(_refuse(ask, "home_moved", "the engine's home has moved", 0.0))
+                reply(_refuse(ask, HOME_MOVED, "the engine's home has moved", 0.0))
                 return
             if not self._has_candidate(ask):
-                reply(_refuse(ask, "no_engine", "no live engine is left to try"))
+                reply(_refuse(ask, NO_ENGINE, "no live engine is left to try"))
                 return
             if not self._queue.size and self._can_admit():
                 grant = self._try_admit(ask)
@@ -137,7 +148,7 @@
             self._refresh_engines()
             for waiter in self._queue.find_expired(self._clock()):
                 self._queue.remove(waiter, served=False)
-                waiter.reply(_refuse(waiter.ask, "overloaded", "no engine became free in time"))
+                waiter.reply(_refuse(waiter.ask, OVERLOADED, "no engine became free in time"))
             self._serve_waiting()
 
     def close(self) -> None:
@@ -146,7 +157,7 @@
             self._closed = True
             for waiter in self._queue.all():
                 self._queue.remove(waiter, served=False)
-                waiter.reply(_refuse(waiter.ask, "home_moved", "the engine's home has moved", 0.0))
+                waiter.reply(_refuse(waiter.ask, HOME_MOVED, "the engine's home has moved", 0.0))
 
     def loads(self) -> dict[str, float]:
         """Return the load of each live engine, in tokens of expected work."""
@@ -212,7 +223,7 @@
 
     def _refuse_over_bound(self, ask: Ask) -> Busy:
         loads = [load.load / load.weight for load in self._ledger.engines.values()]
-        refusal = _refuse(ask, "over_bound", "no engine of this pool is within the bound", 0.0)
+        refusal = _refuse(ask, OVER_BOUND, "no engine of this pool is within the bound", 0.0)
         return evolve(refusal, least_load=min(loads, default=float("inf")))
 
     def _has_candidate(self, ask: Ask) -> bool:
@@ -273,7 +284,7 @@
         while self._queue.size > self._service.entry.service.queue.max_waiting:
             excess = self._queue.find_excess()
             self._queue.remove(excess, served=False)
-            excess.reply(_refuse(excess.ask, "overloaded", "too many requests wait already"))
+            excess.reply(_refuse(excess.ask, OVERLOADED, "too many requests wait already"))
 
     def _count_grant(self, grant: Grant) -> None:
         self._ledger.add(grant)
--- a/src/cherrylane/limits/work.py
+++ b/src/cherrylane/limits/work.py
@@ -12,6 +12,11 @@
 
 PREFILL_COST = 0.05
 
+HOME_MOVED = "home_moved"
+NO_ENGINE = "no_engine"
+OVERLOADED = "overloaded"
+OVER_BOUND = "over_bound"
+
 
 @frozen
 class AccountShare:
--- a/src/cherrylane/routing/chat.py
+++ b/src/cherrylane/routing/chat.py
@@ -43,13 +43,18 @@
     return Ok(
         ChatCall(
             model=body["model"],
-            key=hash_text(f"{account}\n{name}"),
+            key=hash_chat(account, name),
             prompt_tokens=_count_tokens(messages),
             answer_tokens=answer_tokens,
         )
     )
 
 
+def hash_chat(account: str, name: str) -> int:
+    """Return the key of an account's chat; chats of two accounts never share one."""
+    return hash_text(f"{account}\n{name}")
+
+
 def _find_problem(body: Any) -> str | None:
     if not isinstance(body, dict):
         return "the body is not a JSON object"
--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -39,7 +39,6 @@
 CALL_TIMEOUT_S = 60.0
 TOKEN_INTERVAL_S = "0.02"
 FILING_DELAY_S = "0.5"
-SETTLE_CALLS = 12
 AUTHORIZED = {"Authorization": f"Bearer {UNION_KEY}", "Content-Type": "application/json"}
 
 
