Tests of the gateway's modules and of the daemon as a process; notice the store's return at once

Written since, two faults showed, each by its test: (1) after an outage the first watch waits up to 25 s for a change, so the store counted as away for that long, and entries that lapsed stayed in use beyond their two seconds; (2) a stream that breaks off towards an HTTP/1.0 caller ended like a complete one, since asyncio's abort does not reset a connection. Ruled out for (1): a list instead of a watch, which reads all upstreams again. Change: the first watch after a failure waits 0.1 s; breaking off sets SO_LINGER so that the close is a reset; metrics port on the command line; the started line shows the ports in use.

--- a/src/cherrylane/gateway/__main__.py
+++ b/src/cherrylane/gateway/__main__.py
@@ -7,6 +7,7 @@
 from sys import exit as exit_process
 from sys import stderr, stdout
 
+from attrs import evolve
 from logbook import Logger, lookup_level
 
 from cherrylane.errors import SettingsError
@@ -32,6 +33,8 @@
     except SettingsError as error:
         print(error, file=stderr)
         exit_process(EXIT_BAD_SETTINGS)
+    if options.metrics_port is not None:
+        settings = evolve(settings, metrics_port=options.metrics_port)
     if options.check:
         print(f"{path}: settings of host {settings.identity.name} are acceptable")
         exit_process(EXIT_OK)
@@ -48,6 +51,9 @@
     )
     parser.add_argument("--settings", metavar="FILE", type=Path, help="read settings from FILE")
     parser.add_argument("--check", action="store_true", help="check the settings and exit")
+    parser.add_argument(
+        "--metrics-port", type=int, help="serve metrics there instead, 0 for nowhere"
+    )
     parser.add_argument(
         "--log-level", default="INFO", choices=["DEBUG", "INFO", "NOTICE", "WARNING", "ERROR"]
     )
--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -144,10 +144,11 @@
         work = [follower.run() for follower in self._followers]
         work += [self._roster.run(), self._gossip.run(), self._run_upkeep()]
         self._tasks = [loop.create_task(one) for one in work]
-        log.notice(
-            "started",
-            extra={"boot": self._boot, "callers": str(listen.callers), "seeds": len(self.members)},
-        )
+        ports = {
+            name: getattr(self._listeners, name).port
+            for name in ("callers", "readiness", "directory")
+        }
+        log.notice("started", extra={"boot": self._boot, "ports": ports})
 
     async def stop(self) -> None:
         """Stop without cutting a request: leave the lists, finish what runs, then close.
@@ -248,11 +249,16 @@
         headers = ((b"Content-Type", b"text/plain; version=0.0.4; charset=utf-8"),)
         responder.send(Response(200, headers, self.telemetry.render().encode()))
 
+    @property
+    def _own_address(self) -> Endpoint:
+        """Where callers reach this host; the system may have chosen the port."""
+        return Endpoint(self.settings.listen.callers.address, self._listeners.callers.port)
+
     def _find_addresses(self) -> list[Endpoint]:
         now = asyncio.get_running_loop().time()
         ready = [heartbeat.callers for heartbeat in self.members.ready(now)]
         if self.is_ready:
-            ready.append(self.settings.listen.callers)
+            ready.append(self._own_address)
         return sorted(ready, key=str)
 
     def _make_heartbeat(self) -> Heartbeat:
@@ -263,7 +269,7 @@
             boot=self._boot,
             zone=self.settings.identity.zone,
             state=HostState.LEAVING if self._is_stopping else state,
-            callers=self.settings.listen.callers,
+            callers=self._own_address,
             config_version=snapshot.config_version,
             upstreams_version=snapshot.upstreams_version,
             loads=tuple(self.board.own.items()),
--- a/src/cherrylane/http/inbound.py
+++ b/src/cherrylane/http/inbound.py
@@ -8,6 +8,8 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
+from socket import SO_LINGER, SOL_SOCKET
+from struct import pack
 
 from attrs import define, field, frozen
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
@@ -26,6 +28,8 @@
 LINGER_S = 1.0
 # Requests that may wait behind one that is handled; RFC 9112 lets a server limit pipelining.
 MAX_PIPELINED = 16
+# Value of SO_LINGER with which a close resets the connection.
+RESET_ON_CLOSE = pack("ii", 1, 0)
 # Bytes of unsent answer at which a handler waits for the caller to read.
 WRITE_BUFFER_BYTES = 64 * 1024
 
@@ -249,6 +253,9 @@
 
     def abort(self) -> None:
         """Reset the connection: what was sent so far does not look complete."""
+        if not self.is_lost:
+            sock = self._transport.get_extra_info("socket")
+            sock.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
         self._transport.abort()
 
     def write(self, data: bytes) -> None:
--- a/src/cherrylane/platform/follower.py
+++ b/src/cherrylane/platform/follower.py
@@ -16,6 +16,8 @@
 RETRY_MAX_S = 1.0
 # Seconds that a watch waits; the store's longest is 30.
 WATCH_WAIT_S = 25.0
+# Seconds that the first watch after a failure waits, so that the store's return is noticed soon.
+FIRST_WATCH_WAIT_S = 0.1
 
 log = Logger("cherrylane.platform")
 
@@ -58,7 +60,8 @@
                 await self._pause()
 
     async def _watch(self, version: str) -> str:
-        changes = await self.client.watch(self.kind, version, wait_s=WATCH_WAIT_S)
+        wait_s = WATCH_WAIT_S if self.lost_at is None else FIRST_WATCH_WAIT_S
+        changes = await self.client.watch(self.kind, version, wait_s=wait_s)
         self._note_success()
         if changes.events:
             self.take_changes(changes)
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,189 @@
+"""The daemon of the users' platform as a process, before stand-ins for store and upstreams."""
+
+import asyncio
+import sys
+from json import loads
+from pathlib import Path
+from signal import SIGHUP, SIGTERM
+from subprocess import PIPE, Popen
+from tempfile import TemporaryDirectory
+from threading import Thread
+from typing import Any
+
+from testtools.matchers import Contains, StartsWith
+
+from cherrylane.platform.client import AsyncPlatformClient
+from cherrylane.platform.objects import Kind, PlatformObject
+from cherrylane.settings.schema import PlatformSettings
+from standins.fleet import wait_until
+from tests.cases import FleetCase
+from tests.test_platform_documents import BOOT, CONFIG
+from tests.wire import LOOPBACK, Call, ScriptedUpstream, run, send_raw
+
+ROUTE: dict[str, Any] = CONFIG["routes"][0] | {
+    "host": "desk.example",
+    "path_prefix": "/x/",
+    "kind": "safe",
+    "service": "desk",
+}
+LIMITS = {
+    "max_header_bytes": 16384,
+    "max_body_bytes": 65536,
+    "header_timeout_ms": 3000,
+    "idle_timeout_ms": 15000,
+}
+DESK = CONFIG | {
+    "routes": [{**ROUTE, "traffic_split": None}],
+    "tenants": [],
+    "limits": LIMITS,
+}
+
+
+class GatewayProcess:
+    """One daemon; its log lines are kept as they come."""
+
+    def __init__(self, store_port: int) -> None:
+        self._folder = TemporaryDirectory()
+        self.settings = Path(self._folder.name) / "boot.conf"
+        text = BOOT.replace("10.1.0.4", LOOPBACK).replace("10.9.0.1:90", f"{LOOPBACK}:{store_port}")
+        for port in ("80", "81", "82"):
+            text = text.replace(f"{LOOPBACK}:{port}\n", f"{LOOPBACK}:0\n")
+        text = text.replace("port_range=7000,7010", "port_range=0,0")
+        text = text.replace(f"seeds={LOOPBACK}:83,10.1.0.5:83\n", "")
+        self.settings.write_text(text, encoding="utf-8")
+        command = [sys.executable, "-m", "cherrylane.gateway", "--metrics-port", "0"]
+        command += ["--settings", str(self.settings)]
+        self.process = Popen(command, stdout=PIPE)
+        self.lines: list[dict[str, Any]] = []
+        self._reader = Thread(target=self._read, daemon=True)
+        self._reader.start()
+
+    def _read(self) -> None:
+        assert self.process.stdout is not None
+        for line in self.process.stdout:
+            self.lines.append(loads(line))
+
+    def find(self, message: str) -> list[dict[str, Any]]:
+        """Return the log lines with this message."""
+        return [line for line in self.lines if line["message"] == message]
+
+    def wait_for(self, message: str) -> dict[str, Any]:
+        """Wait for a log line and return it."""
+        wait_until(lambda: bool(self.find(message)), f"the log line {message!r}")
+        return self.find(message)[-1]
+
+    def port(self, name: str) -> int:
+        """Return the port of a listener."""
+        return int(self.wait_for("started")["ports"][name])
+
+    def close(self) -> None:
+        """End the process."""
+        self.process.kill()
+        self.process.wait()
+        self._reader.join()
+        assert self.process.stdout is not None
+        self.process.stdout.close()
+        self._folder.cleanup()
+
+
+class GatewayCase(FleetCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.fleet.start_platform()
+        self.store = PlatformSettings(url=self.fleet.platform_url, timeout_s=2.0)
+        port = int(self.fleet.platform_url.rpartition(":")[2])
+        self.gateway = GatewayProcess(port)
+        self.addCleanup(self.gateway.close)
+
+    async def write(self, upstream: ScriptedUpstream, document: Any = DESK) -> None:
+        client = AsyncPlatformClient(self.store)
+        await client.create(PlatformObject(Kind.CONFIG, "main", document))
+        entry = upstream.entry("desk")
+        await client.create(PlatformObject(Kind.UPSTREAMS, "i-1", entry))
+
+    async def call(self, name: str, path: str) -> bytes:
+        head = f"GET {path} HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: 7\r\n"
+        port = self.gateway.port(name)
+        return await send_raw(port, f"{head}Connection: close\r\n\r\n".encode())
+
+    async def wait_until_ready(self) -> None:
+        while not (await self.call("readiness", "/ready")).startswith(b"HTTP/1.1 200"):
+            await asyncio.sleep(0.02)
+
+
+class WholePathTest(GatewayCase):
+    def test_a_request_is_served_as_soon_as_the_host_is_ready(self) -> None:
+        async def work() -> tuple[bytes, bytes, bytes]:
+            async def answer(call: Call) -> None:
+                call.answer(b"done")
+
+            upstream = await ScriptedUpstream(answer).start()
+            before = await self.call("readiness", "/ready")
+            await self.write(upstream)
+            await self.wait_until_ready()
+            served = await self.call("callers", "/x/y")
+            return before, served, await self.call("directory", "/resolve?name=desk.example")
+
+        before, served, resolved = run(work())
+        self.assertThat(before, StartsWith(b"HTTP/1.1 503"))
+        self.assertThat(served, Contains(b"done"))
+        self.assertThat(resolved, Contains(f"{LOOPBACK}:{self.gateway.port('callers')}".encode()))
+        line = self.gateway.wait_for("request")
+        self.assertEqual(("7", "answered"), (line["request"], line["outcome"]))
+        self.assertEqual("7", self.gateway.wait_for("dispatch")["request"])
+
+    def test_what_is_known_stands_while_the_store_is_away(self) -> None:
+        async def work() -> bytes:
+            async def answer(call: Call) -> None:
+                call.answer(b"done")
+
+            upstream = await ScriptedUpstream(answer).start()
+            await self.write(upstream)
+            await self.wait_until_ready()
+            self.fleet.set_faults(down=True)
+            await asyncio.to_thread(self.gateway.wait_for, "store lost")
+            served = await self.call("callers", "/x/y")
+            self.fleet.set_faults()
+            await asyncio.to_thread(self.gateway.wait_for, "store regained")
+            return served
+
+        self.assertThat(run(work()), Contains(b"done"))
+
+    def test_a_stop_cuts_no_request_and_refuses_what_comes_later(self) -> None:
+        async def work() -> tuple[bytes, bytes]:
+            released = asyncio.Event()
+
+            async def answer(call: Call) -> None:
+                await released.wait()
+                call.answer(b"done")
+
+            upstream = await ScriptedUpstream(answer).start()
+            await self.write(upstream, {**DESK, "routes": [SLOW_ROUTE]})
+            await self.wait_until_ready()
+            running = asyncio.create_task(self.call("callers", "/x/y"))
+            while not upstream.calls:
+                await asyncio.sleep(0.01)
+            self.gateway.process.send_signal(SIGTERM)
+            await asyncio.to_thread(self.gateway.wait_for, "stopping")
+            not_ready = await self.call("readiness", "/ready")
+            released.set()
+            return not_ready, await running
+
+        not_ready, served = run(work())
+        self.assertThat(not_ready, StartsWith(b"HTTP/1.1 503"))
+        self.assertThat(served, Contains(b"done"))
+        self.assertEqual(0, self.gateway.process.wait(timeout=20))
+        self.assertEqual(0, self.gateway.wait_for("stopped")["cut"])
+
+    def test_settings_are_reloaded_and_a_bad_file_is_not_taken_over(self) -> None:
+        self.gateway.wait_for("started")
+        good = self.gateway.settings.read_text(encoding="utf-8")
+        self.gateway.settings.write_text("not settings", encoding="utf-8")
+        self.gateway.process.send_signal(SIGHUP)
+        self.gateway.wait_for("settings not taken over")
+        changed = good.replace("budget_slack=54", "budget_slack=40")
+        self.gateway.settings.write_text(changed, encoding="utf-8")
+        self.assertTrue(self.gateway.wait_for("settings reloaded")["changed"])
+
+
+SLOW_ROUTE = {**ROUTE, "traffic_split": None, "kind": "unsafe"}
--- /dev/null
+++ b/tests/test_gossip.py
@@ -0,0 +1,118 @@
+import asyncio
+
+from testtools import ExpectedException, TestCase
+
+from cherrylane.errors import PeerMessageError
+from cherrylane.gateway.knowledge import Knowledge
+from cherrylane.gateway.peers import PeerKnowledge
+from cherrylane.gossip.members import FORGOTTEN_AFTER_S, SILENT_AFTER_S, Members
+from cherrylane.gossip.messages import (
+    MAX_DATAGRAM_BYTES,
+    Heartbeat,
+    HostState,
+    decode_heartbeat,
+)
+from cherrylane.http.inbound import InboundLimits, InboundServer, Responder
+from cherrylane.http.messages import Request
+from cherrylane.placement.loads import LoadBoard
+from cherrylane.settings.schema import Endpoint
+from tests.test_platform_documents import CONFIG, ENTRY
+from tests.wire import LOOPBACK, run, wait_for
+
+
+def make_heartbeat(host: str = "h", boot: str = "b", **changes: object) -> Heartbeat:
+    fields: dict[str, object] = {
+        "host": host,
+        "boot": boot,
+        "zone": "a",
+        "state": HostState.READY,
+        "callers": Endpoint("10.0.0.1", 80),
+    }
+    return Heartbeat(**(fields | changes))  # type: ignore[arg-type]
+
+
+class HeartbeatTest(TestCase):
+    def test_what_is_sent_is_what_is_read(self) -> None:
+        sent = make_heartbeat(
+            config_version=7, upstreams_version=9, loads=(("i", 3),), hosts=("10.0.0.2",)
+        )
+        self.assertEqual(sent, decode_heartbeat(sent.encode()))
+
+    def test_a_datagram_stays_small(self) -> None:
+        many = tuple((f"i-{number:08x}", number) for number in range(200))
+        data = make_heartbeat(loads=many).encode()
+        self.assertTrue(len(data) <= MAX_DATAGRAM_BYTES)
+        self.assertEqual((), decode_heartbeat(data).loads)
+
+    def test_what_is_no_heartbeat_is_a_typed_error(self) -> None:
+        for data in (b"", b"[]", b"{}", b"\xff", b'{"h":1,"b":2,"z":3,"s":"?"}'):
+            with ExpectedException(PeerMessageError):
+                decode_heartbeat(data)
+
+
+class MembersTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.members = Members("10.0.0.9")
+
+    def test_hosts_are_learnt_from_each_other(self) -> None:
+        self.members.hear("10.0.0.1", make_heartbeat(hosts=("10.0.0.2", "10.0.0.9")), 0.0)
+        self.assertEqual({"10.0.0.1", "10.0.0.2"}, set(self.members.addresses(0.0, seldom=True)))
+
+    def test_a_silent_host_is_not_given_to_callers(self) -> None:
+        self.members.hear("10.0.0.1", make_heartbeat(), 0.0)
+        self.assertEqual(1, len(self.members.ready(SILENT_AFTER_S)))
+        self.assertEqual([], self.members.ready(SILENT_AFTER_S + 0.1))
+
+    def test_a_leaving_host_is_not_given_to_callers(self) -> None:
+        self.members.hear("10.0.0.1", make_heartbeat(), 0.0)
+        self.members.hear("10.0.0.1", make_heartbeat(state=HostState.LEAVING), 0.1)
+        self.assertEqual([], self.members.ready(0.1))
+
+    def test_a_start_anew_is_noticed(self) -> None:
+        self.assertTrue(self.members.hear("10.0.0.1", make_heartbeat(), 0.0))
+        self.assertFalse(self.members.hear("10.0.0.1", make_heartbeat(), 0.1))
+        self.assertTrue(self.members.hear("10.0.0.1", make_heartbeat(boot="c"), 0.2))
+
+    def test_hosts_silent_for_long_are_spoken_to_seldom(self) -> None:
+        self.members.hear("10.0.0.1", make_heartbeat(), 0.0)
+        later = FORGOTTEN_AFTER_S + 1.0
+        self.assertEqual([], self.members.addresses(later, seldom=False))
+        self.assertEqual(["10.0.0.1"], self.members.addresses(later, seldom=True))
+
+
+class PeerKnowledgeTest(TestCase):
+    def test_a_host_that_is_cut_off_from_the_store_learns_from_another(self) -> None:
+        async def work() -> None:
+            informed = Knowledge(lambda snapshot: None)
+            informed.take_config(CONFIG, source="test")
+            informed.take_peer_entries({"i": ENTRY}, 12)
+            source = PeerKnowledge(informed, LoadBoard(), 0)
+
+            async def handle(request: Request, responder: Responder) -> None:
+                source.answer(request, responder)
+
+            server = InboundServer(handle, InboundLimits())
+            await server.listen(LOOPBACK, 0)
+            knowledge = Knowledge(lambda snapshot: None)
+            board = LoadBoard()
+            peers = PeerKnowledge(knowledge, board, server.port)
+            told = make_heartbeat(config_version=7, upstreams_version=12, loads=(("i", 3),))
+            peers.take_heartbeat(LOOPBACK, told, False)
+            await wait_for(lambda: knowledge.snapshot.upstreams_version == 12)
+            self.assertEqual(7, knowledge.snapshot.config_version)
+            now = asyncio.get_running_loop().time()
+            self.assertEqual({"i": 3}, board.read(["i"], now))
+
+        run(work())
+
+    def test_a_peer_that_does_not_answer_changes_nothing(self) -> None:
+        async def work() -> int:
+            knowledge = Knowledge(lambda snapshot: None)
+            peers = PeerKnowledge(knowledge, LoadBoard(), 1)
+            peers.take_heartbeat(LOOPBACK, make_heartbeat(config_version=7), False)
+            assert peers._asking is not None
+            await peers._asking
+            return knowledge.snapshot.config_version
+
+        self.assertEqual(0, run(work()))
--- /dev/null
+++ b/tests/test_output.py
@@ -0,0 +1,81 @@
+import os
+from json import loads
+
+from logbook import INFO, Logger
+from testtools import TestCase
+
+from cherrylane.telemetry.counters import Telemetry
+from cherrylane.telemetry.output import BUFFER_BYTES, BURST_LINES, BoundedHandler, LineWriter
+
+log = Logger("cherrylane.tests")
+
+
+class LogOutputTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.reader, writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, writer)
+        self.writer = LineWriter(writer)
+        self.handler = BoundedHandler(self.writer, "host-1", level=INFO)
+
+    def read_lines(self) -> list[dict[str, object]]:
+        self.writer.flush()
+        os.set_blocking(self.reader, False)
+        data = b""
+        try:
+            while part := os.read(self.reader, 1 << 20):
+                data += part
+                self.writer.flush()
+        except BlockingIOError:
+            pass
+        return [loads(line) for line in data.splitlines()]
+
+    def test_a_line_has_its_fields(self) -> None:
+        with self.handler.applicationbound():
+            log.info("request", extra={"request": "7", "outcome": "answered"})
+        line = self.read_lines()[0]
+        self.assertEqual(
+            ("host-1", "INFO", "request", "7", "answered"),
+            tuple(line[name] for name in ("host", "level", "message", "request", "outcome")),
+        )
+
+    def test_a_reader_that_has_stopped_blocks_nothing(self) -> None:
+        with self.handler.applicationbound():
+            for _ in range(int(BURST_LINES)):
+                log.info("x" * 1000)
+        self.assertTrue(self.writer._waiting_bytes <= BUFFER_BYTES)
+        self.assertTrue(self.handler.left_out["x" * 1000] > 0)
+        for line in self.read_lines():
+            self.assertEqual("x" * 1000, line["message"])
+
+    def test_a_flood_is_cut_and_counted(self) -> None:
+        with self.handler.applicationbound():
+            for _ in range(int(BURST_LINES) + 500):
+                log.info("flood")
+                if not self.writer._waiting:
+                    continue
+                self.read_lines()
+        self.assertTrue(self.handler.left_out["flood"] > 0)
+
+    def test_nobody_reading_any_more_is_no_error(self) -> None:
+        reader, writer = os.pipe()
+        os.close(reader)
+        self.addCleanup(os.close, writer)
+        self.assertTrue(LineWriter(writer).write(b"line\n"))
+
+
+class TelemetryTest(TestCase):
+    def test_everything_is_shown_as_text(self) -> None:
+        telemetry = Telemetry()
+        telemetry.count("requests", kind="safe", outcome="answered")
+        telemetry.count("requests", kind="safe", outcome="answered")
+        telemetry.add_gauge("config_version", lambda: 7)
+        for milliseconds in range(1, 101):
+            telemetry.observe("request", milliseconds / 1000, kind="safe")
+        lines = telemetry.render().splitlines()
+        self.assertIn('cherrylane_requests_total{kind="safe",outcome="answered"} 2', lines)
+        self.assertIn("cherrylane_config_version 7", lines)
+        self.assertIn('cherrylane_request_seconds_count{kind="safe"} 100', lines)
+        median = next(line for line in lines if 'quantile="0.5"' in line)
+        self.assertTrue(0.045 <= float(median.split()[-1]) <= 0.056, median)
--- /dev/null
+++ b/tests/test_platform_documents.py
@@ -0,0 +1,239 @@
+from typing import Any
+
+from testtools import ExpectedException, TestCase
+from testtools.matchers import Contains
+
+from cherrylane.errors import SettingsError
+from cherrylane.http.messages import RequestHead, ResponseHead
+from cherrylane.platform.bootfile import decode_boot_file
+from cherrylane.platform.configuration import decode_configuration
+from cherrylane.platform.headers import (
+    Dispatch,
+    encode_dispatch,
+    read_key,
+    read_load,
+    read_patience,
+    read_prompt,
+    says_not_run,
+)
+from cherrylane.platform.upstreams import decode_upstream
+from cherrylane.routing.routes import RequestKind
+from cherrylane.routing.upstreams import UpstreamState
+from cherrylane.settings.schema import Endpoint
+
+BOOT = """\
+node=host-1
+ip=10.1.0.4
+zone=a
+region=north
+zones.a=north
+listen.front=10.1.0.4:80
+listen.ready=10.1.0.4:81
+listen.directory=10.1.0.4:82
+port_range=7000,7010
+seeds=10.1.0.4:83,10.1.0.5:83
+limits.memory_mb=300
+limits.max_fds=4100
+bounds.config_apply_ms=2000
+bounds.drain_ms=2000
+bounds.grace_s=8
+bounds.budget_ratio=0.2
+bounds.budget_window_s=10
+bounds.budget_slack=54
+platform.address=10.9.0.1:90
+something.new=1
+"""
+
+CONFIG: dict[str, Any] = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r",
+            "host": "h.example",
+            "path_prefix": "/a/",
+            "kind": "streaming",
+            "timeout_ms": 10000,
+            "target_latency_ms": 500,
+            "priority": 1,
+            "traffic_split": [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}],
+            "max_attempts": 2,
+            "public": False,
+            "resumable": True,
+            "gap_aim_ms": 250,
+        }
+    ],
+    "services": [
+        {"name": "s", "max_connections": 9, "engine": {"slots": 64, "kv_capacity_tokens": 100}},
+        {"name": "t", "max_connections": 9},
+    ],
+    "limits": {
+        "max_header_bytes": 1,
+        "max_body_bytes": 2,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000,
+    },
+    "tenants": [{"name": "union", "api_keys": ["k1", "k2"], "priority": 1}],
+}
+
+ENTRY: dict[str, Any] = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "slots": 4,
+    "state": "ready",
+    "born": 5,
+}
+
+
+def head(*headers: tuple[bytes, bytes]) -> RequestHead:
+    return RequestHead(headers)
+
+
+class BootFileTest(TestCase):
+    def test_settings_are_decoded(self) -> None:
+        settings = decode_boot_file(BOOT)
+        self.assertEqual("host-1", settings.identity.name)
+        self.assertEqual(Endpoint("10.1.0.4", 7000), settings.listen.peers)
+        self.assertEqual(("10.1.0.4", "10.1.0.5"), settings.seeds)
+        self.assertEqual(2.0, settings.bounds.drain_s)
+
+    def test_a_missing_field_is_named_with_its_remedy(self) -> None:
+        with ExpectedException(SettingsError, ".*platform.address is missing; add.*"):
+            decode_boot_file(BOOT.replace("platform.address=10.9.0.1:90\n", ""))
+
+    def test_a_bad_value_is_named(self) -> None:
+        with ExpectedException(SettingsError, ".*bounds.grace_s has the value 'soon'.*"):
+            decode_boot_file(BOOT.replace("grace_s=8", "grace_s=soon"))
+
+    def test_a_line_of_another_form_is_named(self) -> None:
+        with ExpectedException(SettingsError, ".*line 21 .*"):
+            decode_boot_file(BOOT + "what is this\n")
+
+
+class ConfigurationTest(TestCase):
+    def test_a_configuration_is_decoded(self) -> None:
+        decoded = decode_configuration(CONFIG)
+        route = decoded.routes[0]
+        self.assertEqual((7, RequestKind.STREAM), (decoded.version, route.kind))
+        self.assertEqual([("s", 90.0), ("t", 10.0)], [(s.service, s.weight) for s in route.shares])
+        self.assertTrue(route.is_idempotent)
+        self.assertEqual(frozenset({"k1", "k2"}), decoded.accounts[0].keys)
+
+    def test_what_is_wrong_is_a_typed_error(self) -> None:
+        route = CONFIG["routes"][0]
+        broken: Any
+        for broken in (
+            None,
+            [],
+            CONFIG | {"version": "7"},
+            CONFIG | {"version": True},
+            CONFIG | {"routes": [route | {"kind": "odd"}]},
+            CONFIG | {"routes": [route | {"timeout_ms": "x"}]},
+            CONFIG | {"routes": [route | {"traffic_split": [{"service": "s", "weight": 0}]}]},
+            {name: value for name, value in CONFIG.items() if name != "limits"},
+        ):
+            with ExpectedException(SettingsError):
+                decode_configuration(broken)
+
+
+class UpstreamEntryTest(TestCase):
+    def test_an_entry_is_decoded(self) -> None:
+        upstream = decode_upstream("i", ENTRY | {"state": "draining"})
+        self.assertEqual(Endpoint("10.0.0.1", 80), upstream.endpoint)
+        self.assertEqual(UpstreamState.DRAINING, upstream.state)
+        self.assertFalse(upstream.takes_work)
+
+    def test_an_entry_of_another_writer_is_a_typed_error(self) -> None:
+        broken: Any
+        for broken in (
+            None,
+            "text",
+            ENTRY | {"state": "odd"},
+            ENTRY | {"address": "name:80"},
+            ENTRY | {"address": "10.0.0.1"},
+            ENTRY | {"address": "10.0.0.1:0"},
+            ENTRY | {"slots": "4"},
+            ENTRY | {"slots": True},
+            ENTRY | {"service": ""},
+            {name: value for name, value in ENTRY.items() if name != "zone"},
+        ):
+            with ExpectedException(SettingsError):
+                decode_upstream("i", broken)
+
+
+class HeadersTest(TestCase):
+    def test_a_prompt_is_decoded(self) -> None:
+        prompt = read_prompt(
+            head((b"Model", b"m"), (b"Token-Usage", b"1460,80"), (b"Prompt-Prefix", b"a:8,b:4,c:2"))
+        )
+        self.assertEqual(
+            ("m", 1460, 80), (prompt.model, prompt.input_tokens, prompt.max_output_tokens)
+        )
+        self.assertEqual("b", prompt.chat_key)
+
+    def test_a_prompt_that_cannot_be_read_names_no_chat(self) -> None:
+        prompt = read_prompt(head((b"Prompt-Prefix", b"a:x,:4,,c:2"), (b"Token-Usage", b"odd")))
+        self.assertEqual(["c"], [part.key for part in prompt.parts])
+        self.assertEqual("", prompt.chat_key)
+
+    def test_keys_and_patience(self) -> None:
+        self.assertEqual("k", read_key(head((b"authorization", b"bearer k"))))
+        self.assertEqual("", read_key(head((b"Authorization", b"Basic k"))))
+        self.assertEqual(1.5, read_patience(head((b"Deadline-Ms", b"1500"))))
+        for text in (b"", b"-1", b"nan", b"inf", b"x"):
+            self.assertIsNone(read_patience(head((b"Deadline-Ms", text))))
+
+    def test_what_only_the_router_sets_is_not_taken_from_callers(self) -> None:
+        own = Dispatch("i-1", remaining_s=1.0, priority=2, account="union")
+        sent = encode_dispatch(
+            [
+                (b"Tenant", b"other"),
+                (b"authorization", b"Bearer k"),
+                (b"Expect-Instance", b"x"),
+                (b"Hold", b"1"),
+                (b"Pin-Ms", b"1"),
+                (b"Kv-From", b"x"),
+                (b"Kv-Backup", b"x"),
+                (b"Kv-Fetch", b"x"),
+                (b"Deadline-Ms", b"99999"),
+                (b"Request-Priority", b"0"),
+                (b"X-Other", b"kept"),
+            ],
+            own,
+        )
+        self.assertEqual(
+            [
+                (b"X-Other", b"kept"),
+                (b"Deadline-Ms", b"1000"),
+                (b"Expect-Instance", b"i-1"),
+                (b"Request-Priority", b"2"),
+                (b"Tenant", b"union"),
+            ],
+            sent,
+        )
+
+    def test_only_what_the_upstream_states_is_not_run(self) -> None:
+        self.assertTrue(says_not_run(ResponseHead(((b"Not-Executed", b"1"),), 503)))
+        self.assertTrue(says_not_run(ResponseHead((), 421)))
+        for status in (429, 500, 503, 504):
+            self.assertFalse(says_not_run(ResponseHead((), status)))
+
+    def test_a_load_that_cannot_be_read_is_none(self) -> None:
+        load = read_load(ResponseHead(((b"Server-Load", b"3,0,8"),)))
+        assert load is not None
+        self.assertEqual((3, 0, 8), (load.running, load.waiting, load.slots))
+        for text in (b"", b"1,2", b"a,b,c"):
+            self.assertIsNone(read_load(ResponseHead(((b"Server-Load", text),))))
+
+
+class ConnectionHeadersTest(TestCase):
+    def test_headers_of_one_connection_are_not_forwarded(self) -> None:
+        kept = head(
+            (b"Connection", b"x-hop, keep-alive"),
+            (b"X-Hop", b"1"),
+            (b"Keep-Alive", b"timeout=5"),
+            (b"Transfer-Encoding", b"chunked"),
+            (b"X-End", b"2"),
+        ).end_to_end()
+        self.assertThat(kept, Contains((b"X-End", b"2")))
+        self.assertEqual(1, len(kept))
