Send prompts where they are cached, as all hosts have seen; fetch the rest from who has it

The guess "the first of the rendezvous order has it" is wrong after an engine joined, and for the part that many chats begin with, which every engine read for itself. Change: placement/caches holds what is cached where, replayed from own requests and from what other hosts tell in their heartbeats; a host that starts asks another once. A chat stays where all of its shared parts are cached; else its rendezvous order decides, and what the engine lacks is fetched from the one that has most.

--- a/src/cherrylane/gateway/knowledge.py
+++ b/src/cherrylane/gateway/knowledge.py
@@ -40,6 +40,7 @@
     snapshot: Snapshot = field(factory=Snapshot)
     config_document: Any = None
     entries: dict[str, Any] = field(factory=dict)
+    forget_upstream: Callable[[str], None] = lambda name: None
     _known: dict[str, KnownUpstream] = field(factory=dict)
     _missing: dict[str, asyncio.TimerHandle] = field(factory=dict)
 
@@ -124,6 +125,8 @@
         now = asyncio.get_running_loop().time()
         joined_at = known.joined_at if known is not None and is_same_run else now
         self._known[name] = KnownUpstream(upstream, joined_at)
+        if not is_same_run:
+            self.forget_upstream(name)
         if not is_same_run or (known is not None and known.upstream.state is not upstream.state):
             self._log_upstream(upstream)
 
@@ -146,6 +149,7 @@
     def _remove(self, name: str) -> None:
         self._known.pop(name, None)
         self.entries.pop(name, None)
+        self.forget_upstream(name)
         log.info("upstream gone", extra={"upstream": name})
 
     def _cancel_miss(self, name: str) -> None:
@@ -161,6 +165,9 @@
             evolve(
                 self.snapshot,
                 services={name: tuple(found) for name, found in services.items()},
+                service_by_upstream={
+                    name: known.upstream.service for name, known in self._known.items()
+                },
                 upstreams_version=version,
                 upstreams_taken_at=asyncio.get_running_loop().time(),
             )
--- a/src/cherrylane/gateway/peers.py
+++ b/src/cherrylane/gateway/peers.py
@@ -13,6 +13,7 @@
 from cherrylane.http.inbound import Responder
 from cherrylane.http.messages import Request, Response, encode_request
 from cherrylane.http.outbound import open_connection
+from cherrylane.placement.caches import CachedPart, CacheMap
 from cherrylane.placement.loads import LoadBoard
 from cherrylane.settings.schema import Endpoint
 
@@ -32,14 +33,22 @@
 
     knowledge: Knowledge
     board: LoadBoard
+    caches: CacheMap
     peers_port: int
     _behind_since: float | None = None
+    _is_empty: bool = True
     _asking: asyncio.Task[None] | None = field(default=None, repr=False)
 
     def take_heartbeat(self, address: str, heartbeat: Heartbeat, is_new: bool) -> None:
         """Take in a peer's loads, and ask it if it has been ahead for a while."""
         now = asyncio.get_running_loop().time()
         self.board.take_peer(address, dict(heartbeat.loads), now)
+        for cached in heartbeat.cached:
+            self._take_cached(cached)
+        if self._is_empty and heartbeat.config_version:
+            # A host that has just started asks once for what is cached where.
+            self._is_empty = False
+            self._begin_asking(address)
         if not self._is_ahead(heartbeat):
             return
         if self._behind_since is None:
@@ -47,6 +56,9 @@
         is_unconfigured = self.knowledge.snapshot.table is None
         if not is_unconfigured and now - self._behind_since < PATIENCE_S:
             return
+        self._begin_asking(address)
+
+    def _begin_asking(self, address: str) -> None:
         if self._asking is None or self._asking.done():
             self._asking = asyncio.get_running_loop().create_task(self._ask(address))
 
@@ -63,6 +75,7 @@
             "config": self.knowledge.config_document,
             "upstreams_version": self.knowledge.snapshot.upstreams_version,
             "upstreams": self.knowledge.entries,
+            "cached": [(one.upstream, one.key, one.tokens) for one in self.caches.list_all()],
         }
         responder.send(
             Response(200, ((b"Content-Type", b"application/json"),), dumps(body).encode())
@@ -89,6 +102,13 @@
         if told["config"] is not None:
             self.knowledge.take_config(told["config"], source="peer")
         self.knowledge.take_peer_entries(dict(told["upstreams"]), int(told["upstreams_version"]))
+        for upstream, key, tokens in told["cached"]:
+            self._take_cached(CachedPart(str(upstream), str(key), int(tokens)))
+
+    def _take_cached(self, cached: CachedPart) -> None:
+        memory_tokens = self.knowledge.snapshot.memory_of(cached.upstream)
+        if memory_tokens:
+            self.caches.note_peer(cached, memory_tokens)
 
 
 async def _fetch(endpoint: Endpoint) -> bytes:
--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -1,7 +1,7 @@
 """The daemon: everything that one entry host runs, put together."""
 
 import asyncio
-from secrets import token_hex
+from os import urandom
 from time import monotonic
 
 from attrs import frozen
@@ -18,6 +18,7 @@
 from cherrylane.http.outbound import ConnectionPool
 from cherrylane.limits.retries import RetryAllowance
 from cherrylane.limits.suspicion import Suspicion
+from cherrylane.placement.caches import CacheMap
 from cherrylane.placement.choice import Chooser
 from cherrylane.placement.loads import LoadBoard
 from cherrylane.platform.client import AsyncPlatformClient
@@ -90,7 +91,7 @@
         self.settings = settings
         self.telemetry = Telemetry()
         self._writer = writer
-        self._boot = token_hex(BOOT_BYTES)
+        self._boot = urandom(BOOT_BYTES).hex()
         self._is_stopping = False
         self._started = monotonic()
         self._tasks: list[asyncio.Task[None]] = []
@@ -104,10 +105,15 @@
         self.store = AsyncPlatformClient(
             PlatformSettings(url=f"http://{settings.store.endpoint}", timeout_s=STORE_TIMEOUT_S)
         )
-        self.knowledge = Knowledge(self._take_snapshot, self._is_store_returning)
+        self.caches = CacheMap()
+        self.knowledge = Knowledge(
+            self._take_snapshot, self._is_store_returning, forget_upstream=self._forget_upstream
+        )
         self._followers = self._make_followers()
         self._roster = Roster(self.store, settings.identity, self._boot, self.members)
-        self._peers = PeerKnowledge(self.knowledge, self.board, settings.listen.peers.port)
+        self._peers = PeerKnowledge(
+            self.knowledge, self.board, self.caches, settings.listen.peers.port
+        )
         self._gossip = GossipNode(
             settings.listen.peers, self.members, self._make_heartbeat, self._peers.take_heartbeat
         )
@@ -206,7 +212,9 @@
         ]
 
     def _make_relay(self) -> RelayService:
-        chooser = Chooser(self.settings.identity.zone, self.settings.bounds.load_multiple)
+        chooser = Chooser(
+            self.settings.identity.zone, self.settings.bounds.load_multiple, self.caches
+        )
         attempts = Attempts(
             Selection(chooser, self.board, self.suspicion),
             Exchanges(self.pool, self._note_answer),
@@ -273,6 +281,7 @@
             config_version=snapshot.config_version,
             upstreams_version=snapshot.upstreams_version,
             loads=tuple(self.board.own.items()),
+            cached=self.caches.take_news(),
         )
 
     def _take_snapshot(self, snapshot: Snapshot) -> None:
@@ -300,6 +309,11 @@
             self._allowances[service] = allowance
         return allowance
 
+    def _forget_upstream(self, name: str) -> None:
+        self.caches.forget(name)
+        self.suspicion.forget(name)
+        self.pool.forget(name)
+
     def _note_answer(self, upstream: str) -> None:
         self.suspicion.note_answer(upstream, asyncio.get_running_loop().time())
 
--- a/src/cherrylane/gossip/messages.py
+++ b/src/cherrylane/gossip/messages.py
@@ -6,6 +6,7 @@
 from attrs import frozen
 
 from cherrylane.errors import PeerMessageError
+from cherrylane.placement.caches import CachedPart
 from cherrylane.settings.schema import Endpoint
 
 # The largest datagram that is sent; most links carry 1,500 bytes without splitting.
@@ -25,7 +26,8 @@
     """What a host says of itself several times a second.
 
     ``config_version`` and ``upstreams_version`` are the newest that it knows, 0 for none.
-    ``loads`` are its own requests in work by upstream. ``hosts`` are the addresses of some other
+    ``loads`` are its own requests in work by upstream, ``cached`` what its requests have left at
+    engines. ``hosts`` are the addresses of some other
     hosts that it has heard of lately.
     """
 
@@ -38,9 +40,10 @@
     upstreams_version: int = 0
     loads: tuple[tuple[str, int], ...] = ()
     hosts: tuple[str, ...] = ()
+    cached: tuple[CachedPart, ...] = ()
 
     def encode(self) -> bytes:
-        """Return the datagram, without the loads and hosts that do not fit."""
+        """Return the datagram, without loads, hosts and caches if they do not fit."""
         fields = {
             "h": self.host,
             "b": self.boot,
@@ -51,7 +54,12 @@
             "c": self.config_version,
             "u": self.upstreams_version,
         }
-        data = dumps(fields | {"l": dict(self.loads), "m": self.hosts}, separators=(",", ":"))
+        more = {
+            "l": dict(self.loads),
+            "m": self.hosts,
+            "k": [(part.upstream, part.key, part.tokens) for part in self.cached],
+        }
+        data = dumps(fields | more, separators=(",", ":"))
         if len(data) > MAX_DATAGRAM_BYTES:
             data = dumps(fields, separators=(",", ":"))
         return data.encode()
@@ -71,6 +79,10 @@
             upstreams_version=int(wire["u"]),
             loads=tuple((str(name), int(count)) for name, count in wire.get("l", {}).items()),
             hosts=tuple(str(address) for address in wire.get("m", ())),
+            cached=tuple(
+                CachedPart(str(upstream), str(key), int(tokens))
+                for upstream, key, tokens in wire.get("k", ())
+            ),
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise PeerMessageError(
--- a/src/cherrylane/http/messages.py
+++ b/src/cherrylane/http/messages.py
@@ -1,6 +1,6 @@
 """Heads of HTTP/1.1 messages as plain values, and their text on a connection."""
 
-from http.client import responses
+from http import HTTPStatus
 
 from attrs import field, frozen
 
@@ -21,6 +21,7 @@
     }
 )
 FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding", b"expect"})
+_REASONS = {status.value: status.phrase for status in HTTPStatus}
 LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -119,7 +120,7 @@
 
 def encode_response_head(status: int, headers: list[Header]) -> bytes:
     """Return the bytes of a response's head."""
-    reason = responses.get(status, "Status").encode()
+    reason = _REASONS.get(status, "Status").encode()
     lines = [b"HTTP/1.1 %d %s" % (status, reason)]
     lines += [name + b": " + value for name, value in headers]
     return b"\r\n".join(lines) + b"\r\n\r\n"
--- a/src/cherrylane/placement/choice.py
+++ b/src/cherrylane/placement/choice.py
@@ -1,8 +1,9 @@
 """The choice of an upstream for one request.
 
-A chat goes to the first upstream of its rendezvous order that is not loaded beyond a multiple of
-the mean, so that it finds its prompt cached. Other requests go to the least loaded one, the own
-failure domain first.
+A chat goes where most of its prompt is cached, unless that engine is loaded beyond a multiple of
+the mean; a chat that is cached nowhere goes to the first engine of its rendezvous order that is
+not. What the chosen engine lacks and another one has is fetched from there. Other requests go to
+the least loaded upstream, the own failure domain first.
 """
 
 from collections.abc import Sequence
@@ -10,7 +11,9 @@
 
 from attrs import field, frozen
 
+from cherrylane.placement.caches import CacheMap
 from cherrylane.placement.ranking import rank_names
+from cherrylane.relay.request import Prompt
 from cherrylane.routing.upstreams import Upstream
 
 # Part of the allowed multiple of the mean that is used; the rest is for loads not yet heard of.
@@ -19,27 +22,30 @@
 FREE_REQUESTS = 2
 # Load, in parts of an upstream's slots, that a request from another failure domain counts for.
 OTHER_ZONE_LOAD = 0.15
-# Seconds for which an upstream that joined may have to fetch what others have cached.
-WARM_UP_S = 15.0
+# Cached tokens that are worth a fetch; fewer are read sooner than fetched.
+MIN_FETCHED_TOKENS = 64
 
 
 @frozen
 class Candidate:
-    """An upstream that may take the request, its load in requests, and when it was first seen."""
+    """An upstream that may take the request, and its load in requests."""
 
     upstream: Upstream
     load: int
-    joined_at: float = float("-inf")
 
 
 @frozen
 class Choice:
-    """The upstream that was chosen, why, and where its cache may be filled from."""
+    """The upstream that was chosen, and why.
+
+    ``cached_tokens`` of the prompt are cached there; ``cache_source`` has more of it.
+    """
 
     upstream: Upstream
     reason: str
     load: int
     mean_load: float
+    cached_tokens: int = 0
     cache_source: Upstream | None = None
 
 
@@ -52,27 +58,32 @@
 
     zone: str
     load_multiple: float
+    caches: CacheMap = field(factory=CacheMap)
     random: Random = field(factory=Random)
 
     def choose_for_chat(
-        self,
-        key: str,
-        candidates: Sequence[Candidate],
-        holders: Sequence[Upstream],
-        now: float,
+        self, prompt: Prompt, candidates: Sequence[Candidate], holders: Sequence[Upstream]
     ) -> Choice:
-        """Choose for a chat; ``holders`` are all upstreams that may have its prompt cached.
+        """Choose for a chat; ``holders`` are all engines that its prompt may be fetched from.
 
         Holders include those that take no new work but still run.
         """
         by_name = {candidate.upstream.name: candidate for candidate in candidates}
         mean = sum(candidate.load for candidate in candidates) / len(candidates)
         limit = max(mean * self.load_multiple * MULTIPLE_USED, mean + 1) + FREE_REQUESTS
-        order = rank_names(key, by_name)
-        chosen, reason = self._first_below(order, by_name, limit)
-        source = self._find_source(key, by_name[chosen], holders, now)
-        candidate = by_name[chosen]
-        return Choice(candidate.upstream, reason, candidate.load, mean, source)
+        shared = prompt.shared_parts
+        cached = {name: self.caches.count_cached(name, shared) for name in by_name}
+        order = rank_names(prompt.chat_key, by_name)
+        # An engine that has only what many chats share is no better than the chat's own order;
+        # preferring it would send every new chat to the first engine that was used.
+        whole = sum(part.tokens for part in shared)
+        order.sort(key=lambda name: cached[name] < whole)
+        name, reason = _find_first_below(order, by_name, limit)
+        chosen = by_name[name]
+        source = self._find_source(prompt, cached[name], holders)
+        if reason == "preferred":
+            reason = "cached" if cached[name] else "home"
+        return Choice(chosen.upstream, reason, chosen.load, mean, cached[name], source)
 
     def choose_by_load(self, candidates: Sequence[Candidate]) -> Choice:
         """Choose for a request that has nothing cached anywhere."""
@@ -80,31 +91,28 @@
         chosen = min(candidates, key=self._weigh)
         return Choice(chosen.upstream, "least loaded", chosen.load, mean)
 
-    def _first_below(
-        self, order: list[str], by_name: dict[str, Candidate], limit: float
-    ) -> tuple[str, str]:
-        for position, name in enumerate(order):
-            if by_name[name].load + 1 <= limit:
-                return name, "home" if position == 0 else "home loaded"
-        return min(order, key=lambda name: by_name[name].load), "all loaded"
-
     def _find_source(
-        self, key: str, chosen: Candidate, holders: Sequence[Upstream], now: float
+        self, prompt: Prompt, cached_tokens: int, holders: Sequence[Upstream]
     ) -> Upstream | None:
-        """Return the upstream that the chat went to before, if that was another one.
-
-        An upstream that has been there for long has its chats cached already.
-        """
-        by_name = {holder.name: holder for holder in holders}
-        order = rank_names(key, {*by_name, chosen.upstream.name})
-        position = order.index(chosen.upstream.name)
-        if position > 0:
-            return by_name[order[0]]
-        is_new = now - chosen.joined_at < WARM_UP_S
-        return by_name[order[1]] if is_new and len(order) > 1 else None
+        """Return the engine that has most of the prompt, if that is more than the chosen one."""
+        best, most = None, cached_tokens + MIN_FETCHED_TOKENS
+        for holder in holders:
+            tokens = self.caches.count_cached(holder.name, prompt.shared_parts)
+            if tokens > most:
+                best, most = holder, tokens
+        return best
 
     def _weigh(self, candidate: Candidate) -> float:
         upstream = candidate.upstream
         load = candidate.load / max(1, upstream.slots)
         distance = 0.0 if upstream.zone == self.zone else OTHER_ZONE_LOAD
         return load + distance + self.random.random() / max(1, upstream.slots)
+
+
+def _find_first_below(
+    order: list[str], by_name: dict[str, Candidate], limit: float
+) -> tuple[str, str]:
+    for position, name in enumerate(order):
+        if by_name[name].load + 1 <= limit:
+            return name, "preferred" if position == 0 else "preferred one loaded"
+    return min(order, key=lambda name: by_name[name].load), "all loaded"
--- a/src/cherrylane/relay/attempts.py
+++ b/src/cherrylane/relay/attempts.py
@@ -156,6 +156,7 @@
             return answer
         if not is_stream(request) or not 200 <= answer.head.status < 300:
             return await self.exchanges.finish(upstream, answer)
+        self._note_cached(journey, upstream.name)
         try:
             outcome = await StreamRelay(request, responder, journey.progress).relay(answer, limit)
         except BaseException:
@@ -236,6 +237,15 @@
                 },
             )
 
+    def _note_cached(self, journey: Journey, upstream: str) -> None:
+        snapshot = self.read_snapshot()
+        if snapshot.table is None:
+            return
+        service = snapshot.table.configuration.services.get(journey.request.service)
+        if service is not None and service.engine is not None:
+            parts = journey.request.prompt.shared_parts
+            self.selection.chooser.caches.note_run(upstream, parts, service.engine.memory_tokens)
+
     def _log_choice(self, journey: Journey, choice: Choice, snapshot: Snapshot) -> None:
         now = asyncio.get_running_loop().time()
         log.info(
@@ -247,6 +257,7 @@
                 "reason": choice.reason,
                 "load": choice.load,
                 "mean_load": round(choice.mean_load, 1),
+                "cached_tokens": choice.cached_tokens,
                 "cache_source": choice.cache_source.name if choice.cache_source else "",
                 "config": snapshot.config_version,
                 "upstreams": snapshot.upstreams_version,
--- a/src/cherrylane/relay/request.py
+++ b/src/cherrylane/relay/request.py
@@ -24,6 +24,11 @@
     max_output_tokens: int = 0
     expected_output_tokens: int = 0
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """The parts that other requests may have too: all but the last."""
+        return self.parts[:-1]
+
     @property
     def chat_key(self) -> str:
         """The key of the longest part that other requests may share, empty if there is none."""
--- a/src/cherrylane/relay/selection.py
+++ b/src/cherrylane/relay/selection.py
@@ -25,15 +25,14 @@
         candidates = self._find_candidates(listed, tried, now)
         if not candidates:
             return None
-        key = request.prompt.chat_key
-        if not key:
+        if not request.prompt.chat_key:
             return self.chooser.choose_by_load(candidates)
         holders = [
             known.upstream
             for known in listed
             if not self.suspicion.is_avoided(known.upstream.name, now)
         ]
-        return self.chooser.choose_for_chat(key, candidates, holders, now)
+        return self.chooser.choose_for_chat(request.prompt, candidates, holders)
 
     def _find_candidates(
         self, listed: tuple[KnownUpstream, ...], tried: set[str], now: float
@@ -46,7 +45,4 @@
         # Where all are suspect, the fault is likely not theirs.
         chosen = trusted or untried
         loads = self.board.read([known.upstream.name for known in chosen], now)
-        return [
-            Candidate(known.upstream, loads[known.upstream.name], known.joined_at)
-            for known in chosen
-        ]
+        return [Candidate(known.upstream, loads[known.upstream.name]) for known in chosen]
--- a/src/cherrylane/relay/service.py
+++ b/src/cherrylane/relay/service.py
@@ -103,7 +103,7 @@
                 "request": read_request_id(request.head),
                 "cause": rejection.cause.value,
                 "status": int(rejection.status),
-                "host": request.head.find_text(b"host"),
+                "authority": request.head.find_text(b"host"),
                 "path": request.head.path,
                 "config": self.read_snapshot().config_version,
             },
--- a/src/cherrylane/routing/snapshot.py
+++ b/src/cherrylane/routing/snapshot.py
@@ -23,6 +23,7 @@
 
     table: RouteTable | None = None
     services: dict[str, tuple[KnownUpstream, ...]] = field(factory=dict)
+    service_by_upstream: dict[str, str] = field(factory=dict)
     upstreams_version: int = 0
     config_taken_at: float = 0.0
     upstreams_taken_at: float = 0.0
@@ -32,6 +33,16 @@
         """The version of the configuration in force here."""
         return self.table.configuration.version if self.table is not None else 0
 
+    def memory_of(self, upstream: str) -> int:
+        """Return the memory in tokens of an engine, 0 if it is not known as one."""
+        service = self.service_by_upstream.get(upstream)
+        if service is None or self.table is None:
+            return 0
+        configured = self.table.configuration.services.get(service)
+        if configured is None or configured.engine is None:
+            return 0
+        return configured.engine.memory_tokens
+
     def upstreams_of(self, service: str) -> tuple[KnownUpstream, ...]:
         """Return the upstreams of a service, those that are draining too."""
         return self.services.get(service, ())
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -14,7 +14,9 @@
 )
 from cherrylane.http.inbound import InboundLimits, InboundServer, Responder
 from cherrylane.http.messages import Request
+from cherrylane.placement.caches import CachedPart, CacheMap
 from cherrylane.placement.loads import LoadBoard
+from cherrylane.relay.request import PromptPart
 from cherrylane.settings.schema import Endpoint
 from tests.test_platform_documents import CONFIG, ENTRY
 from tests.wire import LOOPBACK, run, wait_for
@@ -34,7 +36,11 @@
 class HeartbeatTest(TestCase):
     def test_what_is_sent_is_what_is_read(self) -> None:
         sent = make_heartbeat(
-            config_version=7, upstreams_version=9, loads=(("i", 3),), hosts=("10.0.0.2",)
+            config_version=7,
+            upstreams_version=9,
+            loads=(("i", 3),),
+            hosts=("10.0.0.2",),
+            cached=(CachedPart("i", "5c1e", 90),),
         )
         self.assertEqual(sent, decode_heartbeat(sent.encode()))
 
@@ -87,7 +93,10 @@
             informed = Knowledge(lambda snapshot: None)
             informed.take_config(CONFIG, source="test")
             informed.take_peer_entries({"i": ENTRY}, 12)
-            source = PeerKnowledge(informed, LoadBoard(), 0)
+            caches, learnt = CacheMap(), CacheMap()
+            parts = (PromptPart("chat", 90),)
+            caches.note_run("i", parts, memory_tokens=1000)
+            source = PeerKnowledge(informed, LoadBoard(), caches, 0)
 
             async def handle(request: Request, responder: Responder) -> None:
                 source.answer(request, responder)
@@ -96,20 +105,21 @@
             await server.listen(LOOPBACK, 0)
             knowledge = Knowledge(lambda snapshot: None)
             board = LoadBoard()
-            peers = PeerKnowledge(knowledge, board, server.port)
+            peers = PeerKnowledge(knowledge, board, learnt, server.port)
             told = make_heartbeat(config_version=7, upstreams_version=12, loads=(("i", 3),))
             peers.take_heartbeat(LOOPBACK, told, False)
             await wait_for(lambda: knowledge.snapshot.upstreams_version == 12)
             self.assertEqual(7, knowledge.snapshot.config_version)
             now = asyncio.get_running_loop().time()
             self.assertEqual({"i": 3}, board.read(["i"], now))
+            await wait_for(lambda: learnt.count_cached("i", parts) == 90)
 
         run(work())
 
     def test_a_peer_that_does_not_answer_changes_nothing(self) -> None:
         async def work() -> int:
             knowledge = Knowledge(lambda snapshot: None)
-            peers = PeerKnowledge(knowledge, LoadBoard(), 1)
+            peers = PeerKnowledge(knowledge, LoadBoard(), CacheMap(), 1)
             peers.take_heartbeat(LOOPBACK, make_heartbeat(config_version=7), False)
             assert peers._asking is not None
             await peers._asking
