List engines' caches when no host remembers them

Ruled out: listing at every start (another host can tell, and a list delays the engine); waiting 0.15 s for other hosts (burst of requests passes before). Change: heartbeats say whether a host knows the caches from before its start; a host that starts asks one that does, else each engine is listed by one host, which tells the others. A host that is heard for the first time is answered at once.

--- /dev/null
+++ b/src/cherrylane/gateway/recovery.py
@@ -0,0 +1,83 @@
+"""Learning what engines have cached when no host remembers it.
+
+After all hosts were down at once, the engines still have their caches, but nobody knows where a
+chat's prompt is. Each engine is then asked once, by one host, which tells the others. A list
+costs the engine some work, so it is not asked for where another host can tell.
+"""
+
+import asyncio
+
+from attrs import define
+from logbook import Logger
+
+from cherrylane.errors import UpstreamError
+from cherrylane.gateway.calls import call
+from cherrylane.gateway.knowledge import Knowledge
+from cherrylane.gateway.peers import PeerKnowledge
+from cherrylane.gossip.members import Members
+from cherrylane.placement.caches import CachedPart
+from cherrylane.placement.ranking import rank_names
+from cherrylane.platform.caches import CACHE_LIST_PATH, decode_cache_list
+from cherrylane.routing.upstreams import Upstream
+
+# Seconds after the start in which other hosts answer the first heartbeats.
+WAIT_FOR_HOSTS_S = 0.05
+# Seconds between looks whether the engines are known yet.
+POLL_S = 0.05
+# Seconds that an engine's list may take.
+LIST_TIMEOUT_S = 1.0
+
+log = Logger("cherrylane.recovery")
+
+
+@define
+class CacheRecovery:
+    """Learns at the start of a host what was cached before."""
+
+    knowledge: Knowledge
+    members: Members
+    peers: PeerKnowledge
+
+    async def run(self) -> None:
+        """Wait for other hosts to tell; if none can, list the engines that fall to this one."""
+        await asyncio.sleep(WAIT_FOR_HOSTS_S)
+        while not self._find_engines():
+            await asyncio.sleep(POLL_S)
+        if self.peers.knows_caches:
+            return
+        mine = [engine for engine in self._find_engines() if self._falls_to_this_host(engine)]
+        log.info("listing caches", extra={"engines": [engine.name for engine in mine]})
+        await asyncio.gather(*(self._list(engine) for engine in mine))
+        self.peers.knows_caches = True
+
+    def _find_engines(self) -> list[Upstream]:
+        snapshot = self.knowledge.snapshot
+        return [
+            known.upstream
+            for found in snapshot.services.values()
+            for known in found
+            if snapshot.memory_of(known.upstream.name)
+        ]
+
+    def _falls_to_this_host(self, engine: Upstream) -> bool:
+        now = asyncio.get_running_loop().time()
+        own = self.members.own_address
+        hosts = [own, *(member.address for member in self.members.live(now))]
+        return rank_names(engine.name, hosts)[0] == own
+
+    async def _list(self, engine: Upstream) -> None:
+        try:
+            body = await call(engine.endpoint, CACHE_LIST_PATH, timeout_s=LIST_TIMEOUT_S)
+            parts = decode_cache_list(body)
+        except (UpstreamError, TimeoutError) as error:
+            reason = f"{type(error).__name__}: {error}"
+            log.warning("caches not listed", extra={"upstream": engine.name, "reason": reason})
+            return
+        cached = [CachedPart(engine.name, part.key, part.tokens) for part in parts]
+        self.peers.take_cached(cached)
+        tokens = sum(part.tokens for part in parts)
+        log.info(
+            "caches listed",
+            extra={"upstream": engine.name, "parts": len(parts), "tokens": tokens},
+        )
+        await self.peers.tell_cached(cached, self.members)
--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -9,6 +9,7 @@
 
 from cherrylane.gateway.knowledge import Knowledge
 from cherrylane.gateway.peers import PeerKnowledge
+from cherrylane.gateway.recovery import CacheRecovery
 from cherrylane.gateway.roster import Roster
 from cherrylane.gossip.members import Members
 from cherrylane.gossip.messages import Heartbeat, HostState
@@ -114,6 +115,7 @@
         self._peers = PeerKnowledge(
             self.knowledge, self.board, self.caches, settings.listen.peers.port
         )
+        self._recovery = CacheRecovery(self.knowledge, self.members, self._peers)
         self._gossip = GossipNode(
             settings.listen.peers, self.members, self._make_heartbeat, self._peers.take_heartbeat
         )
@@ -149,6 +151,10 @@
         loop = asyncio.get_running_loop()
         work = [follower.run() for follower in self._followers]
         work += [self._roster.run(), self._gossip.run(), self._run_upkeep()]
+        if self.settings.is_first_start:
+            self._peers.knows_caches = True
+        else:
+            work.append(self._recovery.run())
         self._tasks = [loop.create_task(one) for one in work]
         ports = {
             name: getattr(self._listeners, name).port
@@ -282,6 +288,7 @@
             upstreams_version=snapshot.upstreams_version,
             loads=tuple(self.board.own.items()),
             cached=self.caches.take_news(),
+            knows_caches=self._peers.knows_caches,
         )
 
     def _take_snapshot(self, snapshot: Snapshot) -> None:
--- a/src/cherrylane/gossip/messages.py
+++ b/src/cherrylane/gossip/messages.py
@@ -27,8 +27,8 @@
 
     ``config_version`` and ``upstreams_version`` are the newest that it knows, 0 for none.
     ``loads`` are its own requests in work by upstream, ``cached`` what its requests have left at
-    engines. ``hosts`` are the addresses of some other
-    hosts that it has heard of lately.
+    engines; ``knows_caches`` says that it also knows what was left before its own start. ``hosts``
+    are the addresses of some other hosts that it has heard of lately.
     """
 
     host: str
@@ -41,6 +41,7 @@
     loads: tuple[tuple[str, int], ...] = ()
     hosts: tuple[str, ...] = ()
     cached: tuple[CachedPart, ...] = ()
+    knows_caches: bool = False
 
     def encode(self) -> bytes:
         """Return the datagram, without loads, hosts and caches if they do not fit."""
@@ -53,6 +54,7 @@
             "p": self.callers.port,
             "c": self.config_version,
             "u": self.upstreams_version,
+            "n": int(self.knows_caches),
         }
         more = {
             "l": dict(self.loads),
@@ -77,6 +79,7 @@
             callers=Endpoint(str(wire["a"]), int(wire["p"])),
             config_version=int(wire["c"]),
             upstreams_version=int(wire["u"]),
+            knows_caches=bool(wire.get("n", 0)),
             loads=tuple((str(name), int(count)) for name, count in wire.get("l", {}).items()),
             hosts=tuple(str(address) for address in wire.get("m", ())),
             cached=tuple(
--- a/src/cherrylane/gossip/node.py
+++ b/src/cherrylane/gossip/node.py
@@ -104,6 +104,8 @@
         is_new = self.members.hear(address, heartbeat, now)
         if is_new:
             self._live.add(address)
+            # A host that has just started learns of this one without waiting for the next round.
+            self._send(self._encode(now), address)
             log.info("host heard", extra={"peer": heartbeat.host, "boot": heartbeat.boot})
         self.take_heartbeat(address, heartbeat, is_new)
 
--- a/src/cherrylane/placement/choice.py
+++ b/src/cherrylane/placement/choice.py
@@ -76,8 +76,7 @@
         order = rank_names(prompt.chat_key, by_name)
         # An engine that has only what many chats share is no better than the chat's own order;
         # preferring it would send every new chat to the first engine that was used.
-        whole = sum(part.tokens for part in shared)
-        order.sort(key=lambda name: cached[name] < whole)
+        order.sort(key=lambda name: cached[name] < prompt.shared_tokens)
         name, reason = _find_first_below(order, by_name, limit)
         chosen = by_name[name]
         source = self._find_source(prompt, cached[name], holders)
--- a/src/cherrylane/platform/bootfile.py
+++ b/src/cherrylane/platform/bootfile.py
@@ -78,6 +78,7 @@
             window_s=fields.read("bounds.budget_window_s", float),
             slack=fields.read("bounds.budget_slack", float),
         ),
+        is_first_start=fields.read("bootstrap", str, default="false") == "true",
         memory_bytes=int(fields.read("limits.memory_mb", float) * MIB),
         max_descriptors=fields.read("limits.max_fds", int),
     )
--- a/src/cherrylane/relay/attempts.py
+++ b/src/cherrylane/relay/attempts.py
@@ -258,6 +258,7 @@
                 "load": choice.load,
                 "mean_load": round(choice.mean_load, 1),
                 "cached_tokens": choice.cached_tokens,
+                "shared_tokens": journey.request.prompt.shared_tokens,
                 "cache_source": choice.cache_source.name if choice.cache_source else "",
                 "config": snapshot.config_version,
                 "upstreams": snapshot.upstreams_version,
--- a/src/cherrylane/relay/request.py
+++ b/src/cherrylane/relay/request.py
@@ -29,6 +29,11 @@
         """The parts that other requests may have too: all but the last."""
         return self.parts[:-1]
 
+    @property
+    def shared_tokens(self) -> int:
+        """The tokens of the shared parts together."""
+        return sum(part.tokens for part in self.shared_parts)
+
     @property
     def chat_key(self) -> str:
         """The key of the longest part that other requests may share, empty if there is none."""
--- a/src/cherrylane/settings/gateway.py
+++ b/src/cherrylane/settings/gateway.py
@@ -70,6 +70,8 @@
     retries: RetryBounds
     memory_bytes: int
     max_descriptors: int
+    # Whether the whole system starts for the first time, so that nothing is left from before.
+    is_first_start: bool = False
     zones: dict[str, str] = field(factory=dict)
     seeds: tuple[str, ...] = ()
     # Port on which metrics are served, 0 for none; it is the one that deploy/system.toml names.
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -96,7 +96,7 @@
             caches, learnt = CacheMap(), CacheMap()
             parts = (PromptPart("chat", 90),)
             caches.note_run("i", parts, memory_tokens=1000)
-            source = PeerKnowledge(informed, LoadBoard(), caches, 0)
+            source = PeerKnowledge(informed, LoadBoard(), caches, 0, knows_caches=True)
 
             async def handle(request: Request, responder: Responder) -> None:
                 source.answer(request, responder)
@@ -106,7 +106,9 @@
             knowledge = Knowledge(lambda snapshot: None)
             board = LoadBoard()
             peers = PeerKnowledge(knowledge, board, learnt, server.port)
-            told = make_heartbeat(config_version=7, upstreams_version=12, loads=(("i", 3),))
+            told = make_heartbeat(
+                config_version=7, upstreams_version=12, loads=(("i", 3),), knows_caches=True
+            )
             peers.take_heartbeat(LOOPBACK, told, False)
             await wait_for(lambda: knowledge.snapshot.upstreams_version == 12)
             self.assertEqual(7, knowledge.snapshot.config_version)
--- /dev/null
+++ b/tests/test_recovery.py
@@ -0,0 +1,104 @@
+import asyncio
+
+from testtools import TestCase
+
+from cherrylane.gateway.knowledge import Knowledge
+from cherrylane.gateway.peers import PeerKnowledge
+from cherrylane.gateway.recovery import CacheRecovery
+from cherrylane.gossip.members import Members
+from cherrylane.http.inbound import InboundLimits, InboundServer, Responder
+from cherrylane.http.messages import Request
+from cherrylane.placement.caches import CacheMap
+from cherrylane.placement.loads import LoadBoard
+from cherrylane.relay.request import PromptPart
+from tests.test_gossip import make_heartbeat
+from tests.test_platform_documents import CONFIG
+from tests.wire import LOOPBACK, Call, ScriptedUpstream, run, wait_for
+
+PARTS = (PromptPart("desk", 50), PromptPart("chat", 40))
+
+
+async def list_parts(call: Call) -> None:
+    call.answer(b'{"epoch":"e","next":3,"held":[["","desk",50,"m"],["","chat",40,"m"]]}')
+
+
+async def answer_nonsense(call: Call) -> None:
+    call.answer(b'{"held":[["only one"]]}')
+
+
+class Host:
+    """What a host knows of caches, and its side towards the others."""
+
+    def __init__(self, address: str, peers_port: int = 0) -> None:
+        self.caches = CacheMap()
+        self.knowledge = Knowledge(lambda snapshot: None)
+        self.knowledge.take_config(CONFIG, source="test")
+        self.peers = PeerKnowledge(self.knowledge, LoadBoard(), self.caches, peers_port)
+        self.members = Members(address)
+        self.recovery = CacheRecovery(self.knowledge, self.members, self.peers)
+
+    def list_engine(self, engine: ScriptedUpstream) -> None:
+        self.knowledge.take_peer_entries({"engine": engine.entry("s")}, 1)
+
+    async def listen(self) -> int:
+        async def handle(request: Request, responder: Responder) -> None:
+            self.peers.answer(request, responder)
+
+        server = InboundServer(handle, InboundLimits())
+        await server.listen(LOOPBACK, 0)
+        return server.port
+
+
+class CacheRecoveryTest(TestCase):
+    """All hosts were killed at once; the engines still have what they cached."""
+
+    def test_an_engine_is_listed_once_and_the_others_are_told(self) -> None:
+        async def work() -> None:
+            engine = await ScriptedUpstream(list_parts).start()
+            other = Host(LOOPBACK)
+            other.list_engine(engine)
+            first = Host("127.0.0.9", await other.listen())
+            first.list_engine(engine)
+            now = asyncio.get_running_loop().time()
+            first.members.hear(LOOPBACK, make_heartbeat(), now)
+            other.members.hear("127.0.0.9", make_heartbeat(), now)
+            await asyncio.gather(first.recovery.run(), other.recovery.run())
+            self.assertEqual(1, len(engine.calls))
+            self.assertTrue(first.peers.knows_caches and other.peers.knows_caches)
+            if engine.calls and first.caches.count_cached("engine", PARTS):
+                await wait_for(lambda: other.caches.count_cached("engine", PARTS) == 90)
+
+        run(work())
+
+    def test_a_lone_host_lists_its_engines(self) -> None:
+        async def work() -> None:
+            engine = await ScriptedUpstream(list_parts).start()
+            host = Host(LOOPBACK)
+            recovering = asyncio.create_task(host.recovery.run())
+            await asyncio.sleep(0.1)
+            host.list_engine(engine)
+            await recovering
+            self.assertEqual(90, host.caches.count_cached("engine", PARTS))
+
+        run(work())
+
+    def test_an_engine_is_not_listed_where_another_host_can_tell(self) -> None:
+        async def work() -> None:
+            engine = await ScriptedUpstream(list_parts).start()
+            host = Host(LOOPBACK)
+            host.list_engine(engine)
+            host.peers.knows_caches = True
+            await host.recovery.run()
+            self.assertEqual([], engine.calls)
+
+        run(work())
+
+    def test_a_list_that_cannot_be_read_changes_nothing(self) -> None:
+        async def work() -> None:
+            engine = await ScriptedUpstream(answer_nonsense).start()
+            host = Host(LOOPBACK)
+            host.list_engine(engine)
+            await host.recovery.run()
+            self.assertEqual([], host.caches.list_all())
+
+        run(work())
