--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -47,8 +47,8 @@
 STORE_TIMEOUT_S = 1.0
 # Seconds that a connection to an upstream may take to open; then another one is tried.
 CONNECT_TIMEOUT_S = 0.15
-# Seconds that an idle connection to an upstream is kept; silent ones are not met then.
-MAX_IDLE_S = 1.0
+# Seconds that an idle connection to an upstream is kept; 1 s opened a quarter more of them.
+MAX_IDLE_S = 4.0
 # Seconds between rounds of upkeep: idle connections, and log lines that wait.
 UPKEEP_INTERVAL_S = 0.25
 # Fewest hosts that the retry budget is divided by, while others may not be known yet.
--- a/src/cherrylane/placement/choice.py
+++ b/src/cherrylane/placement/choice.py
@@ -17,7 +17,8 @@
 from cherrylane.routing.upstreams import Upstream
 
 # Part of the allowed multiple of the mean that is used; the rest is for loads not yet heard of.
-MULTIPLE_USED = 0.75
+# 0.75 moved twice as much memory between engines, for the same skew.
+MULTIPLE_USED = 0.9
 # Requests above the multiple of the mean that are always allowed, since few make a coarse mean.
 FREE_REQUESTS = 2
 # Load, in parts of an upstream's slots, that a request from another failure domain counts for.
