--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -11,6 +11,7 @@
 from cherrylane.gateway.peers import PeerKnowledge
 from cherrylane.gateway.recovery import CacheRecovery
 from cherrylane.gateway.roster import Roster
+from cherrylane.gateway.sockets import ListeningSockets
 from cherrylane.gossip.members import Members
 from cherrylane.gossip.messages import Heartbeat, HostState
 from cherrylane.gossip.node import GossipNode
@@ -83,7 +84,7 @@
     Example::
 
         gateway = Gateway(settings, LineWriter(1))
-        await gateway.start()
+        await gateway.start(open_sockets(settings))
         ...
         await gateway.stop()
     """
@@ -133,21 +134,17 @@
         snapshot = self.knowledge.snapshot
         return snapshot.table is not None and bool(snapshot.services)
 
-    async def start(self) -> None:
-        """Listen, and begin to learn."""
-        listen = self.settings.listen
+    async def start(self, sockets: ListeningSockets) -> None:
+        """Serve on ``sockets``, and begin to learn."""
         await self._gossip.start()
-        for server, endpoint in (
-            (self._listeners.peers, listen.peers),
-            (self._listeners.readiness, listen.readiness),
-            (self._listeners.directory, listen.directory),
-            (self._listeners.callers, listen.callers),
-        ):
-            await server.listen(endpoint.address, endpoint.port)
-        if self.settings.metrics_port:
-            await self._listeners.metrics.listen(
-                self.settings.identity.address, self.settings.metrics_port
-            )
+        self._relay.begin()
+        listeners = self._listeners
+        await listeners.peers.listen(sockets.peers)
+        await listeners.readiness.listen(sockets.readiness)
+        await listeners.directory.listen(sockets.directory)
+        await listeners.callers.listen(sockets.callers)
+        if sockets.metrics is not None:
+            await listeners.metrics.listen(sockets.metrics)
         loop = asyncio.get_running_loop()
         work = [follower.run() for follower in self._followers]
         work += [self._roster.run(), self._gossip.run(), self._run_upkeep()]
@@ -293,6 +290,8 @@
 
     def _take_snapshot(self, snapshot: Snapshot) -> None:
         self._peers.note_snapshot()
+        if self._is_informed:
+            self._relay.informed.set()
         if snapshot.table is None:
             return
         limits = snapshot.table.configuration.limits
--- a/src/cherrylane/http/inbound.py
+++ b/src/cherrylane/http/inbound.py
@@ -8,7 +8,7 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
-from socket import SO_LINGER, SOL_SOCKET
+from socket import SO_LINGER, SOL_SOCKET, socket
 from struct import pack
 
 from attrs import define, field, frozen
@@ -68,12 +68,10 @@
     draining: bool = False
     _listener: asyncio.Server | None = None
 
-    async def listen(self, address: str, port: int, *, backlog: int = 1024) -> None:
-        """Begin to accept connections."""
+    async def listen(self, listening: socket) -> None:
+        """Begin to accept connections on a socket that listens already."""
         loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(
-            lambda: InboundConnection(self), address, port, backlog=backlog
-        )
+        self._listener = await loop.create_server(lambda: InboundConnection(self), sock=listening)
 
     @property
     def port(self) -> int:
--- a/src/cherrylane/relay/service.py
+++ b/src/cherrylane/relay/service.py
@@ -25,6 +25,9 @@
 from cherrylane.routing.snapshot import Snapshot
 from cherrylane.telemetry.counters import Telemetry
 
+# Seconds after the start in which requests wait for the first configuration and upstreams; a store
+# that answers tells them within 0.05 s.
+FIRST_KNOWLEDGE_S = 0.4
 # Seconds after which a caller may try another host than one that is stopping.
 RETRY_STOPPING_S = 0.0
 
@@ -40,10 +43,18 @@
     telemetry: Telemetry
     admission: Admission = field(factory=Admission)
     is_closed: bool = False
+    informed: asyncio.Event = field(factory=asyncio.Event)
+    _patient_until: float = float("-inf")
+
+    def begin(self) -> None:
+        """Note that the process has just started and will soon know what to do."""
+        self._patient_until = asyncio.get_running_loop().time() + FIRST_KNOWLEDGE_S
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answer one request."""
         now = asyncio.get_running_loop().time()
+        if not self.informed.is_set() and now < self._patient_until:
+            await self._wait_for_knowledge()
         if self.is_closed:
             admitted: CallerRequest | Rejection = Rejection(
                 Cause.STOPPING, retry_after_s=RETRY_STOPPING_S
@@ -56,6 +67,13 @@
             case CallerRequest():
                 await self._relay(request, admitted, responder)
 
+    async def _wait_for_knowledge(self) -> None:
+        try:
+            async with asyncio.timeout_at(self._patient_until):
+                await self.informed.wait()
+        except TimeoutError:
+            log.warning("serving without knowledge", extra={"waited_s": FIRST_KNOWLEDGE_S})
+
     def note_read_failure(self, failure: ReadFailure) -> None:
         """Log a request that could not be read."""
         if failure.silent:
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -19,7 +19,7 @@
 from cherrylane.relay.request import PromptPart
 from cherrylane.settings.schema import Endpoint
 from tests.test_platform_documents import CONFIG, ENTRY
-from tests.wire import LOOPBACK, run, wait_for
+from tests.wire import LOOPBACK, open_listener, run, wait_for
 
 
 def make_heartbeat(host: str = "h", boot: str = "b", **changes: object) -> Heartbeat:
@@ -102,7 +102,7 @@
                 source.answer(request, responder)
 
             server = InboundServer(handle, InboundLimits())
-            await server.listen(LOOPBACK, 0)
+            await server.listen(open_listener())
             knowledge = Knowledge(lambda snapshot: None)
             board = LoadBoard()
             peers = PeerKnowledge(knowledge, board, learnt, server.port)
--- a/tests/test_inbound.py
+++ b/tests/test_inbound.py
@@ -5,7 +5,7 @@
 
 from cherrylane.http.inbound import InboundLimits, InboundServer, ReadFailure, Responder
 from cherrylane.http.messages import Request, Response
-from tests.wire import LOOPBACK, run, send_raw, wait_for
+from tests.wire import LOOPBACK, open_listener, run, send_raw, wait_for
 
 LIMITS = InboundLimits(
     max_header_bytes=1000, max_body_bytes=100, read_timeout_s=0.3, idle_timeout_s=0.3
@@ -47,7 +47,7 @@
 
     async def open(self) -> InboundServer:
         server = InboundServer(self.recorder.handle, LIMITS, self.recorder.failures.append)
-        await server.listen(LOOPBACK, 0)
+        await server.listen(open_listener())
         return server
 
     def send(self, data: bytes) -> bytes:
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -13,7 +13,7 @@
 from cherrylane.relay.request import PromptPart
 from tests.test_gossip import make_heartbeat
 from tests.test_platform_documents import CONFIG
-from tests.wire import LOOPBACK, Call, ScriptedUpstream, run
+from tests.wire import LOOPBACK, Call, ScriptedUpstream, open_listener, run
 
 PARTS = (PromptPart("desk", 30), PromptPart("chat", 20))
 
@@ -45,7 +45,7 @@
             self.peers.answer(request, responder)
 
         server = InboundServer(handle, InboundLimits())
-        await server.listen(LOOPBACK, 0)
+        await server.listen(open_listener())
         return server.port
 
 
--- a/tests/test_relay_service.py
+++ b/tests/test_relay_service.py
@@ -27,6 +27,7 @@
     make_configuration,
     make_route,
     make_snapshot,
+    open_listener,
     run,
     send_raw,
     wait_for,
@@ -71,7 +72,7 @@
         )
         self.relay = RelayService(attempts, lambda: self.snapshot, Telemetry())
         self.server = InboundServer(self.relay.handle, InboundLimits())
-        await self.server.listen(LOOPBACK, 0)
+        await self.server.listen(open_listener())
         return self
 
     async def ask(self, method: str = "GET", *, extra: str = "", request_id: str = "1") -> bytes:
@@ -214,6 +215,24 @@
         self.assertThat(answer, StartsWith(b"HTTP/1.1 503 "))
         self.assertThat(answer, Contains(b"Retry-After: "))
 
+    def test_a_host_that_has_just_started_waits_for_its_first_configuration(self) -> None:
+        """All hosts start again at once: callers arrive before the store has answered."""
+
+        async def work(is_told: bool) -> bytes:
+            desk = await Desk((succeed,), make_configuration(SAFE)).open()
+            assert desk.relay is not None
+            known, desk.snapshot = desk.snapshot, Snapshot()
+            desk.relay.begin()
+            asking = asyncio.create_task(desk.ask())
+            await asyncio.sleep(0.05)
+            if is_told:
+                desk.snapshot = known
+                desk.relay.informed.set()
+            return await asking
+
+        self.assertThat(run(work(is_told=True)), StartsWith(b"HTTP/1.1 200 "))
+        self.assertThat(run(work(is_told=False)), StartsWith(b"HTTP/1.1 503 "))
+
     def test_without_upstreams_the_answer_comes_at_once(self) -> None:
         self.assertThat(ask(SAFE)[0], StartsWith(b"HTTP/1.1 503 "))
 
--- a/tests/wire.py
+++ b/tests/wire.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Coroutine
-from socket import SO_LINGER, SOL_SOCKET
+from socket import SO_LINGER, SOL_SOCKET, create_server, socket
 from struct import pack
 from typing import Any, TypeVar
 
@@ -171,6 +171,13 @@
     return received
 
 
+def open_listener() -> socket:
+    """Return a socket that listens on a free port of loopback."""
+    listening = create_server((LOOPBACK, 0))
+    listening.setblocking(False)
+    return listening
+
+
 async def wait_for(condition: Callable[[], bool]) -> None:
     """Wait until something holds."""
     while not condition():
