--- a/src/cherrylane/cli/apply.py
+++ b/src/cherrylane/cli/apply.py
@@ -76,5 +76,5 @@
     except (OSError, UnicodeDecodeError, YAMLError) as error:
         raise SettingsError(f"{path}: {error}", remedy="name a readable YAML file") from error
     if not isinstance(raw, dict):
-        raise SettingsError(f"{path}: not a mapping of keys", remedy="see docs/operators.md")
+        raise SettingsError(f"{path}: not a mapping of keys", remedy="see docs/OPERATIONS.md")
     return raw
--- a/src/cherrylane/cli/main.py
+++ b/src/cherrylane/cli/main.py
@@ -11,6 +11,7 @@
 from cherrylane.cli.inspect import explain_chat, get_objects, show_status
 from cherrylane.cli.keys import hash_key
 from cherrylane.cli.output import OutputFormat
+from cherrylane.cli.trace import trace_request
 from cherrylane.errors import (
     CherrylaneError,
     ConflictError,
@@ -85,6 +86,7 @@
     _add_get(commands)
     _add_status(commands)
     _add_explain(commands)
+    _add_trace(commands)
     _add_hash_key(commands)
     return parser
 
@@ -133,6 +135,20 @@
     command.set_defaults(run=explain_chat)
 
 
+def _add_trace(commands: "_SubParsersAction[ArgumentParser]") -> None:
+    command = _add(
+        commands,
+        "trace",
+        "show the story of one request from the logs of all hosts",
+        "cherrylane trace 9c41d07be2a35f68 host-1.log host-2.log",
+    )
+    command.add_argument("request", metavar="REQUEST", help="the request's id")
+    command.add_argument(
+        "files", metavar="FILE", nargs="*", type=Path, help="logs; standard input if none"
+    )
+    command.set_defaults(run=trace_request)
+
+
 def _add_hash_key(commands: "_SubParsersAction[ArgumentParser]") -> None:
     command = _add(
         commands,
--- a/src/cherrylane/gateway/peers.py
+++ b/src/cherrylane/gateway/peers.py
@@ -1,7 +1,8 @@
 """Learning from other hosts: their loads from heartbeats, newer knowledge by asking them."""
 
 import asyncio
-from collections.abc import Iterable
+import zlib
+from collections.abc import Callable, Iterable
 from json import dumps, loads
 from typing import Any
 
@@ -24,7 +25,8 @@
 # Seconds that a peer's answer may take.
 ASK_TIMEOUT_S = 1.0
 
-KNOWLEDGE_PATH = b"/knowledge"
+CONFIG_PATH = b"/config"
+UPSTREAMS_PATH = b"/upstreams"
 CACHED_PATH = b"/cached"
 
 log = Logger("cherrylane.gossip")
@@ -34,6 +36,7 @@
 class PeerKnowledge:
     """Compares what others know with what this host knows, and asks where it is behind.
 
+    A host that follows the store waits a little before it asks, since the store tells it as well.
     ``knows_caches`` says whether this host knows what was cached where before its own start.
     """
 
@@ -42,6 +45,7 @@
     caches: CacheMap
     peers_port: int
     knows_caches: bool = False
+    is_following: Callable[[], bool] = lambda: True
     _behind_since: float | None = None
     _asking: asyncio.Task[None] | None = field(default=None, repr=False)
 
@@ -50,16 +54,16 @@
         now = asyncio.get_running_loop().time()
         self.board.take_peer(address, dict(heartbeat.loads), now)
         self.take_cached(heartbeat.cached)
-        if heartbeat.knows_caches and not self.knows_caches:
-            self._begin_asking(address)
-        if not self._is_ahead(heartbeat):
-            return
-        if self._behind_since is None:
+        wanted = self._find_ahead(heartbeat)
+        if wanted and self._behind_since is None:
             self._behind_since = now
-        is_unconfigured = self.knowledge.snapshot.table is None
-        if not is_unconfigured and now - self._behind_since < PATIENCE_S:
-            return
-        self._begin_asking(address)
+        if wanted and self._may_hear_from_store(now):
+            wanted = []
+        if heartbeat.knows_caches and not self.knows_caches:
+            wanted.append(CACHED_PATH)
+        if wanted and (self._asking is None or self._asking.done()):
+            work = self._ask(Endpoint(address, self.peers_port), wanted)
+            self._asking = asyncio.get_running_loop().create_task(work)
 
     def note_snapshot(self) -> None:
         """Note that something was learnt, so that being behind is timed anew."""
@@ -67,14 +71,16 @@
 
     def answer(self, request: Request, responder: Responder) -> None:
         """Answer another host that asks what is known here, or tells what is cached."""
-        match request.head.method, request.head.target:
-            case b"GET", target if target == KNOWLEDGE_PATH:
-                headers = ((b"Content-Type", b"application/json"),)
-                responder.send(Response(200, headers, self._encode_knowledge()))
-            case b"POST", target if target == CACHED_PATH:
-                responder.send(Response(self._take_told(request.body)))
-            case _:
-                responder.send(Response(404))
+        target = request.head.target
+        if request.head.method == b"POST" and target == CACHED_PATH:
+            responder.send(Response(self._take_told(request.body)))
+            return
+        body = self._encode(target)
+        if body is None:
+            responder.send(Response(404))
+            return
+        headers = ((b"Content-Type", b"application/octet-stream"),)
+        responder.send(Response(200, headers, zlib.compress(dumps(body).encode())))
 
     def take_cached(self, cached: Iterable[CachedPart]) -> None:
         """Take in what is cached at engines that are known here."""
@@ -106,41 +112,49 @@
             return 400
         return 204
 
-    def _encode_knowledge(self) -> bytes:
-        body = {
-            "config": self.knowledge.config_document,
-            "upstreams_version": self.knowledge.snapshot.upstreams_version,
-            "upstreams": self.knowledge.entries,
-            "knows_caches": self.knows_caches,
-            "cached": [(one.upstream, one.key, one.tokens) for one in self.caches.list_all()],
-        }
-        return dumps(body).encode()
-
-    def _is_ahead(self, heartbeat: Heartbeat) -> bool:
+    def _encode(self, target: bytes) -> Any:
+        if target == CONFIG_PATH:
+            return self.knowledge.config_document
+        if target == UPSTREAMS_PATH:
+            return {
+                "version": self.knowledge.snapshot.upstreams_version,
+                "entries": self.knowledge.entries,
+            }
+        if target == CACHED_PATH:
+            return [(one.upstream, one.key, one.tokens) for one in self.caches.list_all()]
+        return None
+
+    def _may_hear_from_store(self, now: float) -> bool:
+        if self.knowledge.snapshot.table is None or not self.is_following():
+            return False
+        return self._behind_since is not None and now - self._behind_since < PATIENCE_S
+
+    def _find_ahead(self, heartbeat: Heartbeat) -> list[bytes]:
         snapshot = self.knowledge.snapshot
-        return (
-            heartbeat.config_version > snapshot.config_version
-            or heartbeat.upstreams_version > snapshot.upstreams_version
-        )
-
-    def _begin_asking(self, address: str) -> None:
-        if self._asking is None or self._asking.done():
-            self._asking = asyncio.get_running_loop().create_task(self._ask(address))
-
-    async def _ask(self, address: str) -> None:
-        endpoint = Endpoint(address, self.peers_port)
+        ahead = []
+        if heartbeat.config_version > snapshot.config_version:
+            ahead.append(CONFIG_PATH)
+        if heartbeat.upstreams_version > snapshot.upstreams_version:
+            ahead.append(UPSTREAMS_PATH)
+        return ahead
+
+    async def _ask(self, endpoint: Endpoint, targets: list[bytes]) -> None:
         try:
-            self._take(loads(await call(endpoint, KNOWLEDGE_PATH, timeout_s=ASK_TIMEOUT_S)))
-        except (UpstreamError, TimeoutError, ValueError, KeyError, TypeError) as error:
+            for target in targets:
+                body = await call(endpoint, target, timeout_s=ASK_TIMEOUT_S)
+                self._take(target, loads(zlib.decompress(body)))
+        except (UpstreamError, TimeoutError, ValueError, KeyError, TypeError, zlib.error) as error:
             reason = f"{type(error).__name__}: {error}"
-            log.warning("peer did not tell", extra={"peer": address, "reason": reason})
-
-    def _take(self, told: dict[str, Any]) -> None:
-        if told["config"] is not None:
-            self.knowledge.take_config(told["config"], source="peer")
-        self.knowledge.take_peer_entries(dict(told["upstreams"]), int(told["upstreams_version"]))
-        self.take_cached(_decode_cached(told["cached"]))
-        self.knows_caches = self.knows_caches or bool(told["knows_caches"])
+            log.warning("peer did not tell", extra={"peer": str(endpoint), "reason": reason})
+
+    def _take(self, target: bytes, told: Any) -> None:
+        if target == CONFIG_PATH:
+            self.knowledge.take_config(told, source="peer")
+        elif target == UPSTREAMS_PATH:
+            self.knowledge.take_peer_entries(dict(told["entries"]), int(told["version"]))
+        else:
+            self.take_cached(_decode_cached(told))
+            self.knows_caches = True
 
 
 def _decode_cached(wire: list[tuple[str, str, int]]) -> list[CachedPart]:
--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -7,6 +7,7 @@
 from attrs import frozen
 from logbook import Logger
 
+from cherrylane.gateway.following import Following
 from cherrylane.gateway.knowledge import Knowledge
 from cherrylane.gateway.peers import PeerKnowledge
 from cherrylane.gateway.recovery import CacheRecovery
@@ -112,13 +113,18 @@
             self._take_snapshot, self._is_store_returning, forget_upstream=self._forget_upstream
         )
         self._followers = self._make_followers()
+        self._following = Following(self.members, self._followers)
         self._roster = Roster(self.store, settings.identity, self._boot, self.members)
         self._peers = PeerKnowledge(
-            self.knowledge, self.board, self.caches, settings.listen.peers.port
+            self.knowledge,
+            self.board,
+            self.caches,
+            settings.listen.peers.port,
+            is_following=lambda: self._following.is_following,
         )
         self._recovery = CacheRecovery(self.knowledge, self.members, self._peers)
         self._gossip = GossipNode(
-            settings.listen.peers, self.members, self._make_heartbeat, self._peers.take_heartbeat
+            settings.listen.peers, self.members, self._make_heartbeat, self._take_heartbeat
         )
         self._relay = self._make_relay()
         self._listeners = self._make_listeners()
@@ -146,8 +152,8 @@
         if sockets.metrics is not None:
             await listeners.metrics.listen(sockets.metrics)
         loop = asyncio.get_running_loop()
-        work = [follower.run() for follower in self._followers]
-        work += [self._roster.run(), self._gossip.run(), self._run_upkeep()]
+        work = [self._following.run(), self._roster.run(), self._gossip.run()]
+        work.append(self._run_upkeep())
         if self.settings.is_first_start:
             self._peers.knows_caches = True
         else:
@@ -183,6 +189,8 @@
         for server in self._listeners.all():
             server.stop_accepting()
         leave.cancel()
+        for follower in self._followers:
+            follower.set_following(False)
         for task in self._tasks:
             task.cancel()
         self._writer.flush()
@@ -286,10 +294,17 @@
             loads=tuple(self.board.own.items()),
             cached=self.caches.take_news(),
             knows_caches=self._peers.knows_caches,
+            confirmed_ms=self._following.read_age_ms(asyncio.get_running_loop().time()),
         )
 
+    def _take_heartbeat(self, address: str, heartbeat: Heartbeat, is_new: bool) -> None:
+        self._following.take_heartbeat(heartbeat)
+        self._peers.take_heartbeat(address, heartbeat, is_new)
+
     def _take_snapshot(self, snapshot: Snapshot) -> None:
         self._peers.note_snapshot()
+        if self._following.is_followed_by_others:
+            self._gossip.send_round(to_all=True)
         if self._is_informed:
             self._relay.informed.set()
         if snapshot.table is None:
@@ -323,6 +338,9 @@
     def _note_answer(self, upstream: str) -> None:
         self.suspicion.note_answer(upstream, asyncio.get_running_loop().time())
 
+    def _read_knowledge_age(self) -> float:
+        return self._following.read_age_ms(asyncio.get_running_loop().time()) / 1000
+
     async def _run_upkeep(self) -> None:
         while True:
             await asyncio.sleep(UPKEEP_INTERVAL_S)
@@ -334,6 +352,7 @@
         callers = self._listeners.callers
         telemetry.add_gauge("config_version", lambda: self.knowledge.snapshot.config_version)
         telemetry.add_gauge("upstreams_version", lambda: self.knowledge.snapshot.upstreams_version)
+        telemetry.add_gauge("knowledge_age_seconds", self._read_knowledge_age)
         telemetry.add_gauge("caller_connections", lambda: len(callers.connections))
         telemetry.add_gauge("requests_in_work", lambda: callers.busy)
         telemetry.add_gauge("store_calls", lambda: self.store.calls)
--- a/src/cherrylane/gossip/members.py
+++ b/src/cherrylane/gossip/members.py
@@ -5,7 +5,7 @@
 
 from attrs import define, field
 
-from cherrylane.gossip.messages import Heartbeat, HostState
+from cherrylane.gossip.messages import HeardHost, Heartbeat, HostState
 
 # Seconds without a heartbeat after which a host is no longer given to callers: four are missed.
 SILENT_AFTER_S = 1.1
@@ -48,7 +48,7 @@
             return False
         self.add(address)
         for other in heartbeat.hosts:
-            self.add(other)
+            self._hear_of(other, now)
         member = self._by_address[address]
         is_new = (
             member.heartbeat is None
@@ -59,6 +59,14 @@
         member.heard_at = now
         return is_new
 
+    def _hear_of(self, other: HeardHost, now: float) -> None:
+        """Take in that another host has heard from a third one lately."""
+        self.add(other.address)
+        known = self._by_address.get(other.address)
+        # A host that was never heard itself is not believed to be alive: nothing is known of it.
+        if known is not None and known.heartbeat is not None:
+            known.heard_at = max(known.heard_at, now - other.age_ms / 1000)
+
     def live(self, now: float) -> list[Member]:
         """Return the hosts that were heard lately."""
         return [member for member in self._by_address.values() if member.is_live(now)]
--- a/src/cherrylane/gossip/messages.py
+++ b/src/cherrylane/gossip/messages.py
@@ -13,6 +13,10 @@
 MAX_DATAGRAM_BYTES = 1400
 
 
+# The age of what was never confirmed.
+NEVER_MS = 10**9
+
+
 class HostState(Enum):
     """Whether a host serves callers."""
 
@@ -21,6 +25,14 @@
     LEAVING = "l"
 
 
+@frozen
+class HeardHost:
+    """Another host that was alive ``age_ms`` milliseconds ago."""
+
+    address: str
+    age_ms: int
+
+
 @frozen
 class Heartbeat:
     """What a host says of itself several times a second.
@@ -28,7 +40,8 @@
     ``config_version`` and ``upstreams_version`` are the newest that it knows, 0 for none.
     ``loads`` are its own requests in work by upstream, ``cached`` what its requests have left at
     engines; ``knows_caches`` says that it also knows what was left before its own start. ``hosts``
-    are the addresses of some other hosts that it has heard of lately.
+    are some other hosts that are alive. ``confirmed_ms`` is how long ago somebody who follows the
+    store has confirmed what this host knows.
     """
 
     host: str
@@ -39,7 +52,8 @@
     config_version: int = 0
     upstreams_version: int = 0
     loads: tuple[tuple[str, int], ...] = ()
-    hosts: tuple[str, ...] = ()
+    hosts: tuple[HeardHost, ...] = ()
+    confirmed_ms: int = NEVER_MS
     cached: tuple[CachedPart, ...] = ()
     knows_caches: bool = False
 
@@ -58,7 +72,8 @@
         }
         more = {
             "l": dict(self.loads),
-            "m": self.hosts,
+            "m": [(one.address, one.age_ms) for one in self.hosts],
+            "f": self.confirmed_ms,
             "k": [(part.upstream, part.key, part.tokens) for part in self.cached],
         }
         data = dumps(fields | more, separators=(",", ":"))
@@ -81,7 +96,8 @@
             upstreams_version=int(wire["u"]),
             knows_caches=bool(wire.get("n", 0)),
             loads=tuple((str(name), int(count)) for name, count in wire.get("l", {}).items()),
-            hosts=tuple(str(address) for address in wire.get("m", ())),
+            hosts=tuple(HeardHost(str(host), int(age)) for host, age in wire.get("m", ())),
+            confirmed_ms=int(wire.get("f", NEVER_MS)),
             cached=tuple(
                 CachedPart(str(upstream), str(key), int(tokens))
                 for upstream, key, tokens in wire.get("k", ())
--- a/src/cherrylane/gossip/node.py
+++ b/src/cherrylane/gossip/node.py
@@ -9,7 +9,7 @@
 
 from cherrylane.errors import PeerMessageError
 from cherrylane.gossip.members import Members
-from cherrylane.gossip.messages import Heartbeat, decode_heartbeat
+from cherrylane.gossip.messages import HeardHost, Heartbeat, decode_heartbeat
 from cherrylane.settings.schema import Endpoint
 
 # Seconds between heartbeats; a load that others do not know of is at most this old.
@@ -17,8 +17,9 @@
 # A heartbeat goes to hosts that have long been silent every so many intervals.
 SELDOM_EVERY = 8
 # Addresses of other hosts that a heartbeat names, so that all get to know each other.
-HOSTS_NAMED = 8
-# Hosts to which one interval's heartbeats go; larger fleets are reached in turn.
+HOSTS_NAMED = 12
+# Hosts to which one interval's heartbeats go; larger fleets are reached in turn, and hear of each
+# other from those in between.
 FAN_OUT = 12
 
 log = Logger("cherrylane.gossip")
@@ -42,6 +43,7 @@
     _random: Random = field(factory=Random, repr=False)
     _rounds: int = 0
     _live: set[str] = field(factory=set)
+    _turn: list[str] = field(factory=list)
 
     async def start(self) -> None:
         """Open the socket."""
@@ -63,17 +65,29 @@
         seldom = self._rounds % SELDOM_EVERY == 1
         addresses = self.members.addresses(now, seldom=seldom)
         if len(addresses) > FAN_OUT and not to_all:
-            addresses = self._random.sample(addresses, FAN_OUT)
+            addresses = self._take_turn(addresses)
         self._note_silent(now)
         data = self._encode(now)
         for address in addresses:
             self._send(data, address)
 
+    def _take_turn(self, addresses: list[str]) -> list[str]:
+        """Return the next addresses, so that each has its turn in as few rounds as possible."""
+        waiting = set(addresses)
+        self._turn = [address for address in self._turn if address in waiting]
+        if len(self._turn) < FAN_OUT:
+            rest = sorted(waiting.difference(self._turn))
+            self._random.shuffle(rest)
+            self._turn += rest
+        taken, self._turn = self._turn[:FAN_OUT], self._turn[FAN_OUT:]
+        return taken
+
     def _encode(self, now: float) -> bytes:
         heartbeat = self.make_heartbeat()
-        live = [member.address for member in self.members.live(now)]
+        live = self.members.live(now)
         named = self._random.sample(live, min(HOSTS_NAMED, len(live)))
-        return evolve(heartbeat, hosts=tuple(named)).encode()
+        hosts = [HeardHost(one.address, round((now - one.heard_at) * 1000)) for one in named]
+        return evolve(heartbeat, hosts=tuple(hosts)).encode()
 
     def _send(self, data: bytes, address: str) -> None:
         assert self._transport is not None
--- a/src/cherrylane/platform/follower.py
+++ b/src/cherrylane/platform/follower.py
@@ -24,7 +24,7 @@
 
 @define
 class Follower:
-    """Tells a listener of each list and each change, and goes on for ever.
+    """Tells a listener of each list and each change, for as long as it is told to follow.
 
     The last copy stands while the store is away. ``lost_at`` is since when no call has succeeded,
     in seconds of the loop's clock; ``regained_at`` is when calls last began to succeed again.
@@ -39,8 +39,27 @@
     regained_at: float = float("-inf")
     _random: Random = field(factory=Random, repr=False)
     _delay_s: float = RETRY_MIN_S
+    _task: asyncio.Task[None] | None = field(default=None, repr=False)
 
-    async def run(self) -> None:
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether the store tells of each change at the moment, as far as is known."""
+        return self._task is not None and self.lost_at is None and self.heard_at > 0
+
+    def set_following(self, is_following: bool) -> None:
+        """Begin or end to follow."""
+        if is_following == (self._task is not None):
+            return
+        log.info("following", extra={"kind": self.kind.value, "following": is_following})
+        if self._task is not None:
+            self._task.cancel()
+            self._task = None
+            self.lost_at = None
+            self.heard_at = float("-inf")
+        else:
+            self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def _run(self) -> None:
         """List, then watch; list again when the store no longer has the history."""
         version = ""
         while True:
--- /dev/null
+++ b/tests/test_following.py
@@ -0,0 +1,65 @@
+import asyncio
+
+from testtools import TestCase
+
+from cherrylane.gateway.following import FOLLOWERS, UNCONFIRMED_AFTER_S, Following
+from cherrylane.gossip.members import Members
+from cherrylane.gossip.messages import NEVER_MS
+from tests.test_gossip import make_heartbeat
+from tests.wire import run
+
+HOSTS = [f"10.0.{number // 200}.{number % 200 + 1}" for number in range(73)]
+
+
+class Host:
+    """One host's decision, which knows all the others."""
+
+    def __init__(self, address: str, hosts: list[str], now: float) -> None:
+        self.members = Members(address)
+        for other in hosts:
+            self.members.hear(other, make_heartbeat(other), now)
+        self.following = Following(self.members, [])
+
+    def is_needed(self, now: float, confirmed_ms: int = 0) -> bool:
+        self.following.take_heartbeat(make_heartbeat(confirmed_ms=confirmed_ms))
+        return self.following._is_needed(now)
+
+
+class FollowingTest(TestCase):
+    def count(self, hosts: list[str], confirmed_ms: int = 0) -> int:
+        async def work() -> int:
+            now = asyncio.get_running_loop().time()
+            fleet = [Host(address, hosts, now) for address in hosts]
+            return sum(host.is_needed(now, confirmed_ms) for host in fleet)
+
+        return run(work())
+
+    def test_all_hosts_of_a_small_fleet_follow(self) -> None:
+        self.assertEqual(7, self.count(HOSTS[:7]))
+
+    def test_a_few_hosts_of_a_large_fleet_follow_for_all(self) -> None:
+        self.assertEqual(FOLLOWERS, self.count(HOSTS))
+
+    def test_hosts_that_hear_no_confirmation_follow_by_themselves(self) -> None:
+        late = round(UNCONFIRMED_AFTER_S * 1000) + 100
+        self.assertEqual(len(HOSTS), self.count(HOSTS, confirmed_ms=late))
+
+    def test_another_host_takes_the_place_of_one_that_is_gone(self) -> None:
+        self.assertEqual(FOLLOWERS, self.count(HOSTS[FOLLOWERS:]))
+
+    def test_ages_are_passed_on(self) -> None:
+        async def work() -> tuple[int, int]:
+            now = asyncio.get_running_loop().time()
+            host = Host(HOSTS[0], HOSTS, now)
+            host.following.followers = [_Unconfirmed()]  # type: ignore[list-item]
+            before = host.following.read_age_ms(now)
+            host.following.take_heartbeat(make_heartbeat(confirmed_ms=500))
+            return before, host.following.read_age_ms(now)
+
+        before, after = run(work())
+        self.assertEqual(NEVER_MS, before)
+        self.assertTrue(400 <= after <= 500)
+
+
+class _Unconfirmed:
+    is_confirmed = False
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -8,6 +8,7 @@
 from cherrylane.gossip.members import FORGOTTEN_AFTER_S, SILENT_AFTER_S, Members
 from cherrylane.gossip.messages import (
     MAX_DATAGRAM_BYTES,
+    HeardHost,
     Heartbeat,
     HostState,
     decode_heartbeat,
@@ -39,7 +40,8 @@
             config_version=7,
             upstreams_version=9,
             loads=(("i", 3),),
-            hosts=("10.0.0.2",),
+            hosts=(HeardHost("10.0.0.2", 40),),
+            confirmed_ms=120,
             cached=(CachedPart("i", "5c1e", 90),),
         )
         self.assertEqual(sent, decode_heartbeat(sent.encode()))
@@ -62,7 +64,11 @@
         self.members = Members("10.0.0.9")
 
     def test_hosts_are_learnt_from_each_other(self) -> None:
-        self.members.hear("10.0.0.1", make_heartbeat(hosts=("10.0.0.2", "10.0.0.9")), 0.0)
+        self.members.hear(
+            "10.0.0.1",
+            make_heartbeat(hosts=(HeardHost("10.0.0.2", 5), HeardHost("10.0.0.9", 5))),
+            0.0,
+        )
         self.assertEqual({"10.0.0.1", "10.0.0.2"}, set(self.members.addresses(0.0, seldom=True)))
 
     def test_a_silent_host_is_not_given_to_callers(self) -> None:
@@ -80,6 +86,15 @@
         self.assertFalse(self.members.hear("10.0.0.1", make_heartbeat(), 0.1))
         self.assertTrue(self.members.hear("10.0.0.1", make_heartbeat(boot="c"), 0.2))
 
+    def test_a_host_that_others_hear_is_alive(self) -> None:
+        """In a fleet of seventy a host hears each other only every few seconds itself."""
+        self.members.hear("10.0.0.1", make_heartbeat(), 0.0)
+        later = SILENT_AFTER_S + 1.0
+        told = make_heartbeat("h2", hosts=(HeardHost("10.0.0.1", 300), HeardHost("10.0.0.3", 0)))
+        self.members.hear("10.0.0.2", told, later)
+        live = {member.address for member in self.members.live(later)}
+        self.assertEqual({"10.0.0.1", "10.0.0.2"}, live)
+
     def test_hosts_silent_for_long_are_spoken_to_seldom(self) -> None:
         self.members.hear("10.0.0.1", make_heartbeat(), 0.0)
         later = FORGOTTEN_AFTER_S + 1.0
