--- /dev/null
+++ b/bench/gateway.py
@@ -0,0 +1,153 @@
+"""The gateway's decisions and messages: time a call, bytes, and how both grow."""
+
+from collections.abc import Callable
+from timeit import Timer
+from tracemalloc import get_traced_memory, start, stop
+
+from bench.figures import Figure
+from cherrylane.gossip.messages import HeardHost, Heartbeat, HostState, decode_heartbeat
+from cherrylane.placement.caches import CachedPart, CacheMap
+from cherrylane.placement.choice import Candidate, Chooser
+from cherrylane.relay.events import EventSplitter
+from cherrylane.relay.request import Prompt, PromptPart
+from cherrylane.routing.routes import (
+    Account,
+    CallerLimits,
+    Configuration,
+    RequestKind,
+    Route,
+    RouteTable,
+    ServiceShare,
+)
+from cherrylane.routing.upstreams import Upstream, UpstreamState
+from cherrylane.settings.schema import Endpoint
+
+REPEATS = 5
+MICROSECONDS = 1e6
+# Engines, routes and accounts: today's, those of the grown sites, and the aim's for one service.
+ENGINES = (6, 45, 2_000)
+ROUTES = (120, 5_000)
+ACCOUNTS = 47_000
+CHATS = 10_000
+EVENT = b"id: 12\ndata: " + b"x" * 65 + b"\n\n"
+
+
+def measure_gateway() -> list[Figure]:
+    """Measure choices, routes, heartbeats, events and memory."""
+    return [
+        *(_measure_choice(count) for count in ENGINES),
+        *(_measure_route(count) for count in ROUTES),
+        *_measure_heartbeat(),
+        _measure_event(),
+        *_measure_memory(),
+    ]
+
+
+def _time(work: Callable[[], object], calls: int) -> float:
+    """Return the least of several runs in microseconds a call."""
+    return min(Timer(work).repeat(REPEATS, calls)) / calls * MICROSECONDS
+
+
+def _measure_choice(engines: int) -> Figure:
+    upstreams = [
+        Upstream(f"i-{n:08x}", "s", Endpoint("10.0.0.1", 80), "a", 64, UpstreamState.READY)
+        for n in range(engines)
+    ]
+    candidates = [Candidate(upstream, 5) for upstream in upstreams]
+    caches = CacheMap()
+    chooser = Chooser("a", 2.0, caches)
+    prompt = Prompt("m", tuple(PromptPart(f"{n:08x}", 500) for n in range(3)))
+    caches.note_run(upstreams[0].name, prompt.shared_parts, 100_000)
+    calls = max(10, 20_000 // engines)
+    choice = _time(lambda: chooser.choose_for_chat(prompt, candidates, upstreams), calls)
+    least = _time(lambda: chooser.choose_by_load(candidates), calls)
+    return Figure(
+        f"gateway: choice for a chat, {engines} engines", choice, "us", "least load", least
+    )
+
+
+def _measure_route(routes: int) -> Figure:
+    table = RouteTable(_make_configuration(routes, 0))
+    route = table.configuration.routes[routes // 2]
+    path = route.path_prefix + "a/b/c"
+    found = _time(lambda: table.find(route.host, path), 10_000)
+    scan = _time(
+        lambda: [one for one in table.configuration.routes if path.startswith(one.path_prefix)], 20
+    )
+    return Figure(f"gateway: route among {routes}", found, "us", "scan", scan)
+
+
+def _measure_heartbeat() -> list[Figure]:
+    heartbeat = Heartbeat(
+        host="front-hsinchu-a-1",
+        boot="0123456789ab",
+        zone="hsinchu-a",
+        state=HostState.READY,
+        callers=Endpoint("10.1.0.40", 8227),
+        config_version=75,
+        upstreams_version=1058,
+        loads=tuple((f"i-{n:010x}", 2) for n in range(9)),
+        hosts=tuple(HeardHost(f"10.1.0.{n}", 250) for n in range(12)),
+        cached=tuple(CachedPart(f"i-{n:010x}", f"{n:08x}", 500) for n in range(4)),
+    )
+    data = heartbeat.encode()
+    both = _time(lambda: decode_heartbeat(heartbeat.encode()), 2_000)
+    return [
+        Figure("gateway: a heartbeat encoded and decoded", both, "us"),
+        Figure("gateway: a heartbeat", len(data), "bytes"),
+    ]
+
+
+def _measure_event() -> Figure:
+    splitter = EventSplitter()
+    return Figure("gateway: an event split off", _time(lambda: splitter.feed(EVENT), 20_000), "us")
+
+
+def _measure_memory() -> list[Figure]:
+    def make_accounts() -> object:
+        return RouteTable(_make_configuration(1, ACCOUNTS))
+
+    def make_routes() -> object:
+        return RouteTable(_make_configuration(ROUTES[-1], 0))
+
+    def make_caches() -> object:
+        caches = CacheMap()
+        for n in range(CHATS):
+            caches.note_peer(CachedPart("i-1", f"{n:08x}", 500), 10**9)
+        return caches
+
+    return [
+        Figure("gateway memory: a client account", _weigh(make_accounts) / ACCOUNTS, "bytes"),
+        Figure("gateway memory: a route", _weigh(make_routes) / ROUTES[-1], "bytes"),
+        Figure("gateway memory: a cached part", _weigh(make_caches) / CHATS, "bytes"),
+    ]
+
+
+def _weigh(make: Callable[[], object]) -> int:
+    start()
+    kept = make()
+    size, _ = get_traced_memory()
+    stop()
+    del kept
+    return size
+
+
+def _make_configuration(routes: int, accounts: int) -> Configuration:
+    return Configuration(
+        version=1,
+        routes=tuple(
+            Route(
+                name=f"r-{n}",
+                host="desk.example",
+                path_prefix=f"/p{n}/q{n}/",
+                kind=RequestKind.SAFE,
+                shares=(ServiceShare("s"),),
+                timeout_s=1.0,
+                target_s=0.1,
+            )
+            for n in range(routes)
+        ),
+        services={},
+        limits=CallerLimits(16_384, 65_536, 3.0, 15.0),
+        accounts=tuple(Account(f"a{n}", frozenset({f"key-{n:016x}"})) for n in range(accounts)),
+    )
--- a/bench/run.py
+++ b/bench/run.py
@@ -11,6 +11,7 @@
 from bench.decision import measure_decision
 from bench.fairness import measure_fairness
 from bench.figures import RESULTS, Benchmark, Figure, write_results
+from bench.gateway import measure_gateway
 from bench.path import measure_path
 from bench.routing import measure_large, measure_routing
 from bench.streaming import measure_streaming
@@ -22,6 +23,7 @@
     "fairness": measure_fairness,
     "control": measure_control,
     "path": measure_path,
+    "gateway": measure_gateway,
     "streaming": measure_streaming,
 }
 
