List engines' caches in turn, so that few hosts list the same one

Ruled out: waiting until all hosts are known, which the requests that come meanwhile pay for. Change: hosts list an engine in the rendezvous order, 50 ms apart, unless one has told by then.

--- a/src/cherrylane/gateway/peers.py
+++ b/src/cherrylane/gateway/peers.py
@@ -37,6 +37,7 @@
     """Compares what others know with what this host knows, and asks where it is behind.
 
     A host that follows the store waits a little before it asks, since the store tells it as well.
+    ``told_engines`` are those whose whole list of cached parts another host has told.
     ``knows_caches`` says whether this host knows what was cached where before its own start.
     """
 
@@ -46,6 +47,7 @@
     peers_port: int
     knows_caches: bool = False
     is_following: Callable[[], bool] = lambda: True
+    told_engines: set[str] = field(factory=set)
     _behind_since: float | None = None
     _asking: asyncio.Task[None] | None = field(default=None, repr=False)
 
@@ -106,7 +108,9 @@
 
     def _take_told(self, body: bytes) -> int:
         try:
-            self.take_cached(_decode_cached(loads(body)))
+            told = _decode_cached(loads(body))
+            self.told_engines.update(part.upstream for part in told)
+            self.take_cached(told)
         except (ValueError, TypeError) as error:
             log.warning("what a peer tells is not understood", extra={"reason": str(error)})
             return 400
--- a/src/cherrylane/gateway/recovery.py
+++ b/src/cherrylane/gateway/recovery.py
@@ -6,8 +6,9 @@
 """
 
 import asyncio
+from random import Random
 
-from attrs import define
+from attrs import define, field
 from logbook import Logger
 
 from cherrylane.errors import UpstreamError
@@ -22,6 +23,8 @@
 
 # Seconds after the start in which other hosts answer the first heartbeats.
 WAIT_FOR_HOSTS_S = 0.05
+# Seconds between the turns of the hosts that could list an engine; telling takes a tenth of that.
+TURN_S = 0.05
 # Seconds between looks whether the engines are known yet.
 POLL_S = 0.05
 # Seconds that an engine's list may take.
@@ -37,6 +40,7 @@
     knowledge: Knowledge
     members: Members
     peers: PeerKnowledge
+    random: Random = field(factory=Random)
 
     async def run(self) -> None:
         """Wait for other hosts to tell; if none can, list the engines that fall to this one."""
@@ -45,9 +49,7 @@
             await asyncio.sleep(POLL_S)
         if self.peers.knows_caches:
             return
-        mine = [engine for engine in self._find_engines() if self._falls_to_this_host(engine)]
-        log.info("listing caches", extra={"engines": [engine.name for engine in mine]})
-        await asyncio.gather(*(self._list(engine) for engine in mine))
+        await asyncio.gather(*(self._list_in_turn(engine) for engine in self._find_engines()))
         self.peers.knows_caches = True
 
     def _find_engines(self) -> list[Upstream]:
@@ -59,11 +61,16 @@
             if snapshot.memory_of(known.upstream.name)
         ]
 
-    def _falls_to_this_host(self, engine: Upstream) -> bool:
+    async def _list_in_turn(self, engine: Upstream) -> None:
+        """List an engine unless a host that comes before this one has told by then."""
         now = asyncio.get_running_loop().time()
         own = self.members.own_address
         hosts = [own, *(member.address for member in self.members.live(now))]
-        return rank_names(engine.name, hosts)[0] == own
+        turn = rank_names(engine.name, hosts).index(own)
+        # Hosts that start together know few others yet, so several may think that they are first.
+        await asyncio.sleep((turn + self.random.random()) * TURN_S)
+        if engine.name not in self.peers.told_engines and not self.peers.knows_caches:
+            await self._list(engine)
 
     async def _list(self, engine: Upstream) -> None:
         try:
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -29,23 +29,24 @@
 class Host:
     """What a host knows of caches, and its side towards the others."""
 
-    def __init__(self, address: str, peers_port: int = 0) -> None:
+    def __init__(self, address: str) -> None:
         self.caches = CacheMap()
         self.knowledge = Knowledge(lambda snapshot: None)
         self.knowledge.take_config(CONFIG, source="test")
-        self.peers = PeerKnowledge(self.knowledge, LoadBoard(), self.caches, peers_port)
+        self.peers = PeerKnowledge(self.knowledge, LoadBoard(), self.caches, 0)
         self.members = Members(address)
         self.recovery = CacheRecovery(self.knowledge, self.members, self.peers)
 
     def list_engine(self, engine: ScriptedUpstream) -> None:
         self.knowledge.take_peer_entries({"engine": engine.entry("s")}, 1)
 
-    async def listen(self) -> int:
+    async def listen(self, port: int = 0) -> int:
         async def handle(request: Request, responder: Responder) -> None:
             self.peers.answer(request, responder)
 
         server = InboundServer(handle, InboundLimits())
-        await server.listen(open_listener())
+        await server.listen(open_listener(self.members.own_address, port))
+        self.peers.peers_port = server.port
         return server.port
 
 
@@ -55,9 +56,9 @@
     def test_an_engine_is_listed_once_and_the_others_are_told(self) -> None:
         async def work() -> None:
             engine = await ScriptedUpstream(list_parts).start()
-            other = Host(LOOPBACK)
+            other, first = Host(LOOPBACK), Host("127.0.0.9")
+            await first.listen(await other.listen())
             other.list_engine(engine)
-            first = Host("127.0.0.9", await other.listen())
             first.list_engine(engine)
             now = asyncio.get_running_loop().time()
             first.members.hear(LOOPBACK, make_heartbeat(), now)
@@ -65,7 +66,8 @@
             await asyncio.gather(first.recovery.run(), other.recovery.run())
             self.assertEqual(1, len(engine.calls))
             self.assertTrue(first.peers.knows_caches and other.peers.knows_caches)
-            self.assertEqual(50, other.caches.count_cached("engine", PARTS))
+            for host in (first, other):
+                self.assertEqual(50, host.caches.count_cached("engine", PARTS))
 
         run(work())
 
--- a/tests/wire.py
+++ b/tests/wire.py
@@ -171,9 +171,9 @@
     return received
 
 
-def open_listener() -> socket:
-    """Return a socket that listens on a free port of loopback."""
-    listening = create_server((LOOPBACK, 0))
+def open_listener(address: str = LOOPBACK, port: int = 0) -> socket:
+    """Return a socket that listens on loopback, on a free port if none is given."""
+    listening = create_server((address, port))
     listening.setblocking(False)
     return listening
 
