--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -7,6 +7,7 @@
 from attrs import frozen
 from logbook import Logger
 
+from cherrylane.gateway.endpoints import ADDRESS_LIFETIME_S, Endpoints
 from cherrylane.gateway.following import Following
 from cherrylane.gateway.knowledge import RETURN_GRACE_S, Knowledge
 from cherrylane.gateway.peers import PeerKnowledge
@@ -17,7 +18,7 @@
 from cherrylane.gossip.messages import Heartbeat, HostState
 from cherrylane.gossip.node import GossipNode
 from cherrylane.http.inbound import InboundLimits, InboundServer
-from cherrylane.http.messages import Request, Response
+from cherrylane.http.messages import Request
 from cherrylane.http.outbound import ConnectionPool
 from cherrylane.http.responder import Responder
 from cherrylane.limits.retries import RetryAllowance
@@ -26,12 +27,6 @@
 from cherrylane.placement.choice import Chooser
 from cherrylane.placement.loads import LoadBoard
 from cherrylane.platform.client import AsyncPlatformClient
-from cherrylane.platform.directory import (
-    READY_PATH,
-    RESOLVE_PATH,
-    encode_addresses,
-    encode_readiness,
-)
 from cherrylane.platform.follower import Follower
 from cherrylane.platform.objects import Kind
 from cherrylane.relay.attempts import Attempts
@@ -44,8 +39,6 @@
 from cherrylane.telemetry.counters import Telemetry
 from cherrylane.telemetry.output import LineWriter
 
-# Seconds that callers may keep an answer about addresses; a shorter time follows hosts sooner.
-ADDRESS_LIFETIME_S = 2.0
 # Seconds that a store call may take; its answers usually take milliseconds.
 STORE_TIMEOUT_S = 1.0
 # Seconds that a connection to an upstream may take to open; then another one is tried.
@@ -237,38 +230,19 @@
         return RelayService(attempts, lambda: self.knowledge.snapshot, self.telemetry)
 
     def _make_listeners(self) -> Listeners:
+        endpoints = Endpoints(lambda: self.is_ready, self._find_addresses, self.telemetry)
         limits = InboundLimits()
         return Listeners(
             callers=InboundServer(self._relay.handle, limits, self._relay.note_read_failure),
-            readiness=InboundServer(self._answer_readiness, InboundLimits()),
-            directory=InboundServer(self._answer_directory, InboundLimits()),
+            readiness=InboundServer(endpoints.answer_readiness, InboundLimits()),
+            directory=InboundServer(endpoints.answer_directory, InboundLimits()),
             peers=InboundServer(self._answer_peer, InboundLimits()),
-            metrics=InboundServer(self._answer_metrics, InboundLimits()),
+            metrics=InboundServer(endpoints.answer_metrics, InboundLimits()),
         )
 
-    async def _answer_readiness(self, request: Request, responder: Responder) -> None:
-        if request.head.path != READY_PATH:
-            responder.send(Response(404))
-            return
-        responder.send(encode_readiness(self.is_ready))
-
-    async def _answer_directory(self, request: Request, responder: Responder) -> None:
-        if request.head.path != RESOLVE_PATH:
-            responder.send(Response(404))
-            return
-        addresses = self._find_addresses()
-        if not addresses:
-            responder.send(Response(503))
-            return
-        responder.send(encode_addresses(addresses, ADDRESS_LIFETIME_S))
-
     async def _answer_peer(self, request: Request, responder: Responder) -> None:
         self._peers.answer(request, responder)
 
-    async def _answer_metrics(self, request: Request, responder: Responder) -> None:
-        headers = ((b"Content-Type", b"text/plain; version=0.0.4; charset=utf-8"),)
-        responder.send(Response(200, headers, self.telemetry.render().encode()))
-
     @property
     def _own_address(self) -> Endpoint:
         """Where callers reach this host; the system may have chosen the port."""
