Leave an address that another upstream has alone; answer HEAD; drop settings that nothing uses

Cause: reading the change as a newcomer. After a 421 the upstream was chosen again and again until its entry went; a HEAD request waited for a body that does not follow; five settings were decoded and used nowhere, and the longest lifetime of addresses was not obeyed where it is under two seconds. Change: as said. Tests of the first two failed before.

--- a/src/cherrylane/gateway/endpoints.py
+++ b/src/cherrylane/gateway/endpoints.py
@@ -27,6 +27,7 @@
     is_ready: Callable[[], bool]
     find_addresses: Callable[[], list[Endpoint]]
     telemetry: Telemetry
+    address_lifetime_s: float = ADDRESS_LIFETIME_S
 
     async def answer_readiness(self, request: Request, responder: Responder) -> None:
         """Say whether this host takes callers."""
@@ -44,7 +45,7 @@
         if not addresses:
             responder.send(Response(503))
             return
-        responder.send(encode_addresses(addresses, ADDRESS_LIFETIME_S))
+        responder.send(encode_addresses(addresses, self.address_lifetime_s))
 
     async def answer_metrics(self, request: Request, responder: Responder) -> None:
         """Show counters, gauges and histograms."""
--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -230,7 +230,10 @@
         return RelayService(attempts, lambda: self.knowledge.snapshot, self.telemetry)
 
     def _make_listeners(self) -> Listeners:
-        endpoints = Endpoints(lambda: self.is_ready, self._find_addresses, self.telemetry)
+        lifetime_s = min(ADDRESS_LIFETIME_S, self.settings.bounds.address_lifetime_s)
+        endpoints = Endpoints(
+            lambda: self.is_ready, self._find_addresses, self.telemetry, lifetime_s
+        )
         limits = InboundLimits()
         return Listeners(
             callers=InboundServer(self._relay.handle, limits, self._relay.note_read_failure),
--- a/src/cherrylane/platform/bootfile.py
+++ b/src/cherrylane/platform/bootfile.py
@@ -18,7 +18,6 @@
 
 BOOT_VARIABLE = "CHERRYLANE_BOOT"
 DEFAULT_PATH = "/etc/cherrylane/boot.conf"
-MIB = 1024 * 1024
 
 T = TypeVar("T")
 
@@ -64,11 +63,8 @@
         seeds=fields.read("seeds", _parse_seeds, default=()),
         store=StoreSettings(
             endpoint=fields.read("platform.address", _parse_endpoint),
-            history_s=fields.read("platform.history_s", float, default=20.0),
         ),
         bounds=FleetBounds(
-            config_apply_s=fields.read("bounds.config_apply_ms", _parse_milliseconds),
-            drain_s=fields.read("bounds.drain_ms", _parse_milliseconds),
             grace_s=fields.read("bounds.grace_s", float),
             address_lifetime_s=fields.read("bounds.ttl_max_s", float, default=2.0),
             load_multiple=fields.read("bounds.cap_x", float, default=2.0),
@@ -79,8 +75,6 @@
             slack=fields.read("bounds.budget_slack", float),
         ),
         is_first_start=fields.read("bootstrap", str, default="false") == "true",
-        memory_bytes=int(fields.read("limits.memory_mb", float) * MIB),
-        max_descriptors=fields.read("limits.max_fds", int),
     )
 
 
@@ -132,7 +126,3 @@
 
 def _parse_first_port(text: str) -> int:
     return int(text.split(",")[0])
-
-
-def _parse_milliseconds(text: str) -> float:
-    return float(text) / 1000
--- a/src/cherrylane/relay/attempts.py
+++ b/src/cherrylane/relay/attempts.py
@@ -14,7 +14,7 @@
 from cherrylane.limits.retries import RetryAllowance
 from cherrylane.placement.choice import Choice
 from cherrylane.placement.loads import LoadBoard
-from cherrylane.platform.headers import Dispatch, is_other_upstream
+from cherrylane.platform.headers import Dispatch
 from cherrylane.relay.admission import is_stream
 from cherrylane.relay.exchange import Exchanges, OpenAnswer
 from cherrylane.relay.outcomes import (
@@ -155,7 +155,7 @@
         if not isinstance(answer, OpenAnswer):
             return answer
         if not is_stream(request) or not 200 <= answer.head.status < 300:
-            return await self.exchanges.finish(upstream, answer)
+            return await self.exchanges.finish(request, upstream, answer)
         self._note_cached(journey, upstream.name)
         try:
             outcome = await StreamRelay(request, responder, journey.progress).relay(answer, limit)
@@ -216,11 +216,9 @@
         service = journey.request.service
         peers = [known.upstream.name for known in self.read_snapshot().upstreams_of(service)]
         match outcome:
-            case Answered(head=head) if is_other_upstream(head):
-                suspicion.note_unreachable(name, now)
             case Answered() | Completed():
                 suspicion.note_success(name, now)
-            case NotRun(was_sent=False):
+            case NotRun(was_sent=False) | NotRun(is_gone=True):
                 suspicion.note_unreachable(name, now)
             case NotRun() | Failed() | Unknown() | Broken():
                 suspicion.note_failure(name, peers, now)
--- a/src/cherrylane/relay/exchange.py
+++ b/src/cherrylane/relay/exchange.py
@@ -10,6 +10,7 @@
 from cherrylane.platform.headers import (
     Dispatch,
     encode_dispatch,
+    is_other_upstream,
     read_request_id,
     read_signature,
     says_not_run,
@@ -67,14 +68,20 @@
         self.note_answer(upstream.name)
         return OpenAnswer(connection, head)
 
-    async def finish(self, upstream: Upstream, answer: OpenAnswer) -> Outcome:
+    async def finish(
+        self, request: CallerRequest, upstream: Upstream, answer: OpenAnswer
+    ) -> Outcome:
         """Read the rest of an answer and say what it means."""
+        if request.method == b"HEAD":
+            # The length in such an answer is that of a body that does not follow.
+            answer.connection.close()
+            return classify_answer(answer.head, b"")
         try:
             body = await answer.connection.read_body()
         except AnswerBrokenError as error:
             answer.connection.close()
             if says_not_run(answer.head):
-                return NotRun(f"refused with {answer.head.status}", was_sent=True)
+                return classify_answer(answer.head, b"")
             return Unknown(f"answer cut off: {error.problem}")
         except BaseException:
             answer.connection.close()
@@ -91,7 +98,8 @@
 def classify_answer(head: ResponseHead, body: bytes) -> Outcome:
     """Say what a whole answer means for its request."""
     if says_not_run(head):
-        return NotRun(f"refused with {head.status}", was_sent=True)
+        is_gone = is_other_upstream(head)
+        return NotRun(f"refused with {head.status}", was_sent=True, is_gone=is_gone)
     if head.status in PROMISES:
         return Unknown(f"answered {head.status} without saying that it was not run")
     if 200 <= head.status < 300 and not read_signature(head):
--- a/src/cherrylane/relay/outcomes.py
+++ b/src/cherrylane/relay/outcomes.py
@@ -28,11 +28,13 @@
 class NotRun:
     """It is certain that the upstream has not run the request and never will.
 
-    ``was_sent`` is False when no byte of the request left this host.
+    ``was_sent`` is False when no byte of the request left this host. ``is_gone`` says that another
+    upstream has its address by now.
     """
 
     reason: str
     was_sent: bool
+    is_gone: bool = False
 
 
 @frozen
--- a/src/cherrylane/settings/gateway.py
+++ b/src/cherrylane/settings/gateway.py
@@ -27,21 +27,20 @@
 
 @frozen
 class StoreSettings:
-    """The platform's object store, and for how many seconds it keeps its history."""
+    """The platform's object store."""
 
     endpoint: Endpoint
-    history_s: float
 
 
 @frozen
 class FleetBounds:
-    """Times in seconds within which things have to be in force.
+    """What the platform demands of a host.
 
-    ``load_multiple`` is the most that one upstream may carry, as a multiple of the mean.
+    ``grace_s`` is how many seconds a stop may take, ``address_lifetime_s`` how many seconds callers
+    may keep addresses at most, and ``load_multiple`` the most that one upstream may carry, as a
+    multiple of the mean.
     """
 
-    config_apply_s: float
-    drain_s: float
     grace_s: float
     address_lifetime_s: float
     load_multiple: float
@@ -68,8 +67,6 @@
     store: StoreSettings
     bounds: FleetBounds
     retries: RetryBounds
-    memory_bytes: int
-    max_descriptors: int
     # Whether the whole system starts for the first time, so that nothing is left from before.
     is_first_start: bool = False
     zones: dict[str, str] = field(factory=dict)
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -95,7 +95,7 @@
         self.assertEqual("host-1", settings.identity.name)
         self.assertEqual(Endpoint("10.1.0.4", 7000), settings.listen.peers)
         self.assertEqual(("10.1.0.4", "10.1.0.5"), settings.seeds)
-        self.assertEqual(2.0, settings.bounds.drain_s)
+        self.assertEqual(8.0, settings.bounds.grace_s)
 
     def test_a_missing_field_is_named_with_its_remedy(self) -> None:
         with ExpectedException(SettingsError, ".*platform.address is missing; add.*"):
--- a/tests/test_relay_service.py
+++ b/tests/test_relay_service.py
@@ -193,6 +193,30 @@
             self.assertThat(answer, StartsWith(b"HTTP/1.1 502 "))
             self.assertEqual([1, 0], calls)
 
+    def test_a_request_for_the_head_alone_is_answered_without_a_body(self) -> None:
+        async def answer_head(call: Call) -> None:
+            call.writer.write(
+                b"HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\nServer-Seal: s\r\nContent-Length: 9\r\n\r\n"
+            )
+
+        answer, calls = ask(SAFE, answer_head, method="HEAD")
+        self.assertThat(answer, StartsWith(b"HTTP/1.1 200 "))
+        self.assertTrue(answer.endswith(b"\r\n\r\n"), answer)
+        self.assertEqual([1], calls)
+
+    def test_an_address_that_another_upstream_has_by_now_is_left_alone(self) -> None:
+        async def misdirected(call: Call) -> None:
+            call.answer(b"", status=421)
+
+        async def work() -> tuple[bytes, list[int]]:
+            desk = await Desk((misdirected, succeed), make_configuration(UNSAFE)).open()
+            await desk.ask("POST")
+            return await desk.ask("POST"), desk.calls
+
+        answer, calls = run(work())
+        self.assertThat(answer, StartsWith(b"HTTP/1.1 200 "))
+        self.assertEqual([1, 2], calls)
+
 
 class RejectionsTest(TestCase):
     def test_requests_that_no_configuration_allows(self) -> None:
--- a/tests/wire.py
+++ b/tests/wire.py
@@ -244,11 +244,9 @@
     fields: dict[str, Any] = {
         "identity": HostIdentity("host-a", LOOPBACK, "a", "north"),
         "listen": ListenAddresses(free, free, free, free),
-        "store": StoreSettings(Endpoint(LOOPBACK, store_port), 20.0),
-        "bounds": FleetBounds(2.0, 2.0, 8.0, 2.0, 2.0),
+        "store": StoreSettings(Endpoint(LOOPBACK, store_port)),
+        "bounds": FleetBounds(grace_s=8.0, address_lifetime_s=2.0, load_multiple=2.0),
         "retries": RetryBounds(0.2, 10.0, 54.0),
-        "memory_bytes": 2**28,
-        "max_descriptors": 1000,
         "metrics_port": 0,
     }
     return GatewaySettings(**(fields | changes))
