--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -126,10 +126,10 @@
                 config_version=7, upstreams_version=12, loads=(("i", 3),), knows_caches=True
             )
             peers.take_heartbeat(LOOPBACK, told, False)
-            await wait_for(lambda: knowledge.snapshot.upstreams_version == 12)
-            self.assertEqual(7, knowledge.snapshot.config_version)
             now = asyncio.get_running_loop().time()
             self.assertEqual({"i": 3}, board.read(["i"], now))
+            await wait_for(lambda: knowledge.snapshot.upstreams_version == 12)
+            self.assertEqual(7, knowledge.snapshot.config_version)
             await wait_for(lambda: learnt.count_cached("i", parts) == 90)
 
         run(work())
