Remove work whose result nothing reads

Each answer noted a time and cleared a count that no decision used (a connection that fails once already avoids the upstream), streams summed bytes, and each configuration its time, for nobody. Ruled out: using the time of the last answer to tell a silent engine, which is a change of behaviour. Change: removed; behaviour is as before. 46 tests of these modules pass.

--- a/src/cherrylane/gateway/knowledge.py
+++ b/src/cherrylane/gateway/knowledge.py
@@ -72,8 +72,7 @@
             return
         self.config_document = document
         self._log_config(configuration, source)
-        now = asyncio.get_running_loop().time()
-        self._publish(evolve(self.snapshot, table=RouteTable(configuration), config_taken_at=now))
+        self._publish(evolve(self.snapshot, table=RouteTable(configuration)))
 
     def take_upstream_list(self, listed: ObjectList) -> None:
         """Take in the whole list of upstreams from the store."""
--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -222,7 +222,7 @@
         )
         attempts = Attempts(
             Selection(chooser, self.board, self.suspicion),
-            Exchanges(self.pool, self._note_answer),
+            Exchanges(self.pool),
             self.board,
             lambda: self.knowledge.snapshot,
             self._find_allowance,
@@ -313,9 +313,6 @@
         self.suspicion.forget(name)
         self.pool.forget(name)
 
-    def _note_answer(self, upstream: str) -> None:
-        self.suspicion.note_answer(upstream, asyncio.get_running_loop().time())
-
     def _read_knowledge_age(self) -> float:
         return self._following.read_age_ms(asyncio.get_running_loop().time()) / 1000
 
--- a/src/cherrylane/limits/suspicion.py
+++ b/src/cherrylane/limits/suspicion.py
@@ -16,8 +16,6 @@
 NEWEST_WEIGHT = 0.15
 # An upstream is avoided when its failure share exceeds the service's by this much.
 EXCESS_SHARE = 0.3
-# Connections that may fail one after another before an upstream is avoided.
-UNREACHABLE_TOLERATED = 0
 
 
 @define
@@ -25,10 +23,8 @@
     """What is remembered of one upstream; times are in seconds of the caller's clock."""
 
     failure_share: float = 0.0
-    unreachable: int = 0
     avoided_until: float = float("-inf")
     avoidance_s: float = FIRST_AVOIDANCE_S
-    answered_at: float = float("-inf")
 
 
 @define
@@ -37,12 +33,6 @@
 
     _records: dict[str, UpstreamRecord] = field(factory=dict)
 
-    def note_answer(self, name: str, now: float) -> None:
-        """Take in that bytes of an answer have arrived."""
-        record = self._record(name)
-        record.answered_at = now
-        record.unreachable = 0
-
     def note_success(self, name: str, now: float) -> None:
         """Take in an answer that is whole and good."""
         record = self._record(name)
@@ -64,23 +54,14 @@
         self._avoid(record, now)
         return True
 
-    def note_unreachable(self, name: str, now: float) -> bool:
-        """Take in a connection that could not be opened; says whether it is now avoided."""
-        record = self._record(name)
-        record.unreachable += 1
-        if record.unreachable <= UNREACHABLE_TOLERATED:
-            return False
-        self._avoid(record, now)
-        return True
+    def note_unreachable(self, name: str, now: float) -> None:
+        """Take in a connection that could not be opened; the upstream is avoided from now on."""
+        self._avoid(self._record(name), now)
 
     def is_avoided(self, name: str, now: float) -> bool:
         """Say whether new requests should go elsewhere."""
         return name in self._records and self._records[name].avoided_until > now
 
-    def is_silent(self, name: str, since: float) -> bool:
-        """Say whether no byte of any answer has come from the upstream after ``since``."""
-        return self._record(name).answered_at <= since
-
     def forget(self, name: str) -> None:
         """Drop the record of an upstream that is gone."""
         self._records.pop(name, None)
--- a/src/cherrylane/relay/exchange.py
+++ b/src/cherrylane/relay/exchange.py
@@ -1,7 +1,5 @@
 """One request sent to one upstream, and what came of it."""
 
-from collections.abc import Callable
-
 from attrs import define, frozen
 
 from cherrylane.errors import AnswerBrokenError, ConnectError
@@ -41,7 +39,6 @@
     """
 
     pool: ConnectionPool
-    note_answer: Callable[[str], None]
 
     async def begin(
         self, request: CallerRequest, upstream: Upstream, dispatch: Dispatch
@@ -65,7 +62,6 @@
         except BaseException:
             connection.close()
             raise
-        self.note_answer(upstream.name)
         return OpenAnswer(connection, head)
 
     async def finish(
--- a/src/cherrylane/relay/streams.py
+++ b/src/cherrylane/relay/streams.py
@@ -22,7 +22,6 @@
 
     last_id: str = ""
     first_at: float | None = None
-    events_bytes: int = 0
 
 
 @define
@@ -55,7 +54,6 @@
         return Completed()
 
     async def _forward(self, head: ResponseHead, data: bytes) -> None:
-        self.progress.events_bytes += len(data)
         if not self.responder.started:
             self.progress.first_at = asyncio.get_running_loop().time()
             self.responder.start(head.status, head.end_to_end(), data)
--- a/src/cherrylane/routing/snapshot.py
+++ b/src/cherrylane/routing/snapshot.py
@@ -25,7 +25,6 @@
     services: dict[str, tuple[KnownUpstream, ...]] = field(factory=dict)
     service_by_upstream: dict[str, str] = field(factory=dict)
     upstreams_version: int = 0
-    config_taken_at: float = 0.0
     upstreams_taken_at: float = 0.0
 
     @property
--- a/tests/test_relay_service.py
+++ b/tests/test_relay_service.py
@@ -67,7 +67,7 @@
         suspicion = Suspicion()
         attempts = Attempts(
             Selection(Chooser("a", 2.0), self.board, suspicion),
-            Exchanges(ConnectionPool(1.0, 1.0), lambda name: None),
+            Exchanges(ConnectionPool(1.0, 1.0)),
             self.board,
             lambda: self.snapshot,
             lambda name: RetryAllowance(RetryBounds(0.2, 10.0, self.slack), 1),
