Keep one type for what callers may send

Cause: CallerLimits of a configuration and InboundLimits of a listener had the same four fields, and the daemon copied one into the other field by field. Change: a configuration holds InboundLimits, which is frozen now; behaviour is as before. 89 tests of the modules concerned pass.

--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -6,13 +6,13 @@
 
 from bench.figures import Figure
 from cherrylane.gossip.messages import HeardHost, Heartbeat, HostState, decode_heartbeat
+from cherrylane.http.inbound import InboundLimits
 from cherrylane.placement.caches import CachedPart, CacheMap
 from cherrylane.placement.choice import Candidate, Chooser
 from cherrylane.relay.events import EventSplitter
 from cherrylane.relay.request import Prompt, PromptPart
 from cherrylane.routing.routes import (
     Account,
-    CallerLimits,
     Configuration,
     RequestKind,
     Route,
@@ -148,6 +148,6 @@
             for n in range(routes)
         ),
         services={},
-        limits=CallerLimits(16_384, 65_536, 3.0, 15.0),
+        limits=InboundLimits(16_384, 65_536, 3.0, 15.0),
         accounts=tuple(Account(f"a{n}", frozenset({f"key-{n:016x}"})) for n in range(accounts)),
     )
--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -234,9 +234,10 @@
         endpoints = Endpoints(
             lambda: self.is_ready, self._find_addresses, self.telemetry, lifetime_s
         )
-        limits = InboundLimits()
         return Listeners(
-            callers=InboundServer(self._relay.handle, limits, self._relay.note_read_failure),
+            callers=InboundServer(
+                self._relay.handle, InboundLimits(), self._relay.note_read_failure
+            ),
             readiness=InboundServer(endpoints.answer_readiness, InboundLimits()),
             directory=InboundServer(endpoints.answer_directory, InboundLimits()),
             peers=InboundServer(self._answer_peer, InboundLimits()),
@@ -285,15 +286,8 @@
             self._gossip.send_round(to_all=True)
         if self._is_informed:
             self._relay.informed.set()
-        if snapshot.table is None:
-            return
-        limits = snapshot.table.configuration.limits
-        self._listeners.callers.limits = InboundLimits(
-            limits.max_header_bytes,
-            limits.max_body_bytes,
-            limits.read_timeout_s,
-            limits.idle_timeout_s,
-        )
+        if snapshot.table is not None:
+            self._listeners.callers.limits = snapshot.table.configuration.limits
 
     def _is_store_returning(self) -> bool:
         follower = self._followers[1]
--- a/src/cherrylane/http/inbound.py
+++ b/src/cherrylane/http/inbound.py
@@ -32,7 +32,7 @@
 WRITE_BUFFER_BYTES = 64 * 1024
 
 
-@define
+@frozen
 class InboundLimits:
     """What callers may send and how long they may take; replaced when the configuration changes."""
 
--- a/src/cherrylane/platform/configuration.py
+++ b/src/cherrylane/platform/configuration.py
@@ -4,9 +4,9 @@
 from typing import Any
 
 from cherrylane.errors import SettingsError
+from cherrylane.http.inbound import InboundLimits
 from cherrylane.routing.routes import (
     Account,
-    CallerLimits,
     Configuration,
     EngineProfile,
     RequestKind,
@@ -84,8 +84,8 @@
     )
 
 
-def _decode_limits(item: dict[str, Any]) -> CallerLimits:
-    return CallerLimits(
+def _decode_limits(item: dict[str, Any]) -> InboundLimits:
+    return InboundLimits(
         max_header_bytes=_read_int(item["max_header_bytes"]),
         max_body_bytes=_read_int(item["max_body_bytes"]),
         read_timeout_s=float(item["header_timeout_ms"]) / 1000,
--- a/src/cherrylane/routing/routes.py
+++ b/src/cherrylane/routing/routes.py
@@ -5,6 +5,8 @@
 
 from attrs import field, frozen
 
+from cherrylane.http.inbound import InboundLimits
+
 
 class RequestKind(Enum):
     """What may be repeated: ``SAFE`` requests always, the others at most once.
@@ -76,16 +78,6 @@
     engine: EngineProfile | None = None
 
 
-@frozen
-class CallerLimits:
-    """What callers may send, and how long they may take."""
-
-    max_header_bytes: int
-    max_body_bytes: int
-    read_timeout_s: float
-    idle_timeout_s: float
-
-
 @frozen
 class Account:
     """A client account: the keys that it calls with, and its priority if it has one."""
@@ -102,7 +94,7 @@
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
-    limits: CallerLimits
+    limits: InboundLimits
     accounts: tuple[Account, ...] = ()
 
 
--- a/tests/wire.py
+++ b/tests/wire.py
@@ -8,10 +8,10 @@
 
 from attrs import define, field, frozen
 
+from cherrylane.http.inbound import InboundLimits
 from cherrylane.relay.request import CallerRequest, Prompt
 from cherrylane.routing.routes import (
     Account,
-    CallerLimits,
     Configuration,
     EngineProfile,
     RequestKind,
@@ -206,7 +206,7 @@
         version=version,
         routes=routes or (make_route(),),
         services={"desk": Service("desk", 100, EngineProfile(4, 1000))},
-        limits=CallerLimits(4096, 65536, 2.0, 5.0),
+        limits=InboundLimits(4096, 65536, 2.0, 5.0),
         accounts=accounts,
     )
 
