Do not relay a stream that its upstream has not signed

A plain answer without the upstream's signature was no success, but a stream with such a head was relayed as one. Ruled out: a check of its own for streams; both now ask is_success. Change: an unsigned stream takes the path of other answers: outcome unknown, begun again elsewhere only if it may run twice. The test failed before.

--- a/src/cherrylane/relay/attempts.py
+++ b/src/cherrylane/relay/attempts.py
@@ -16,7 +16,7 @@
 from cherrylane.placement.loads import LoadBoard
 from cherrylane.platform.headers import Dispatch
 from cherrylane.relay.admission import is_stream
-from cherrylane.relay.exchange import Exchanges, OpenAnswer
+from cherrylane.relay.exchange import Exchanges, OpenAnswer, is_success
 from cherrylane.relay.outcomes import (
     Answered,
     Broken,
@@ -154,7 +154,7 @@
         answer = await self.exchanges.begin(request, upstream, self._make_dispatch(journey, choice))
         if not isinstance(answer, OpenAnswer):
             return answer
-        if not is_stream(request) or not 200 <= answer.head.status < 300:
+        if not is_stream(request) or not is_success(answer.head):
             return await self.exchanges.finish(request, upstream, answer)
         self._note_cached(journey, upstream.name)
         try:
--- a/src/cherrylane/relay/exchange.py
+++ b/src/cherrylane/relay/exchange.py
@@ -91,6 +91,11 @@
             self.pool.put(upstream.name, answer.connection)
 
 
+def is_success(head: ResponseHead) -> bool:
+    """Say whether an answer counts as served, if it is whole: a 2xx that its upstream signed."""
+    return 200 <= head.status < 300 and bool(read_signature(head))
+
+
 def classify_answer(head: ResponseHead, body: bytes) -> Outcome:
     """Say what a whole answer means for its request."""
     if says_not_run(head):
@@ -98,7 +103,7 @@
         return NotRun(f"refused with {head.status}", was_sent=True, is_gone=is_gone)
     if head.status in PROMISES:
         return Unknown(f"answered {head.status} without saying that it was not run")
-    if 200 <= head.status < 300 and not read_signature(head):
+    if head.status < 300 and not is_success(head):
         return Unknown("answer without the upstream's signature")
     if head.status >= SERVER_ERRORS:
         return Failed(head, body)
--- a/tests/test_relay_service.py
+++ b/tests/test_relay_service.py
@@ -336,6 +336,19 @@
 
 
 class StreamsTest(TestCase):
+    def test_a_stream_without_a_signature_is_no_success(self) -> None:
+        async def unsigned_stream(call: Call) -> None:
+            head = b"HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            call.writer.write(head)
+            call.event(1)
+            call.end_events()
+
+        answer, calls = ask(STREAM, unsigned_stream, stream(1, 3), method="POST")
+        self.assertThat(answer, StartsWith(b"HTTP/1.1 502 "))
+        self.assertEqual([1, 0], calls)
+        answer, calls = ask(RESUMABLE, unsigned_stream, stream(1, 3), method="POST")
+        self.assertEqual(([1, 2, 3], [1, 1]), (events(answer), calls))
+
     def test_a_stream_is_relayed_whole(self) -> None:
         answer, calls = ask(STREAM, stream(1, 5), method="POST")
         self.assertEqual([1, 2, 3, 4, 5], events(answer))
