Bound the idle connections that a host keeps to an upstream

Cause: a request that may run only once opens a connection of its own, which was then kept for up to four seconds.

Ruled out: the service's slots were not full (0 of its 2,204 arrivals refused); the resets came only with requests that open new connections.

Change: limits/connections.py gives each host an even part of the upstream's bound, of which 0.4 may be idle; the oldest idle ones are closed. None are kept where a fleet is larger than that.

Test: tests/test_connections.py, a burst of filings over real sockets.

--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -21,6 +21,7 @@
 from cherrylane.http.messages import Request
 from cherrylane.http.outbound import ConnectionPool
 from cherrylane.http.responder import Responder
+from cherrylane.limits.connections import share_idle_connections
 from cherrylane.limits.retries import RetryAllowance
 from cherrylane.limits.suspicion import Suspicion
 from cherrylane.placement.caches import CacheMap
@@ -47,7 +48,7 @@
 MAX_IDLE_S = 4.0
 # Seconds between rounds of upkeep: idle connections, and log lines that wait.
 UPKEEP_INTERVAL_S = 0.25
-# Fewest hosts that the retry budget is divided by, while others may not be known yet.
+# Fewest hosts that shared bounds are divided by, while others may not be known yet.
 MIN_HOSTS_ASSUMED = 8
 # Seconds of the grace time that are left to end by itself before it is ended from outside.
 GRACE_MARGIN_S = 0.7
@@ -95,7 +96,7 @@
         self._allowances: dict[str, RetryAllowance] = {}
         self.board = LoadBoard()
         self.suspicion = Suspicion()
-        self.pool = ConnectionPool(MAX_IDLE_S, CONNECT_TIMEOUT_S)
+        self.pool = ConnectionPool(MAX_IDLE_S, CONNECT_TIMEOUT_S, self._find_most_idle)
         self.members = Members(settings.identity.address)
         for seed in settings.seeds:
             self.members.add(seed)
@@ -295,8 +296,15 @@
             return RETURN_GRACE_S
         return follower.regained_at + RETURN_GRACE_S - asyncio.get_running_loop().time()
 
+    def _find_most_idle(self, upstream: str) -> int:
+        most = self.knowledge.snapshot.connections_of(upstream)
+        return share_idle_connections(most, self._count_hosts())
+
+    def _count_hosts(self) -> int:
+        return max(MIN_HOSTS_ASSUMED, len(self.members) + 1)
+
     def _find_allowance(self, service: str) -> RetryAllowance:
-        hosts = max(MIN_HOSTS_ASSUMED, len(self.members) + 1)
+        hosts = self._count_hosts()
         allowance = self._allowances.get(service)
         if allowance is None:
             allowance = self._allowances[service] = RetryAllowance(self.settings.retries, hosts)
--- a/src/cherrylane/http/outbound.py
+++ b/src/cherrylane/http/outbound.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 from socket import IPPROTO_TCP, SO_KEEPALIVE, SOL_SOCKET, TCP_KEEPCNT, TCP_KEEPIDLE, TCP_KEEPINTVL
 
 from attrs import define, field, frozen
@@ -227,11 +228,13 @@
     """Idle connections by the name of their upstream.
 
     A connection is taken again only within ``max_idle_s`` and half of the time that the upstream
-    announced, so that it is not closed from the other side just then.
+    announced, so that it is not closed from the other side just then. ``find_most_idle`` returns
+    how many may be kept to an upstream; without it there is no bound.
     """
 
     max_idle_s: float
     connect_timeout_s: float
+    find_most_idle: Callable[[str], int] | None = None
     opened: int = 0
     _idle: dict[str, list[OutboundConnection]] = field(factory=dict)
 
@@ -253,8 +256,12 @@
         return await open_connection(endpoint, self.connect_timeout_s)
 
     def put(self, name: str, connection: OutboundConnection) -> None:
-        """Keep a released connection for the next exchange."""
-        self._idle.setdefault(name, []).append(connection)
+        """Keep a released connection for the next exchange, in place of the oldest ones."""
+        connections = self._idle.setdefault(name, [])
+        connections.append(connection)
+        if self.find_most_idle is not None:
+            while len(connections) > self.find_most_idle(name):
+                connections.pop(0).close()
 
     def close_stale(self) -> None:
         """Close what has been idle for too long."""
--- a/src/cherrylane/routing/snapshot.py
+++ b/src/cherrylane/routing/snapshot.py
@@ -2,7 +2,7 @@
 
 from attrs import field, frozen
 
-from cherrylane.routing.routes import RouteTable
+from cherrylane.routing.routes import RouteTable, Service
 from cherrylane.routing.upstreams import Upstream
 
 
@@ -34,13 +34,21 @@
 
     def memory_of(self, upstream: str) -> int:
         """Return the memory in tokens of an engine, 0 if it is not known as one."""
-        service = self.service_by_upstream.get(upstream)
-        if service is None or self.table is None:
+        service = self._find_service(upstream)
+        if service is None or service.engine is None:
             return 0
-        configured = self.table.configuration.services.get(service)
-        if configured is None or configured.engine is None:
-            return 0
-        return configured.engine.memory_tokens
+        return service.engine.memory_tokens
+
+    def connections_of(self, upstream: str) -> int:
+        """Return how many connections an upstream accepts from all hosts, 0 if not known."""
+        service = self._find_service(upstream)
+        return service.max_connections if service is not None else 0
+
+    def _find_service(self, upstream: str) -> Service | None:
+        name = self.service_by_upstream.get(upstream)
+        if name is None or self.table is None:
+            return None
+        return self.table.configuration.services.get(name)
 
     def upstreams_of(self, service: str) -> tuple[KnownUpstream, ...]:
         """Return the upstreams of a service, those that are draining too."""
--- /dev/null
+++ b/tests/test_connections.py
@@ -0,0 +1,62 @@
+from testtools import TestCase
+
+from cherrylane.http.messages import encode_request
+from cherrylane.http.outbound import ConnectionPool
+from cherrylane.limits.connections import DEFAULT_IDLE, share_idle_connections
+from cherrylane.settings.schema import Endpoint
+from tests.wire import LOOPBACK, Call, ScriptedUpstream, run
+
+REQUEST = encode_request(b"GET", b"/", [(b"Host", b"h")], b"", has_body=False)
+HOSTS = 7
+
+
+class IdleShareTest(TestCase):
+    def test_all_hosts_together_leave_more_than_half_for_requests_in_work(self) -> None:
+        for most in (100, 360, 460, 600):
+            for hosts in (7, 30, 73):
+                self.assertTrue(share_idle_connections(most, hosts) * hosts <= most / 2)
+
+    def test_an_upstream_without_a_bound_gets_a_few(self) -> None:
+        self.assertEqual(DEFAULT_IDLE, share_idle_connections(0, HOSTS))
+
+    def test_a_large_fleet_keeps_none_to_a_small_upstream(self) -> None:
+        self.assertEqual(0, share_idle_connections(100, 1_700))
+
+
+class BurstOfUnsafeRequestsTest(TestCase):
+    """Ten times the usual filings: each opens a connection of its own, which is kept afterwards."""
+
+    def test_what_is_kept_stays_within_the_share(self) -> None:
+        async def work() -> int:
+            async def answer(call: Call) -> None:
+                call.answer(b"filed")
+
+            upstream = await ScriptedUpstream(answer).start()
+            endpoint = Endpoint(LOOPBACK, upstream.port)
+            pool = ConnectionPool(60.0, 5.0, lambda name: share_idle_connections(100, HOSTS))
+            for _ in range(30):
+                connection = await pool.open(endpoint)
+                connection.send(REQUEST)
+                head = await connection.read_head()
+                await connection.read_body()
+                if connection.release(head):
+                    pool.put("i", connection)
+            kept = 0
+            while pool.take_idle("i") is not None:
+                kept += 1
+            return kept
+
+        self.assertEqual(share_idle_connections(100, HOSTS), run(work()))
+
+    def test_nothing_is_kept_where_nothing_may_be(self) -> None:
+        async def work() -> object:
+            async def answer(call: Call) -> None:
+                call.answer(b"filed")
+
+            upstream = await ScriptedUpstream(answer).start()
+            pool = ConnectionPool(60.0, 5.0, lambda name: 0)
+            connection = await pool.open(Endpoint(LOOPBACK, upstream.port))
+            pool.put("i", connection)
+            return pool.take_idle("i")
+
+        self.assertIsNone(run(work()))
