Refuse at once what no upstream is expected to begin in time

Cause: nothing bounded how much work was sent to the engines.

Change: limits/overload.py, by the expected wait from requests in work and unread prompt tokens, both told between hosts; late callers only where nobody waits; Retry-After by how long the overload lasts.

--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -9,6 +9,7 @@
 from cherrylane.http.inbound import InboundLimits
 from cherrylane.placement.caches import CachedPart, CacheMap
 from cherrylane.placement.choice import Candidate, Chooser
+from cherrylane.placement.loads import Load
 from cherrylane.relay.events import EventSplitter
 from cherrylane.relay.request import Prompt, PromptPart
 from cherrylane.routing.routes import (
@@ -53,7 +54,7 @@
         Upstream(f"i-{n:08x}", "s", Endpoint("10.0.0.1", 80), "a", 64, UpstreamState.READY)
         for n in range(engines)
     ]
-    candidates = [Candidate(upstream, 5) for upstream in upstreams]
+    candidates = [Candidate(upstream, Load(5)) for upstream in upstreams]
     caches = CacheMap()
     chooser = Chooser("a", 2.0, caches)
     prompt = Prompt("m", tuple(PromptPart(f"{n:08x}", 500) for n in range(3)))
@@ -86,7 +87,7 @@
         callers=Endpoint("10.1.0.40", 8227),
         config_version=75,
         upstreams_version=1058,
-        loads=tuple((f"i-{n:010x}", 2) for n in range(9)),
+        loads=tuple((f"i-{n:010x}", Load(2, 1500)) for n in range(9)),
         hosts=tuple(HeardHost(f"10.1.0.{n}", 250) for n in range(12)),
         cached=tuple(CachedPart(f"i-{n:010x}", f"{n:08x}", 500) for n in range(4)),
     )
--- a/src/cherrylane/gossip/messages.py
+++ b/src/cherrylane/gossip/messages.py
@@ -1,12 +1,15 @@
 """Datagrams between hosts, as JSON with short names, and their decoding."""
 
+from collections.abc import Iterator
 from enum import Enum
 from json import dumps, loads
+from typing import Any
 
 from attrs import frozen
 
 from cherrylane.errors import PeerMessageError
 from cherrylane.placement.caches import CachedPart
+from cherrylane.placement.loads import Load
 from cherrylane.settings.schema import Endpoint
 
 # The largest datagram that is sent; most links carry 1,500 bytes without splitting.
@@ -38,7 +41,7 @@
     """What a host says of itself several times a second.
 
     ``config_version`` and ``upstreams_version`` are the newest that it knows, 0 for none.
-    ``loads`` are its own requests in work by upstream, ``cached`` what its requests have left at
+    ``loads`` are its own work by upstream, ``cached`` what its requests have left at
     engines; ``knows_caches`` says that it also knows what was left before its own start. ``hosts``
     are some other hosts that are alive. ``confirmed_ms`` is how long ago somebody who follows the
     store has confirmed what this host knows.
@@ -51,7 +54,7 @@
     callers: Endpoint
     config_version: int = 0
     upstreams_version: int = 0
-    loads: tuple[tuple[str, int], ...] = ()
+    loads: tuple[tuple[str, Load], ...] = ()
     hosts: tuple[HeardHost, ...] = ()
     confirmed_ms: int = NEVER_MS
     cached: tuple[CachedPart, ...] = ()
@@ -71,7 +74,8 @@
             "n": int(self.knows_caches),
         }
         more = {
-            "l": dict(self.loads),
+            "l": {name: load.requests for name, load in self.loads},
+            "t": {name: load.unread_tokens for name, load in self.loads if load.unread_tokens},
             "m": [(one.address, one.age_ms) for one in self.hosts],
             "f": self.confirmed_ms,
             "k": [(part.upstream, part.key, part.tokens) for part in self.cached],
@@ -95,7 +99,7 @@
             config_version=int(wire["c"]),
             upstreams_version=int(wire["u"]),
             knows_caches=bool(wire.get("n", 0)),
-            loads=tuple((str(name), int(count)) for name, count in wire.get("l", {}).items()),
+            loads=tuple(_decode_loads(wire)),
             hosts=tuple(HeardHost(str(host), int(age)) for host, age in wire.get("m", ())),
             confirmed_ms=int(wire.get("f", NEVER_MS)),
             cached=tuple(
@@ -108,3 +112,9 @@
             f"datagram not understood ({type(error).__name__}: {error})",
             remedy="run the same release on all hosts",
         ) from error
+
+
+def _decode_loads(wire: dict[str, Any]) -> Iterator[tuple[str, Load]]:
+    unread = wire.get("t", {})
+    for name, count in wire.get("l", {}).items():
+        yield str(name), Load(int(count), int(unread.get(name, 0)))
--- a/src/cherrylane/placement/choice.py
+++ b/src/cherrylane/placement/choice.py
@@ -12,6 +12,7 @@
 from attrs import field, frozen
 
 from cherrylane.placement.caches import CacheMap
+from cherrylane.placement.loads import Load
 from cherrylane.placement.ranking import rank_names
 from cherrylane.relay.request import Prompt
 from cherrylane.routing.upstreams import Upstream
@@ -29,25 +30,31 @@
 
 @frozen
 class Candidate:
-    """An upstream that may take the request, and its load in requests."""
+    """An upstream that may take the request, and its load.
+
+    ``has_room`` says whether it is expected to begin the request early enough.
+    """
 
     upstream: Upstream
-    load: int
+    load: Load
+    has_room: bool = True
 
 
 @frozen
 class Choice:
     """The upstream that was chosen, and why.
 
-    ``cached_tokens`` of the prompt are cached there; ``cache_source`` has more of it.
+    ``cached_tokens`` of the prompt are cached there; ``cache_source`` has more of it. What neither
+    has is ``unread_tokens``. ``mean_load`` is in requests.
     """
 
     upstream: Upstream
     reason: str
-    load: int
+    load: Load
     mean_load: float
     cached_tokens: int = 0
     cache_source: Upstream | None = None
+    unread_tokens: int = 0
 
 
 @frozen
@@ -70,7 +77,7 @@
         Holders include those that take no new work but still run.
         """
         by_name = {candidate.upstream.name: candidate for candidate in candidates}
-        mean = sum(candidate.load for candidate in candidates) / len(candidates)
+        mean = _mean_load(candidates)
         limit = max(mean * self.load_multiple * MULTIPLE_USED, mean + 1) + FREE_REQUESTS
         shared = prompt.shared_parts
         cached = {name: self.caches.count_cached(name, shared) for name in by_name}
@@ -81,13 +88,15 @@
         name, reason = _find_first_below(order, by_name, limit)
         chosen = by_name[name]
         source = self._find_source(prompt, cached[name], holders)
+        held = cached[name] if source is None else self.caches.count_cached(source.name, shared)
+        unread = max(0, prompt.input_tokens - held)
         if reason == "preferred":
             reason = "cached" if cached[name] else "home"
-        return Choice(chosen.upstream, reason, chosen.load, mean, cached[name], source)
+        return Choice(chosen.upstream, reason, chosen.load, mean, cached[name], source, unread)
 
     def choose_by_load(self, candidates: Sequence[Candidate]) -> Choice:
         """Choose for a request that has nothing cached anywhere."""
-        mean = sum(candidate.load for candidate in candidates) / len(candidates)
+        mean = _mean_load(candidates)
         chosen = min(candidates, key=self._weigh)
         return Choice(chosen.upstream, "least loaded", chosen.load, mean)
 
@@ -104,15 +113,21 @@
 
     def _weigh(self, candidate: Candidate) -> float:
         upstream = candidate.upstream
-        load = candidate.load / max(1, upstream.slots)
+        load = candidate.load.requests / max(1, upstream.slots)
         distance = 0.0 if upstream.zone == self.zone else OTHER_ZONE_LOAD
         return load + distance + self.random.random() / max(1, upstream.slots)
 
 
+def _mean_load(candidates: Sequence[Candidate]) -> float:
+    return sum(candidate.load.requests for candidate in candidates) / len(candidates)
+
+
 def _find_first_below(
     order: list[str], by_name: dict[str, Candidate], limit: float
 ) -> tuple[str, str]:
     for position, name in enumerate(order):
-        if by_name[name].load + 1 <= limit:
+        candidate = by_name[name]
+        if candidate.has_room and candidate.load.requests + 1 <= limit:
             return name, "preferred" if position == 0 else "preferred one loaded"
-    return min(order, key=lambda name: by_name[name].load), "all loaded"
+    with_room = [name for name in order if by_name[name].has_room] or order
+    return min(with_room, key=lambda name: by_name[name].load.requests), "all loaded"
--- a/src/cherrylane/placement/loads.py
+++ b/src/cherrylane/placement/loads.py
@@ -1,53 +1,103 @@
-"""Requests in work at each upstream: this host's own, exactly, and the peers' as they last said."""
+"""Work at each upstream: this host's own, exactly, and the peers' as they last said."""
 
-from collections import Counter
 from collections.abc import Iterable
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 # Seconds after which what a peer said of its requests no longer counts.
 PEER_LOADS_LIFETIME_S = 1.5
 
 
+@frozen
+class Load:
+    """Requests in work at an upstream, and how many tokens of their prompts it has yet to read."""
+
+    requests: int = 0
+    unread_tokens: int = 0
+
+    def __add__(self, other: "Load") -> "Load":
+        return Load(self.requests + other.requests, self.unread_tokens + other.unread_tokens)
+
+    def __sub__(self, other: "Load") -> "Load":
+        return Load(self.requests - other.requests, self.unread_tokens - other.unread_tokens)
+
+
+NO_LOAD = Load()
+ONE_REQUEST = Load(1)
+
+
 @define
 class PeerLoads:
-    """One peer's requests in work by upstream, and when it said so."""
+    """One peer's work by upstream, and when it said so."""
 
-    counts: dict[str, int]
+    loads: dict[str, Load]
     at: float
 
 
+@define
+class Work:
+    """One request of this host at an upstream, from its dispatch to its end."""
+
+    board: "LoadBoard"
+    upstream: str
+    load: Load
+
+    def note_begun(self) -> None:
+        """Note that the upstream has begun to answer, so that it has read the prompt."""
+        self._become(Load(requests=1))
+
+    def end(self) -> None:
+        """Note that the request has ended."""
+        self._become(NO_LOAD)
+
+    def _become(self, load: Load) -> None:
+        self.board.change(self.upstream, load - self.load)
+        self.load = load
+
+
 @define
 class LoadBoard:
-    """The load of upstreams as far as this host knows; in requests."""
+    """The load of upstreams as far as this host knows.
+
+    Example::
+
+        work = board.begin("i-7", Load(1, unread_tokens=1200))
+        ...
+        work.note_begun()
+        ...
+        work.end()
+    """
 
-    own: Counter[str] = field(factory=Counter)
+    own: dict[str, Load] = field(factory=dict)
     _peers: dict[str, PeerLoads] = field(factory=dict)
 
-    def begin(self, upstream: str) -> None:
-        """Note that a request was sent."""
-        self.own[upstream] += 1
+    def begin(self, upstream: str, load: Load = ONE_REQUEST) -> Work:
+        """Note that a request is sent, and what it adds to the load."""
+        self.change(upstream, load)
+        return Work(self, upstream, load)
 
-    def end(self, upstream: str) -> None:
-        """Note that a request has ended."""
-        self.own[upstream] -= 1
-        if self.own[upstream] <= 0:
-            del self.own[upstream]
+    def change(self, upstream: str, difference: Load) -> None:
+        """Add to this host's own load of an upstream."""
+        load = self.own.get(upstream, NO_LOAD) + difference
+        if load.requests > 0:
+            self.own[upstream] = load
+        else:
+            self.own.pop(upstream, None)
 
-    def take_peer(self, peer: str, counts: dict[str, int], now: float) -> None:
+    def take_peer(self, peer: str, loads: dict[str, Load], now: float) -> None:
         """Take in what a peer says of its own requests."""
-        self._peers[peer] = PeerLoads(counts, now)
+        self._peers[peer] = PeerLoads(loads, now)
 
     def drop_peer(self, peer: str) -> None:
         """Forget the requests of a peer that is gone."""
         self._peers.pop(peer, None)
 
-    def read(self, upstreams: Iterable[str], now: float) -> dict[str, int]:
+    def read(self, upstreams: Iterable[str], now: float) -> dict[str, Load]:
         """Return the known load of each of ``upstreams``."""
         fresh = [
-            peer.counts for peer in self._peers.values() if now - peer.at <= PEER_LOADS_LIFETIME_S
+            peer.loads for peer in self._peers.values() if now - peer.at <= PEER_LOADS_LIFETIME_S
         ]
         return {
-            name: self.own[name] + sum(counts.get(name, 0) for counts in fresh)
+            name: sum((loads.get(name, NO_LOAD) for loads in fresh), self.own.get(name, NO_LOAD))
             for name in upstreams
         }
--- a/src/cherrylane/relay/admission.py
+++ b/src/cherrylane/relay/admission.py
@@ -5,6 +5,7 @@
 from attrs import define, field
 
 from cherrylane.http.messages import Request, RequestHead
+from cherrylane.limits.overload import CallerPatience
 from cherrylane.platform.headers import (
     read_key,
     read_last_event,
@@ -26,6 +27,7 @@
     """Finds a request's route, client account and service."""
 
     random: Random = field(factory=Random)
+    patience: CallerPatience = field(factory=CallerPatience)
 
     def admit(self, request: Request, snapshot: Snapshot, now: float) -> CallerRequest | Rejection:
         """Return what is to be relayed, or the answer to give at once."""
@@ -48,6 +50,8 @@
     ) -> CallerRequest:
         head = request.head
         patience_s = read_patience(head)
+        if patience_s is None:
+            patience_s = route.timeout_s
         return CallerRequest(
             id=request_id,
             method=head.method,
@@ -56,12 +60,13 @@
             body=request.body,
             has_body=_has_body(head),
             received=now,
-            caller_deadline=now + (route.timeout_s if patience_s is None else patience_s),
+            caller_deadline=now + patience_s,
             route=route,
             service=choose_share(route.shares, self.random.random()),
             prompt=read_prompt(head),
             account=account,
             resume_after=read_last_event(head) if route.is_resumable else "",
+            waited_s=self.patience.estimate_waited(route.name, patience_s),
         )
 
 
--- a/src/cherrylane/relay/attempts.py
+++ b/src/cherrylane/relay/attempts.py
@@ -11,9 +11,10 @@
 from logbook import Logger
 
 from cherrylane.http.responder import Responder
+from cherrylane.limits.overload import Returns
 from cherrylane.limits.retries import RetryAllowance
 from cherrylane.placement.choice import Choice
-from cherrylane.placement.loads import LoadBoard
+from cherrylane.placement.loads import Load, LoadBoard, Work
 from cherrylane.platform.headers import Dispatch
 from cherrylane.relay.admission import is_stream
 from cherrylane.relay.exchange import Exchanges, OpenAnswer, is_success
@@ -29,7 +30,7 @@
     Unknown,
 )
 from cherrylane.relay.request import CallerRequest
-from cherrylane.relay.selection import Selection
+from cherrylane.relay.selection import Overloaded, Selection
 from cherrylane.relay.streams import StreamProgress, StreamRelay
 from cherrylane.routing.snapshot import Snapshot
 
@@ -88,6 +89,7 @@
     board: LoadBoard
     read_snapshot: Callable[[], Snapshot]
     find_allowance: Callable[[str], RetryAllowance]
+    returns: Returns = field(factory=Returns)
 
     async def run(
         self, journey: Journey, responder: Responder
@@ -103,6 +105,8 @@
             choice = self.selection.choose(request, snapshot, journey.tried, loop.time())
             if choice is None:
                 return self._give_up(journey, responder, Cause.NO_UPSTREAM)
+            if isinstance(choice, Overloaded):
+                return self._refuse(journey, choice, snapshot)
             self._log_choice(journey, choice, snapshot)
             outcome = await self._attempt(journey, choice, responder)
             match outcome:
@@ -132,33 +136,47 @@
         begun = loop.time()
         name = choice.upstream.name
         journey.tried.add(name)
-        self.board.begin(name)
+        work = self.board.begin(name, Load(1, choice.unread_tokens))
         try:
             async with asyncio.timeout_at(self._find_limit(journey, begun)) as limit:
-                outcome = await self._exchange(journey, choice, responder, limit)
+                outcome = await self._exchange(journey, choice, responder, limit, work)
         except TimeoutError:
             started = responder.started
             outcome = Broken("silent") if started else Unknown("no answer in time")
         finally:
-            self.board.end(name)
+            work.end()
         if not isinstance(outcome, NotRun) or outcome.was_sent:
             journey.sends += 1
         self._note(journey, choice, outcome, begun)
         return outcome
 
     async def _exchange(
-        self, journey: Journey, choice: Choice, responder: Responder, limit: asyncio.Timeout
+        self,
+        journey: Journey,
+        choice: Choice,
+        responder: Responder,
+        limit: asyncio.Timeout,
+        work: Work,
     ) -> Outcome:
         request = journey.request
         upstream = choice.upstream
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+
+        def note_first_event() -> None:
+            unread = choice.load.unread_tokens + choice.unread_tokens
+            self.selection.pace_of(request.service).note_first_event(unread, loop.time() - begun)
+            work.note_begun()
+
         answer = await self.exchanges.begin(request, upstream, self._make_dispatch(journey, choice))
         if not isinstance(answer, OpenAnswer):
             return answer
         if not is_stream(request) or not is_success(answer.head):
             return await self.exchanges.finish(request, upstream, answer)
         self._note_cached(journey, upstream.name)
+        relay = StreamRelay(request, responder, journey.progress, note_first_event)
         try:
-            outcome = await StreamRelay(request, responder, journey.progress).relay(answer, limit)
+            outcome = await relay.relay(answer, limit)
         except BaseException:
             answer.connection.close()
             raise
@@ -209,6 +227,30 @@
             case _:
                 return Rejection(cause)
 
+    def _refuse(self, journey: Journey, overload: Overloaded, snapshot: Snapshot) -> Rejection:
+        request = journey.request
+        now = asyncio.get_running_loop().time()
+        delay_s = self.returns.choose_delay(request.deadline - now, now)
+        pace = self.selection.pace_of(request.service)
+        log.info(
+            "request not admitted",
+            extra={
+                "request": request.id,
+                "rank": request.rank,
+                "target_ms": round(request.route.target_s * 1000),
+                "waited_ms": round(request.waited_s * 1000),
+                "upstreams": overload.upstreams,
+                "least_load": overload.least_requests,
+                "least_unread_tokens": overload.least_unread_tokens,
+                "seconds_per_request": round(pace.seconds_per_request, 3),
+                "tokens_per_s": round(pace.tokens_per_s),
+                "retry_after_s": round(delay_s, 2),
+                "config": snapshot.config_version,
+                "upstreams_version": snapshot.upstreams_version,
+            },
+        )
+        return Rejection(Cause.OVERLOADED, retry_after_s=delay_s)
+
     def _note(self, journey: Journey, choice: Choice, outcome: Outcome, begun: float) -> None:
         now = asyncio.get_running_loop().time()
         name = choice.upstream.name
@@ -218,6 +260,7 @@
         match outcome:
             case Answered() | Completed():
                 suspicion.note_success(name, now)
+                self.selection.pace_of(service).note_end(now - begun)
             case NotRun(was_sent=False) | NotRun(is_gone=True):
                 suspicion.note_unreachable(name, now)
             case NotRun() | Failed() | Unknown() | Broken():
@@ -253,7 +296,8 @@
                 "attempt": len(journey.attempts) + 1,
                 "upstream": choice.upstream.name,
                 "reason": choice.reason,
-                "load": choice.load,
+                "load": choice.load.requests,
+                "unread_tokens": choice.load.unread_tokens,
                 "mean_load": round(choice.mean_load, 1),
                 "cached_tokens": choice.cached_tokens,
                 "shared_tokens": journey.request.prompt.shared_tokens,
--- a/src/cherrylane/relay/outcomes.py
+++ b/src/cherrylane/relay/outcomes.py
@@ -67,6 +67,7 @@
     BAD_KEY = "bad_key"
     NO_REQUEST_ID = "no_request_id"
     NO_UPSTREAM = "no_upstream"
+    OVERLOADED = "overloaded"
     STOPPING = "stopping"
     NOT_ACCEPTED = "not_accepted"
     OUTCOME_UNKNOWN = "outcome_unknown"
@@ -80,6 +81,7 @@
     Cause.BAD_KEY: HTTPStatus.UNAUTHORIZED,
     Cause.NO_REQUEST_ID: HTTPStatus.BAD_REQUEST,
     Cause.NO_UPSTREAM: HTTPStatus.SERVICE_UNAVAILABLE,
+    Cause.OVERLOADED: HTTPStatus.SERVICE_UNAVAILABLE,
     Cause.STOPPING: HTTPStatus.SERVICE_UNAVAILABLE,
     Cause.NOT_ACCEPTED: HTTPStatus.SERVICE_UNAVAILABLE,
     Cause.OUTCOME_UNKNOWN: HTTPStatus.BAD_GATEWAY,
--- a/src/cherrylane/relay/request.py
+++ b/src/cherrylane/relay/request.py
@@ -45,7 +45,8 @@
     """One attempt of a caller.
 
     ``deadline`` and ``received`` are in seconds of the loop's clock. ``resume_after`` is the id of
-    the last event that the caller has seen of a stream that broke off.
+    the last event that the caller has seen of a stream that broke off. ``waited_s`` is for how long
+    its caller has been asking, as far as can be told.
     """
 
     id: str
@@ -61,15 +62,23 @@
     prompt: Prompt
     account: Account | None = None
     resume_after: str = ""
+    waited_s: float = 0.0
 
     @property
     def deadline(self) -> float:
         """When the answer is due: the caller's deadline or the route's timeout."""
         return min(self.caller_deadline, self.received + self.route.timeout_s)
 
+    @property
+    def rank(self) -> int:
+        """How urgent the request is by its account and its route together, 0 first."""
+        account = self.account
+        own = account.priority if account is not None and account.priority is not None else 0
+        return own + self.route.priority
+
     @property
     def priority(self) -> int:
-        """The rank of the request, 0 first; the account's own goes before the route's."""
+        """The rank by which upstreams take requests; the account's own goes before the route's."""
         if self.account is not None and self.account.priority is not None:
             return self.account.priority
         return self.route.priority
--- a/src/cherrylane/relay/selection.py
+++ b/src/cherrylane/relay/selection.py
@@ -1,12 +1,23 @@
 """The upstreams of a service that may take a request now, and the choice among them."""
 
-from attrs import define
+from attrs import define, field, frozen
 
+from cherrylane.limits.overload import Demand, Pace, has_room
 from cherrylane.limits.suspicion import Suspicion
 from cherrylane.placement.choice import Candidate, Choice, Chooser
-from cherrylane.placement.loads import LoadBoard
+from cherrylane.placement.loads import Load, LoadBoard
 from cherrylane.relay.request import CallerRequest
 from cherrylane.routing.snapshot import KnownUpstream, Snapshot
+from cherrylane.routing.upstreams import Upstream
+
+
+@frozen
+class Overloaded:
+    """No upstream is expected to begin the request in time."""
+
+    upstreams: int
+    least_requests: int
+    least_unread_tokens: int
 
 
 @define
@@ -16,15 +27,25 @@
     chooser: Chooser
     board: LoadBoard
     suspicion: Suspicion
+    _paces: dict[str, Pace] = field(factory=dict)
+
+    def pace_of(self, service: str) -> Pace:
+        """Return how fast the upstreams of a service work."""
+        return self._paces.setdefault(service, Pace())
 
     def choose(
         self, request: CallerRequest, snapshot: Snapshot, tried: set[str], now: float
-    ) -> Choice | None:
-        """Return the upstream for the next attempt, or None if there is none left."""
+    ) -> Choice | Overloaded | None:
+        """Return the upstream for the next attempt, or None if there is none left.
+
+        A request that was tried already goes on, since work was spent on it.
+        """
         listed = snapshot.upstreams_of(request.service)
-        candidates = self._find_candidates(listed, tried, now)
+        candidates = self._find_candidates(request, listed, tried, now)
         if not candidates:
             return None
+        if not tried and not any(candidate.has_room for candidate in candidates):
+            return _describe_overload(candidates)
         if not request.prompt.chat_key:
             return self.chooser.choose_by_load(candidates)
         holders = [
@@ -35,7 +56,11 @@
         return self.chooser.choose_for_chat(request.prompt, candidates, holders)
 
     def _find_candidates(
-        self, listed: tuple[KnownUpstream, ...], tried: set[str], now: float
+        self,
+        request: CallerRequest,
+        listed: tuple[KnownUpstream, ...],
+        tried: set[str],
+        now: float,
     ) -> list[Candidate]:
         working = [known for known in listed if known.upstream.takes_work]
         untried = [known for known in working if known.upstream.name not in tried]
@@ -45,4 +70,18 @@
         # Where all are suspect, the fault is likely not theirs.
         chosen = trusted or untried
         loads = self.board.read([known.upstream.name for known in chosen], now)
-        return [Candidate(known.upstream, loads[known.upstream.name]) for known in chosen]
+        return [self._weigh(request, one.upstream, loads[one.upstream.name]) for one in chosen]
+
+    def _weigh(self, request: CallerRequest, upstream: Upstream, load: Load) -> Candidate:
+        demand = Demand(request.rank, request.route.target_s, request.waited_s)
+        pace = self.pace_of(request.service)
+        return Candidate(upstream, load, has_room(demand, load, upstream.slots, pace))
+
+
+def _describe_overload(candidates: list[Candidate]) -> Overloaded:
+    loads = [candidate.load for candidate in candidates]
+    return Overloaded(
+        upstreams=len(candidates),
+        least_requests=min(load.requests for load in loads),
+        least_unread_tokens=min(load.unread_tokens for load in loads),
+    )
--- a/src/cherrylane/relay/streams.py
+++ b/src/cherrylane/relay/streams.py
@@ -1,6 +1,7 @@
 """Relaying a stream of events to its caller as they arrive."""
 
 import asyncio
+from collections.abc import Callable
 
 from attrs import define
 
@@ -26,21 +27,29 @@
 
 @define
 class StreamRelay:
-    """Relays one caller's stream; a stream that broke off goes on after its last whole event."""
+    """Relays one caller's stream; a stream that broke off goes on after its last whole event.
+
+    ``note_first_event`` is called when the upstream has begun to answer.
+    """
 
     request: CallerRequest
     responder: Responder
     progress: StreamProgress
+    note_first_event: Callable[[], None] = lambda: None
 
     async def relay(self, answer: OpenAnswer, limit: asyncio.Timeout) -> Outcome:
         """Relay events until the answer ends; ``limit`` is moved on with each part."""
         splitter = EventSplitter(last_id=self.progress.last_id)
         connection = answer.connection
+        has_begun = False
         try:
             while (part := await connection.read_part()) is not None:
                 self._extend(limit)
                 events = splitter.feed(part)
                 if events:
+                    if not has_begun:
+                        has_begun = True
+                        self.note_first_event()
                     await self._forward(answer.head, events)
                     self.progress.last_id = splitter.last_id
             if splitter.rest:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -4,6 +4,7 @@
 
 from cherrylane.placement.caches import TIMES_TOLD, CachedPart, CacheMap
 from cherrylane.placement.choice import Candidate, Chooser
+from cherrylane.placement.loads import Load
 from cherrylane.placement.ranking import rank_names
 from cherrylane.relay.request import Prompt, PromptPart
 from cherrylane.routing.upstreams import Upstream, UpstreamState
@@ -23,7 +24,7 @@
 
 
 def candidates(loads: dict[str, int]) -> list[Candidate]:
-    return [Candidate(make_upstream(name), load) for name, load in loads.items()]
+    return [Candidate(make_upstream(name), Load(load)) for name, load in loads.items()]
 
 
 class ChatChoiceTest(TestCase):
@@ -144,8 +145,8 @@
 
     def test_the_own_failure_domain_goes_first_until_it_is_loaded(self) -> None:
         near, far = make_upstream("near"), make_upstream("far", zone="b")
-        calm = self.chooser.choose_by_load([Candidate(far, 0), Candidate(near, 3)])
-        busy = self.chooser.choose_by_load([Candidate(far, 0), Candidate(near, 20)])
+        calm = self.chooser.choose_by_load([Candidate(far, Load()), Candidate(near, Load(3))])
+        busy = self.chooser.choose_by_load([Candidate(far, Load()), Candidate(near, Load(20))])
         self.assertEqual(("near", "far"), (calm.upstream.name, busy.upstream.name))
 
     def test_equal_upstreams_share_the_work(self) -> None:
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -17,7 +17,7 @@
 from cherrylane.http.messages import Request
 from cherrylane.http.responder import Responder
 from cherrylane.placement.caches import CachedPart, CacheMap
-from cherrylane.placement.loads import LoadBoard
+from cherrylane.placement.loads import Load, LoadBoard
 from cherrylane.relay.request import PromptPart
 from cherrylane.settings.schema import Endpoint
 from tests.test_platform_documents import CONFIG, ENTRY
@@ -40,7 +40,7 @@
         sent = make_heartbeat(
             config_version=7,
             upstreams_version=9,
-            loads=(("i", 3),),
+            loads=(("i", Load(3, 40)),),
             hosts=(HeardHost("10.0.0.2", 40),),
             confirmed_ms=120,
             cached=(CachedPart("i", "5c1e", 90),),
@@ -48,7 +48,7 @@
         self.assertEqual(sent, decode_heartbeat(sent.encode()))
 
     def test_a_datagram_stays_small(self) -> None:
-        many = tuple((f"i-{number:08x}", number) for number in range(200))
+        many = tuple((f"i-{number:08x}", Load(number)) for number in range(200))
         data = make_heartbeat(loads=many).encode()
         self.assertTrue(len(data) <= MAX_DATAGRAM_BYTES)
         self.assertEqual((), decode_heartbeat(data).loads)
@@ -123,11 +123,14 @@
             board = LoadBoard()
             peers = PeerKnowledge(knowledge, board, learnt, server.port)
             told = make_heartbeat(
-                config_version=7, upstreams_version=12, loads=(("i", 3),), knows_caches=True
+                config_version=7,
+                upstreams_version=12,
+                loads=(("i", Load(3, 40)),),
+                knows_caches=True,
             )
             peers.take_heartbeat(LOOPBACK, told, False)
             now = asyncio.get_running_loop().time()
-            self.assertEqual({"i": 3}, board.read(["i"], now))
+            self.assertEqual({"i": Load(3, 40)}, board.read(["i"], now))
             await wait_for(lambda: knowledge.snapshot.upstreams_version == 12)
             self.assertEqual(7, knowledge.snapshot.config_version)
             await wait_for(lambda: learnt.count_cached("i", parts) == 90)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -2,7 +2,7 @@
 
 from cherrylane.limits.retries import RetryAllowance
 from cherrylane.limits.suspicion import FIRST_AVOIDANCE_S, Suspicion
-from cherrylane.placement.loads import PEER_LOADS_LIFETIME_S, LoadBoard
+from cherrylane.placement.loads import PEER_LOADS_LIFETIME_S, Load, LoadBoard
 from cherrylane.settings.gateway import RetryBounds
 
 BOUNDS = RetryBounds(share=0.2, window_s=10.0, slack=54.0)
@@ -86,9 +86,21 @@
 class LoadBoardTest(TestCase):
     def test_loads_of_peers_count_while_they_are_fresh(self) -> None:
         board = LoadBoard()
-        board.begin("i")
-        board.take_peer("p", {"i": 4}, 0.0)
-        self.assertEqual({"i": 5}, board.read(["i"], 0.0))
-        self.assertEqual({"i": 1}, board.read(["i"], PEER_LOADS_LIFETIME_S + 0.1))
-        board.end("i")
-        self.assertEqual({"i": 0}, board.read(["i"], PEER_LOADS_LIFETIME_S + 0.1))
+        work = board.begin("i", Load(1, 900))
+        board.take_peer("p", {"i": Load(4, 100)}, 0.0)
+        self.assertEqual({"i": Load(5, 1000)}, board.read(["i"], 0.0))
+        self.assertEqual({"i": Load(1, 900)}, board.read(["i"], PEER_LOADS_LIFETIME_S + 0.1))
+        work.note_begun()
+        self.assertEqual({"i": Load(1, 0)}, board.read(["i"], PEER_LOADS_LIFETIME_S + 0.1))
+        work.end()
+        self.assertEqual({"i": Load()}, board.read(["i"], PEER_LOADS_LIFETIME_S + 0.1))
+        self.assertEqual({}, board.own)
+
+    def test_what_ends_before_it_has_begun_leaves_nothing(self) -> None:
+        board = LoadBoard()
+        first, second = board.begin("i", Load(1, 50)), board.begin("i", Load(1, 70))
+        first.end()
+        self.assertEqual({"i": Load(1, 70)}, board.own)
+        second.note_begun()
+        second.end()
+        self.assertEqual({}, board.own)
--- a/tests/test_relay_service.py
+++ b/tests/test_relay_service.py
@@ -10,7 +10,7 @@
 from cherrylane.limits.retries import RetryAllowance
 from cherrylane.limits.suspicion import Suspicion
 from cherrylane.placement.choice import Chooser
-from cherrylane.placement.loads import LoadBoard
+from cherrylane.placement.loads import Load, LoadBoard
 from cherrylane.relay import service
 from cherrylane.relay.attempts import Attempts
 from cherrylane.relay.exchange import Exchanges
@@ -62,7 +62,7 @@
         self.snapshot = make_snapshot(described, self.configuration)
         # The order of choice is by load, so that a test knows who is asked first.
         self.board.take_peer(
-            "peer", {f"i{place}": place * 10 for place in range(len(described))}, float("inf")
+            "peer", {f"i{place}": Load(place * 10) for place in range(len(described))}, float("inf")
         )
         suspicion = Suspicion()
         attempts = Attempts(
