Show, compare, put back and withdraw configurations from the command line

Cause: an operator could only apply documents; what an apply would change, what had changed, and how to go back or to take a firm's site off was left to reading the store by hand.

Ruled out: an object for each past generation. It would have to be written before the one that puts it in force, so that racing operators could write two under one number; the history is part of that object instead, bounded to 50 generations of about 200 bytes, and changes with it or not at all.

Secrets are shown as changed only.

Before -> after: commands that change the configuration 1 -> 3, that show it 2 -> 5.

--- a/src/cherrylane/cli/apply.py
+++ b/src/cherrylane/cli/apply.py
@@ -1,17 +1,19 @@
-"""``cherrylane apply``."""
+"""``cherrylane apply``, ``plan``, ``rollback`` and ``withdraw``: changes of the configuration."""
 
 from argparse import Namespace
+from collections.abc import Callable
 from pathlib import Path
 from secrets import token_hex
 from typing import Any
 
 from attrs import define, field
-from result import Err, Ok
+from result import Err, Ok, Result
 from yaml import YAMLError, safe_load
 
+from cherrylane.cli.differences import make_difference_table
 from cherrylane.cli.output import Table, print_table
 from cherrylane.configuration.documents import Base, Overlay
-from cherrylane.configuration.store import ConfigurationStore
+from cherrylane.configuration.store import ConfigurationStore, Generation
 from cherrylane.errors import PlatformUnavailableError, SettingsError
 from cherrylane.platform.client import PlatformClient
 from cherrylane.settings.documents import structure_document
@@ -31,13 +33,49 @@
 def apply_documents(arguments: Namespace) -> None:
     """Read the files, and put them in force as one generation."""
     documents = read_documents(arguments.files)
-    store = ConfigurationStore(PlatformClient(PlatformSettings(url=arguments.platform)))
+    _change(
+        arguments,
+        lambda store, apply_id: store.apply(documents.base, documents.overlays, apply_id=apply_id),
+    )
+
+
+def plan_documents(arguments: Namespace) -> None:
+    """Show what an apply of the files would change."""
+    documents = read_documents(arguments.files)
+    match _open_store(arguments).plan(documents.base, documents.overlays):
+        case Err(problem):
+            raise problem
+        case Ok(change):
+            print_table(make_difference_table(change), arguments.output)
+
+
+def roll_back(arguments: Namespace) -> None:
+    """Put a past generation's documents in force again."""
+    _change(
+        arguments,
+        lambda store, apply_id: store.roll_back(arguments.generation, apply_id=apply_id),
+    )
+
+
+def withdraw_site(arguments: Namespace) -> None:
+    """Take a site off, and leave all others as they are."""
+    _change(arguments, lambda store, apply_id: store.withdraw(arguments.site, apply_id=apply_id))
+
+
+def _open_store(arguments: Namespace) -> ConfigurationStore:
+    return ConfigurationStore(PlatformClient(PlatformSettings(url=arguments.platform)))
+
+
+def _change(
+    arguments: Namespace,
+    change: Callable[[ConfigurationStore, str], Result[Generation, SettingsError]],
+) -> None:
     apply_id = arguments.apply_id or token_hex(APPLY_ID_BYTES)
     try:
-        accepted = store.apply(documents.base, documents.overlays, apply_id=apply_id)
+        accepted = change(_open_store(arguments), apply_id)
     except PlatformUnavailableError as error:
         raise PlatformUnavailableError(
-            f"{error.problem}; whether the apply took effect is not known",
+            f"{error.problem}; whether the change took effect is not known",
             remedy=f"repeat the command with --apply-id {apply_id}; it is not done twice",
         ) from error
     match accepted:
--- /dev/null
+++ b/src/cherrylane/cli/differences.py
@@ -0,0 +1,86 @@
+"""``cherrylane history`` and ``diff``: past generations, and what changed between them."""
+
+from argparse import Namespace
+from collections.abc import Iterator
+from typing import Any
+
+from cherrylane.cli.output import Table, print_table
+from cherrylane.configuration.store import Change, ConfigurationStore, Documents
+from cherrylane.platform.client import PlatformClient
+from cherrylane.settings.schema import PlatformSettings
+
+HISTORY_HEADINGS = ("generation", "apply_id", "documents", "changed")
+DIFFERENCE_HEADINGS = ("document", "field", "before", "after")
+# Fields whose values are secrets; only that they changed is shown.
+SECRETS = frozenset({"hint_key"})
+HIDDEN = "(hidden)"
+
+
+def show_history(arguments: Namespace) -> None:
+    """List the remembered generations, the one in force last."""
+    rows = []
+    before: dict[str, str] = {}
+    for past in _open_store(arguments).read_present().list_all():
+        names = sorted(past.fragments.keys() | before.keys())
+        changed = [name for name in names if past.fragments.get(name) != before.get(name)]
+        rows.append((past.number, past.apply_id, sorted(past.fragments), changed))
+        before = past.fragments
+    print_table(Table(HISTORY_HEADINGS, rows), arguments.output)
+
+
+def show_difference(arguments: Namespace) -> None:
+    """Show what changed from one generation to another, or to the one in force."""
+    store = _open_store(arguments)
+    present = store.read_present()
+    after = present.number if arguments.after is None else arguments.after
+    change = Change(
+        before=store.read_documents(present.find(arguments.before).fragments),
+        after=store.read_documents(present.find(after).fragments),
+    )
+    print_table(make_difference_table(change), arguments.output)
+
+
+def make_difference_table(change: Change) -> Table:
+    """Return a row for each field that differs; a missing value is None."""
+    before, after = dict(_flatten(change.before)), dict(_flatten(change.after))
+    rows = [
+        (document, name, before.get((document, name)), after.get((document, name)))
+        for document, name in sorted(before.keys() | after.keys())
+        if before.get((document, name)) != after.get((document, name))
+    ]
+    return Table(DIFFERENCE_HEADINGS, [_hide_secret(row) for row in rows])
+
+
+def _hide_secret(row: tuple[str, str, Any, Any]) -> tuple[str, str, Any, Any]:
+    document, name, before, after = row
+    if name not in SECRETS:
+        return row
+    return (
+        document,
+        name,
+        None if before is None else HIDDEN,
+        None if after is None else HIDDEN,
+    )
+
+
+def _flatten(documents: Documents) -> Iterator[tuple[tuple[str, str], Any]]:
+    for document, content in documents.items():
+        for name, value in _flatten_value("", content):
+            yield (document, name), value
+
+
+def _flatten_value(prefix: str, value: Any) -> Iterator[tuple[str, Any]]:
+    """Yield leaves under dotted names; entries of lists go by their name if they have one."""
+    if isinstance(value, dict) and value:
+        for key, one in value.items():
+            yield from _flatten_value(f"{prefix}.{key}" if prefix else str(key), one)
+    elif isinstance(value, list) and any(isinstance(one, dict) for one in value):
+        for place, one in enumerate(value):
+            key = one.get("name", place) if isinstance(one, dict) else place
+            yield from _flatten_value(f"{prefix}.{key}", one)
+    else:
+        yield prefix, value
+
+
+def _open_store(arguments: Namespace) -> ConfigurationStore:
+    return ConfigurationStore(PlatformClient(PlatformSettings(url=arguments.platform)))
--- a/src/cherrylane/cli/inspect.py
+++ b/src/cherrylane/cli/inspect.py
@@ -2,6 +2,7 @@
 
 from argparse import Namespace
 from json import JSONDecodeError, loads
+from time import monotonic, sleep
 from typing import Any
 from urllib.parse import urlencode
 
@@ -19,7 +20,11 @@
 from cherrylane.platform.objects import Kind
 from cherrylane.settings.schema import PlatformSettings
 
+# Seconds that a host's answer may take.
 OPERATOR_TIMEOUT_S = 2.0
+# Seconds between looks while hosts take a generation over.
+STATUS_POLL_S = 0.2
+STATUS_HEADINGS = ("host", "site", "serving", "generation", "lease", "home_of", "load")
 EXPLAIN_HEADINGS = ("pool", "home", "engine", "zone", "reason", "cached", "load", "within_bound")
 EXPLANATION = """
 Pools are asked in this order. A pool's home takes the first engine within the load bound:
@@ -47,10 +52,31 @@
 
 
 def show_status(arguments: Namespace) -> None:
-    """Ask every host of the roster how it is."""
-    rows = [_status_row(host) for host in _hosts(_connect(arguments))]
-    headings = ("host", "site", "serving", "generation", "lease", "home_of", "load")
-    print_table(Table(headings, rows), arguments.output)
+    """Ask every host of the roster how it is, again and again if a wait is asked for.
+
+    Raises :class:`PlatformUnavailableError` when the wait is over before every host serves by the
+    generation in force.
+    """
+    client = _connect(arguments)
+    deadline = monotonic() + arguments.wait
+    while True:
+        rows = [_status_row(host) for host in _hosts(client)]
+        behind = _find_behind(client, rows) if arguments.wait else []
+        if not behind or monotonic() >= deadline:
+            break
+        sleep(STATUS_POLL_S)
+    print_table(Table(STATUS_HEADINGS, rows), arguments.output)
+    if behind:
+        raise PlatformUnavailableError(
+            f"not in force after {arguments.wait:g} s at {', '.join(behind)}",
+            remedy="look at the logs of these hosts, or wait longer",
+        )
+
+
+def _find_behind(client: PlatformClient, rows: list[tuple[Any, ...]]) -> list[str]:
+    """Return the hosts that do not serve by the generation in force, as ``rows`` tell."""
+    number = ConfigurationStore(client).read_present().number
+    return [str(row[0]) for row in rows if row[3] != number]
 
 
 def explain_chat(arguments: Namespace) -> None:
--- a/src/cherrylane/cli/main.py
+++ b/src/cherrylane/cli/main.py
@@ -7,7 +7,8 @@
 from sys import stderr
 
 from cherrylane import __version__
-from cherrylane.cli.apply import apply_documents
+from cherrylane.cli.apply import apply_documents, plan_documents, roll_back, withdraw_site
+from cherrylane.cli.differences import show_difference, show_history
 from cherrylane.cli.inspect import explain_chat, get_objects, show_status
 from cherrylane.cli.keys import hash_key
 from cherrylane.cli.output import OutputFormat
@@ -82,7 +83,12 @@
         help="table for people (default) or json for programs",
     )
     commands = parser.add_subparsers(title="commands", required=True, metavar="COMMAND")
+    _add_plan(commands)
     _add_apply(commands)
+    _add_history(commands)
+    _add_diff(commands)
+    _add_rollback(commands)
+    _add_withdraw(commands)
     _add_get(commands)
     _add_status(commands)
     _add_explain(commands)
@@ -99,12 +105,72 @@
         "cherrylane apply base.yaml tw-north.yaml ga-south.yaml",
     )
     command.add_argument("files", metavar="FILE", nargs="+", type=Path)
+    _add_apply_id(command)
+    command.set_defaults(run=apply_documents)
+
+
+def _add_plan(commands: "_SubParsersAction[ArgumentParser]") -> None:
+    command = _add(
+        commands,
+        "plan",
+        "show what an apply of these files would change",
+        "cherrylane plan ga-south.yaml",
+    )
+    command.add_argument("files", metavar="FILE", nargs="+", type=Path)
+    command.set_defaults(run=plan_documents)
+
+
+def _add_history(commands: "_SubParsersAction[ArgumentParser]") -> None:
+    command = _add(
+        commands, "history", "list the generations that can be put back", "cherrylane history"
+    )
+    command.set_defaults(run=show_history)
+
+
+def _add_diff(commands: "_SubParsersAction[ArgumentParser]") -> None:
+    command = _add(
+        commands,
+        "diff",
+        "show what changed between two generations",
+        "cherrylane diff 11 12",
+    )
+    command.add_argument("before", metavar="GENERATION", type=int)
+    command.add_argument(
+        "after", metavar="GENERATION", type=int, nargs="?", help="the one in force if left out"
+    )
+    command.set_defaults(run=show_difference)
+
+
+def _add_rollback(commands: "_SubParsersAction[ArgumentParser]") -> None:
+    command = _add(
+        commands,
+        "rollback",
+        "put a past generation's documents in force as a new generation",
+        "cherrylane rollback 11",
+    )
+    command.add_argument("generation", metavar="GENERATION", type=int)
+    _add_apply_id(command)
+    command.set_defaults(run=roll_back)
+
+
+def _add_withdraw(commands: "_SubParsersAction[ArgumentParser]") -> None:
+    command = _add(
+        commands,
+        "withdraw",
+        "take a site off and leave all others as they are",
+        "cherrylane withdraw ga-south",
+    )
+    command.add_argument("site", metavar="SITE")
+    _add_apply_id(command)
+    command.set_defaults(run=withdraw_site)
+
+
+def _add_apply_id(command: ArgumentParser) -> None:
     command.add_argument(
         "--apply-id",
         default="",
-        help="repeat an apply whose answer was lost under its id; it is not done twice",
+        help="repeat a change whose answer was lost under its id; it is not done twice",
     )
-    command.set_defaults(run=apply_documents)
 
 
 def _add_get(commands: "_SubParsersAction[ArgumentParser]") -> None:
@@ -119,6 +185,13 @@
     command = _add(
         commands, "status", "show each host's generation, homes and load", "cherrylane status"
     )
+    command.add_argument(
+        "--wait",
+        metavar="SECONDS",
+        type=float,
+        default=0.0,
+        help="wait so long until every host serves by the generation in force",
+    )
     command.set_defaults(run=show_status)
 
 
--- a/src/cherrylane/configuration/store.py
+++ b/src/cherrylane/configuration/store.py
@@ -5,6 +5,7 @@
 together, so a generation is either accepted whole or not at all.
 """
 
+from collections.abc import Callable
 from hashlib import sha256
 from json import dumps
 from typing import Any
@@ -20,20 +21,62 @@
 from cherrylane.settings.documents import structure_document, unstructure
 
 CURRENT = "current"
+# Past generations that are remembered, for a rollback; each takes about 200 bytes.
+HISTORY_LENGTH = 50
 DIGEST_CHARACTERS = 32
 BASE_KEY = "base"
 
 
+# Documents as fragments hold them, keyed ``base`` or by site.
+Documents = dict[str, dict[str, Any]]
+
+
+@frozen
+class Change:
+    """Documents before and after."""
+
+    before: Documents
+    after: Documents
+
+
+@frozen
+class PastGeneration:
+    """A generation that was in force."""
+
+    number: int
+    apply_id: str
+    fragments: dict[str, str] = field(factory=dict)
+
+
 @frozen
 class Generation:
     """The accepted configuration's number and the fragments it is made of.
 
-    ``fragments`` maps ``base`` and each site's name to a fragment's name.
+    ``fragments`` maps ``base`` and each site's name to a fragment's name. ``history`` holds the
+    generations before it, the latest last.
     """
 
     number: int
     apply_id: str
     fragments: dict[str, str] = field(factory=dict)
+    history: list[PastGeneration] = field(factory=list)
+
+    def list_all(self) -> list[PastGeneration]:
+        """Return the remembered generations, this one last."""
+        if not self.number:
+            return []
+        return [*self.history, PastGeneration(self.number, self.apply_id, self.fragments)]
+
+    def find(self, number: int) -> PastGeneration:
+        """Return a remembered generation; raises :class:`ObjectNotFoundError` if there is none."""
+        remembered = self.list_all()
+        for past in remembered:
+            if past.number == number:
+                return past
+        known = ", ".join(str(past.number) for past in remembered) or "none"
+        raise ObjectNotFoundError(
+            f"generation {number} is not remembered", remedy=f"choose one of: {known}"
+        )
 
 
 class ConfigurationStore:
@@ -55,7 +98,7 @@
 
     def load(self, generation: Generation) -> Result[FleetConfiguration, SettingsError]:
         """Read all fragments of ``generation`` and merge them."""
-        documents = {key: self.read_fragment(name) for key, name in generation.fragments.items()}
+        documents = self.read_documents(generation.fragments)
         return merge_raw(documents, generation=generation.number)
 
     def apply(
@@ -67,25 +110,62 @@
         same ``apply_id`` and is not done twice. Raises :class:`ConflictError` when another
         operator's apply came between.
         """
+        documents = _raw_documents(base, overlays)
+        return self._change(lambda present: present | documents, apply_id)
+
+    def plan(self, base: Base | None, overlays: list[Overlay]) -> Result[Change, SettingsError]:
+        """Return what an apply of the same documents would change, without doing it."""
+        before = self.read_documents(self.read_present().fragments)
+        after = before | _raw_documents(base, overlays)
+        match merge_raw(after, generation=0):
+            case Err(error):
+                return Err(error)
+        return Ok(Change(before, after))
+
+    def roll_back(self, number: int, *, apply_id: str) -> Result[Generation, SettingsError]:
+        """Put the documents of a remembered generation in force again, as a new generation."""
+        past = self.read_present().find(number)
+        return self._change(lambda present: self.read_documents(past.fragments), apply_id)
+
+    def withdraw(self, site: str, *, apply_id: str) -> Result[Generation, SettingsError]:
+        """Take a site's overlay and its name off; all other sites stay as they are.
+
+        Raises :class:`ObjectNotFoundError` when there is no such site.
+        """
+        return self._change(lambda present: _remove_site(present, site), apply_id)
+
+    def read_present(self) -> Generation:
+        """Return the generation in force, number 0 before the first apply."""
+        return self.read_current() or Generation(number=0, apply_id="")
+
+    def read_documents(self, fragments: dict[str, str]) -> Documents:
+        """Return the documents of a generation, keyed ``base`` or by site."""
+        return {key: self.read_fragment(name) for key, name in fragments.items()}
+
+    def _change(
+        self, edit: Callable[[Documents], Documents], apply_id: str
+    ) -> Result[Generation, SettingsError]:
         stored = self._read_stored()
         current = Generation(number=0, apply_id="") if stored is None else _read_generation(stored)
         if current.apply_id == apply_id:
             return Ok(current)
-        documents = _raw_documents(base, overlays)
-        everything = {key: self.read_fragment(name) for key, name in current.fragments.items()}
-        everything.update(documents)
-        match merge_raw(everything, generation=current.number + 1):
+        documents = edit(self.read_documents(current.fragments))
+        match merge_raw(documents, generation=current.number + 1):
             case Err(error):
                 return Err(error)
-        written = {key: self._write_fragment(document) for key, document in documents.items()}
         accepted = Generation(
             number=current.number + 1,
             apply_id=apply_id,
-            fragments=current.fragments | written,
+            fragments={key: self._keep_fragment(one, current) for key, one in documents.items()},
+            history=current.list_all()[-HISTORY_LENGTH:],
         )
         self._write_generation(accepted, stored)
         return Ok(accepted)
 
+    def _keep_fragment(self, document: dict[str, Any], current: Generation) -> str:
+        name = fragment_name(document)
+        return name if name in current.fragments.values() else self._write_fragment(document)
+
     def _read_stored(self) -> PlatformObject | None:
         try:
             return self._client.get(Kind.GENERATIONS, CURRENT)
@@ -118,7 +198,7 @@
 
 
 def merge_raw(
-    documents: dict[str, dict[str, Any]], *, generation: int
+    documents: Documents, *, generation: int
 ) -> Result[FleetConfiguration, SettingsError]:
     """Structure and merge documents as fragments hold them, keyed ``base`` or by site."""
     if BASE_KEY not in documents:
@@ -152,7 +232,18 @@
     return read_generation_spec(stored.spec)
 
 
-def _raw_documents(base: Base | None, overlays: list[Overlay]) -> dict[str, dict[str, Any]]:
+def _remove_site(documents: Documents, site: str) -> Documents:
+    base = documents.get(BASE_KEY, {})
+    sites = base.get("sites", {})
+    if site == BASE_KEY or (site not in documents and site not in sites):
+        known = ", ".join(sorted(sites)) or "none"
+        raise ObjectNotFoundError(f"there is no site {site}", remedy=f"choose one of: {known}")
+    remaining = {key: document for key, document in documents.items() if key != site}
+    others = {name: entry for name, entry in sites.items() if name != site}
+    return remaining | {BASE_KEY: base | {"sites": others}}
+
+
+def _raw_documents(base: Base | None, overlays: list[Overlay]) -> Documents:
     documents = {overlay.site: unstructure(overlay) for overlay in overlays}
     if base is not None:
         documents[BASE_KEY] = unstructure(base)
