Let a few hosts of a large fleet follow the store and list the engines

After all 73 hosts were killed, each knew few others, thought that it was first for most engines and listed their caches. And each change in the store woke twelve followers, one call each.

Ruled out: a wider spread of the hosts' turns; with 73 hosts and 0.1 s to tell, it would have to be many seconds. A leader in the store: hosts know each other from the roster already.

Change: six hosts by rendezvous order of the roster list engines in a large fleet, the others ask one that knows, and list by themselves after 2 to 4 s without it; six follow the store; fleets up to twelve do as before. Changes within 0.1 s cost one watch.

--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -6,7 +6,7 @@
 
 from bench.figures import Figure
 from cherrylane.gossip.messages import HeardHost, Heartbeat, HostState, decode_heartbeat
-from cherrylane.http.inbound import InboundLimits
+from cherrylane.http.limits import InboundLimits
 from cherrylane.placement.caches import CachedPart, CacheMap
 from cherrylane.placement.choice import Candidate, Chooser
 from cherrylane.placement.loads import Load
--- a/src/cherrylane/gateway/following.py
+++ b/src/cherrylane/gateway/following.py
@@ -11,14 +11,14 @@
 
 from attrs import define, field
 
-from cherrylane.gossip.members import Members
+from cherrylane.gossip.members import SMALL_FLEET, Members
 from cherrylane.gossip.messages import NEVER_MS, Heartbeat
 from cherrylane.placement.ranking import rank_names
 from cherrylane.platform.follower import Follower
 
-# Hosts that follow. A store that turns a third of all hosts away misses one of twelve in all but
-# one of 300,000 times.
-FOLLOWERS = 12
+# Hosts of a large fleet that follow. A store that turns a third of all hosts away turns away all
+# six once in 700 times; the others then follow by themselves.
+FOLLOWERS = 6
 # Seconds without a confirmation after which a host follows by itself; four heartbeats in a fleet
 # of fifty are missed.
 UNCONFIRMED_AFTER_S = 1.2
@@ -60,7 +60,7 @@
     @property
     def is_followed_by_others(self) -> bool:
         """Whether there are hosts that do not follow and have to be told of changes."""
-        return self.is_following and len(self.members) >= FOLLOWERS
+        return self.is_following and len(self.members) >= SMALL_FLEET
 
     def read_age_ms(self, now: float) -> int:
         """Return how long ago this host's knowledge was confirmed."""
@@ -72,5 +72,7 @@
     def _is_needed(self, now: float) -> bool:
         own = self.members.own_address
         hosts = [own, *(member.address for member in self.members.live(now))]
+        if len(hosts) <= SMALL_FLEET:
+            return True
         is_first = own in rank_names(RANKING_KEY, hosts)[:FOLLOWERS]
         return is_first or now - self._confirmed_at > UNCONFIRMED_AFTER_S
--- a/src/cherrylane/gateway/recovery.py
+++ b/src/cherrylane/gateway/recovery.py
@@ -2,7 +2,8 @@
 
 After all hosts were down at once, the engines still have their caches, but nobody knows where a
 chat's prompt is. Each engine is then asked once, by one host, which tells the others. A list
-costs the engine some work, so it is not asked for where another host can tell.
+costs the engine some work, so it is not asked for where another host can tell. In a large fleet a
+few hosts list for all, and the others ask one of these once it knows.
 """
 
 import asyncio
@@ -15,14 +16,20 @@
 from cherrylane.gateway.calls import call
 from cherrylane.gateway.knowledge import Knowledge
 from cherrylane.gateway.peers import PeerKnowledge
-from cherrylane.gossip.members import Members
+from cherrylane.gossip.members import SMALL_FLEET, Members
 from cherrylane.placement.caches import CachedPart
 from cherrylane.placement.ranking import rank_names
 from cherrylane.platform.caches import CACHE_LIST_PATH, decode_cache_list
 from cherrylane.routing.upstreams import Upstream
 
-# Seconds after the start in which other hosts answer the first heartbeats.
-WAIT_FOR_HOSTS_S = 0.05
+# Seconds after the start in which the roster is read, if the store answers, and other hosts answer
+# the first heartbeats.
+WAIT_FOR_HOSTS_S = 0.1
+# Hosts of a large fleet that list the engines; each host knows from the roster which ones.
+LISTERS = 6
+# Seconds after which a host that is none of them lists what nobody has told.
+LISTERS_LATE_S = 2.0
+LISTERS_KEY = "listers of caches"
 # Seconds between the turns of the hosts that could list an engine; telling takes a tenth of that.
 TURN_S = 0.05
 # Seconds between looks whether the engines are known yet.
@@ -47,11 +54,21 @@
         await asyncio.sleep(WAIT_FOR_HOSTS_S)
         while not self._find_engines():
             await asyncio.sleep(POLL_S)
+        if self.members.own_address not in self._find_listers():
+            await asyncio.sleep(LISTERS_LATE_S * (1 + self.random.random()))
         if self.peers.knows_caches:
             return
         await asyncio.gather(*(self._list_in_turn(engine) for engine in self._find_engines()))
         self.peers.knows_caches = True
 
+    def _find_listers(self) -> list[str]:
+        """Return the hosts that list engines; who is alive is not known yet in a large fleet."""
+        own, known = self.members.own_address, self.members.known()
+        if len(known) >= SMALL_FLEET:
+            return rank_names(LISTERS_KEY, [own, *known])[:LISTERS]
+        now = asyncio.get_running_loop().time()
+        return [own, *(member.address for member in self.members.live(now))]
+
     def _find_engines(self) -> list[Upstream]:
         snapshot = self.knowledge.snapshot
         return [
@@ -63,10 +80,9 @@
 
     async def _list_in_turn(self, engine: Upstream) -> None:
         """List an engine unless a host that comes before this one has told by then."""
-        now = asyncio.get_running_loop().time()
         own = self.members.own_address
-        hosts = [own, *(member.address for member in self.members.live(now))]
-        turn = rank_names(engine.name, hosts).index(own)
+        listers = self._find_listers()
+        turn = rank_names(engine.name, listers).index(own) if own in listers else 0
         # Hosts that start together know few others yet, so several may think that they are first.
         await asyncio.sleep((turn + self.random.random()) * TURN_S)
         if engine.name not in self.peers.told_engines and not self.peers.knows_caches:
--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -17,7 +17,8 @@
 from cherrylane.gossip.members import Members
 from cherrylane.gossip.messages import Heartbeat, HostState
 from cherrylane.gossip.node import INTERVAL_S, GossipNode
-from cherrylane.http.inbound import InboundLimits, InboundServer
+from cherrylane.http.inbound import InboundServer
+from cherrylane.http.limits import InboundLimits
 from cherrylane.http.messages import Request
 from cherrylane.http.outbound import ConnectionPool
 from cherrylane.http.responder import Responder
--- a/src/cherrylane/gossip/members.py
+++ b/src/cherrylane/gossip/members.py
@@ -7,6 +7,8 @@
 
 from cherrylane.gossip.messages import HeardHost, Heartbeat, HostState
 
+# Hosts up to which each does by itself what a few do for all in a larger fleet.
+SMALL_FLEET = 12
 # Seconds without a heartbeat after which a host is no longer given to callers: four are missed.
 SILENT_AFTER_S = 1.1
 # Seconds after which a silent host is spoken to only seldom, in case it comes back.
@@ -67,6 +69,10 @@
         if known is not None and known.heartbeat is not None:
             known.heard_at = max(known.heard_at, now - other.age_ms / 1000)
 
+    def known(self) -> list[str]:
+        """Return the addresses of all hosts, silent ones too."""
+        return list(self._by_address)
+
     def live(self, now: float) -> list[Member]:
         """Return the hosts that were heard lately."""
         return [member for member in self._by_address.values() if member.is_live(now)]
--- a/src/cherrylane/http/inbound.py
+++ b/src/cherrylane/http/inbound.py
@@ -11,9 +11,11 @@
 from socket import SO_LINGER, SOL_SOCKET, socket
 from struct import pack
 
-from attrs import define, field, frozen
+from attrs import define, field
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
+from cherrylane.http.framing import ReadFailure, find_framing_problem, measure_head
+from cherrylane.http.limits import InboundLimits
 from cherrylane.http.messages import (
     Header,
     Request,
@@ -31,26 +33,6 @@
 # Bytes of unsent answer at which a handler waits for the caller to read.
 WRITE_BUFFER_BYTES = 64 * 1024
 
-
-@frozen
-class InboundLimits:
-    """What callers may send and how long they may take; replaced when the configuration changes."""
-
-    max_header_bytes: int = 16 * 1024
-    max_body_bytes: int = 4 * 1024 * 1024
-    read_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
-
-
-@frozen
-class ReadFailure:
-    """A request that could not be read; ``silent`` failures are closed without an answer."""
-
-    status: HTTPStatus
-    reason: str
-    silent: bool = False
-
-
 Handler = Callable[[Request, Responder], Awaitable[None]]
 FailureListener = Callable[[ReadFailure], None]
 
@@ -206,7 +188,7 @@
         limits = self._server.limits
         if (
             self._head_bytes > limits.max_header_bytes
-            and _head_size(head) > limits.max_header_bytes
+            and measure_head(head) > limits.max_header_bytes
         ):
             self._fail(ReadFailure(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "head too large"))
         elif int(head.find(b"content-length") or 0) > limits.max_body_bytes:
@@ -332,26 +314,3 @@
             self._fail(ReadFailure(HTTPStatus.REQUEST_TIMEOUT, "request not read in time"))
         else:
             self._fail(ReadFailure(HTTPStatus.REQUEST_TIMEOUT, "idle", silent=True))
-
-
-def find_framing_problem(head: RequestHead) -> str:
-    """Return why a request's framing or target is ambiguous or not acceptable, or nothing.
-
-    The parser refuses most malformed heads itself; these are the ones that it lets pass.
-    """
-    coding = head.find_text(b"transfer-encoding").strip().lower()
-    if head.count(b"transfer-encoding") > 1 or coding not in ("", "chunked"):
-        return "transfer coding is not plain chunked"
-    if coding and (head.find(b"content-length") is not None or head.http_1_0):
-        return "both a length and a transfer coding"
-    if head.count(b"content-length") > 1:
-        return "more than one length"
-    if head.count(b"host") != 1:
-        return "not exactly one host"
-    if not head.target.startswith(b"/"):
-        return "target is not a path"
-    return ""
-
-
-def _head_size(head: RequestHead) -> int:
-    return len(head.target) + sum(len(name) + len(value) + 4 for name, value in head.headers)
--- a/src/cherrylane/platform/configuration.py
+++ b/src/cherrylane/platform/configuration.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from cherrylane.errors import SettingsError
-from cherrylane.http.inbound import InboundLimits
+from cherrylane.http.limits import InboundLimits
 from cherrylane.routing.routes import (
     Account,
     Configuration,
--- a/src/cherrylane/platform/follower.py
+++ b/src/cherrylane/platform/follower.py
@@ -18,6 +18,8 @@
 WATCH_WAIT_S = 25.0
 # Seconds that the first watch after a failure waits, so that the store's return is noticed soon.
 FIRST_WATCH_WAIT_S = 0.1
+# Seconds between a change and the next watch, so that changes in quick succession cost one call.
+COALESCE_S = 0.1
 
 log = Logger("cherrylane.platform")
 
@@ -84,6 +86,7 @@
         self._note_success()
         if changes.events:
             self.take_changes(changes)
+            await asyncio.sleep(COALESCE_S)
         return changes.version
 
     async def _pause(self) -> None:
--- a/src/cherrylane/relay/service.py
+++ b/src/cherrylane/relay/service.py
@@ -6,7 +6,7 @@
 from attrs import define, field
 from logbook import Logger
 
-from cherrylane.http.inbound import ReadFailure
+from cherrylane.http.framing import ReadFailure
 from cherrylane.http.messages import Request, Response
 from cherrylane.http.responder import Responder
 from cherrylane.platform.headers import REQUEST_ID, encode_retry_after, read_request_id
--- a/src/cherrylane/routing/routes.py
+++ b/src/cherrylane/routing/routes.py
@@ -5,7 +5,7 @@
 
 from attrs import field, frozen
 
-from cherrylane.http.inbound import InboundLimits
+from cherrylane.http.limits import InboundLimits
 
 
 class RequestKind(Enum):
--- a/tests/test_inbound.py
+++ b/tests/test_inbound.py
@@ -3,7 +3,9 @@
 from testtools import ExpectedException, TestCase
 from testtools.matchers import Contains, StartsWith
 
-from cherrylane.http.inbound import InboundLimits, InboundServer, ReadFailure
+from cherrylane.http.framing import ReadFailure
+from cherrylane.http.inbound import InboundServer
+from cherrylane.http.limits import InboundLimits
 from cherrylane.http.messages import Request, Response
 from cherrylane.http.responder import Responder
 from tests.wire import LOOPBACK, open_listener, run, send_raw, wait_for
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -6,13 +6,15 @@
 from cherrylane.gateway import recovery
 from cherrylane.gateway.knowledge import Knowledge
 from cherrylane.gateway.peers import PeerKnowledge
-from cherrylane.gateway.recovery import CacheRecovery
+from cherrylane.gateway.recovery import LISTERS, CacheRecovery
 from cherrylane.gossip.members import Members
-from cherrylane.http.inbound import InboundLimits, InboundServer
+from cherrylane.http.inbound import InboundServer
+from cherrylane.http.limits import InboundLimits
 from cherrylane.http.messages import Request
 from cherrylane.http.responder import Responder
 from cherrylane.placement.caches import CacheMap
 from cherrylane.placement.loads import LoadBoard
+from cherrylane.placement.ranking import rank_names
 from cherrylane.relay.request import PromptPart
 from tests.test_gossip import make_heartbeat
 from tests.test_platform_documents import CONFIG
@@ -93,6 +95,39 @@
 
         run(work())
 
+    def test_in_a_large_fleet_a_few_hosts_list_for_all(self) -> None:
+        """All hosts start at once and know each other from the roster only."""
+        addresses = [f"127.0.0.{number}" for number in range(1, 74)]
+
+        async def work() -> list[list[str]]:
+            hosts = [Host(address) for address in addresses]
+            for host in hosts:
+                for address in addresses:
+                    host.members.add(address)
+            return [host.recovery._find_listers() for host in hosts]
+
+        found = run(work())
+        self.assertEqual([found[0]] * len(addresses), found)
+        self.assertEqual(LISTERS, len(set(found[0])))
+
+    def test_a_host_that_lists_for_nobody_does_so_when_nobody_told_it(self) -> None:
+        """The hosts that should list are cut off."""
+
+        async def work() -> None:
+            engine = await ScriptedUpstream(list_parts).start()
+            addresses = [f"127.0.0.{number}" for number in range(1, 74)]
+            listers = rank_names(recovery.LISTERS_KEY, addresses)[:LISTERS]
+            host = Host(next(one for one in addresses if one not in listers))
+            for address in addresses:
+                host.members.add(address)
+            host.list_engine(engine)
+            await host.recovery.run()
+            self.assertEqual(50, host.caches.count_cached("engine", PARTS))
+
+        self.patch(recovery, "LISTERS_LATE_S", 0.05)
+        self.patch(recovery, "TURN_S", 0.01)
+        run(work())
+
     def test_an_engine_is_not_listed_where_another_host_can_tell(self) -> None:
         async def work() -> None:
             engine = await ScriptedUpstream(list_parts).start()
--- a/tests/test_relay_service.py
+++ b/tests/test_relay_service.py
@@ -5,7 +5,8 @@
 from testtools import TestCase
 from testtools.matchers import Contains, Not, StartsWith
 
-from cherrylane.http.inbound import InboundLimits, InboundServer
+from cherrylane.http.inbound import InboundServer
+from cherrylane.http.limits import InboundLimits
 from cherrylane.http.outbound import ConnectionPool
 from cherrylane.limits.retries import RetryAllowance
 from cherrylane.limits.suspicion import Suspicion
--- a/tests/wire.py
+++ b/tests/wire.py
@@ -8,7 +8,7 @@
 
 from attrs import define, field, frozen
 
-from cherrylane.http.inbound import InboundLimits
+from cherrylane.http.limits import InboundLimits
 from cherrylane.relay.request import CallerRequest, Prompt
 from cherrylane.routing.routes import (
     Account,
