Survive a reload that comes during the start, and wait for the roster before listing

Ruled out: the end of a stop, the host had been started 0.2 s before.

They wait for the roster now, one second at most. Ruled out: single restarts, which hear from others within 0.1 s.

--- a/src/cherrylane/gateway/__main__.py
+++ b/src/cherrylane/gateway/__main__.py
@@ -2,21 +2,24 @@
 
 from argparse import ArgumentParser, Namespace
 from pathlib import Path
+from signal import SIG_IGN, SIGHUP, signal
 from sys import exit as exit_process
 from sys import stderr
 
-from attrs import evolve
-
-from cherrylane.errors import SettingsError
-from cherrylane.gateway.sockets import open_sockets
-from cherrylane.platform.bootfile import find_boot_file, read_boot_file
-
 EXIT_OK = 0
 EXIT_BAD_SETTINGS = 2
 
 
 def main() -> None:
     """Run the daemon until a signal comes."""
+    # Settings are read below; until the loop handles it, the signal would end the process.
+    signal(SIGHUP, SIG_IGN)
+    from attrs import evolve
+
+    from cherrylane.errors import SettingsError
+    from cherrylane.gateway.sockets import open_sockets
+    from cherrylane.platform.bootfile import find_boot_file, read_boot_file
+
     options = _parse_arguments()
     path = options.settings or find_boot_file()
     try:
--- a/src/cherrylane/gateway/recovery.py
+++ b/src/cherrylane/gateway/recovery.py
@@ -22,9 +22,11 @@
 from cherrylane.platform.caches import CACHE_LIST_PATH, decode_cache_list
 from cherrylane.routing.upstreams import Upstream
 
-# Seconds after the start in which the roster is read, if the store answers, and other hosts answer
-# the first heartbeats.
+# Seconds after the start in which other hosts answer the first heartbeats.
 WAIT_FOR_HOSTS_S = 0.1
+# Seconds after that for which the roster is waited for; without it all hosts of a large fleet that
+# starts at once would list, since each takes the fleet for small.
+WAIT_FOR_ROSTER_S = 1.0
 # Hosts of a large fleet that list the engines; each host knows from the roster which ones.
 LISTERS = 6
 # Seconds after which a host that is none of them lists what nobody has told.
@@ -47,11 +49,13 @@
     knowledge: Knowledge
     members: Members
     peers: PeerKnowledge
+    roster_read: asyncio.Event = field(factory=asyncio.Event)
     random: Random = field(factory=Random)
 
     async def run(self) -> None:
         """Wait for other hosts to tell; if none can, list the engines that fall to this one."""
         await asyncio.sleep(WAIT_FOR_HOSTS_S)
+        await self._wait_for_roster()
         while not self._find_engines():
             await asyncio.sleep(POLL_S)
         if self.members.own_address not in self._find_listers():
@@ -61,6 +65,13 @@
         await asyncio.gather(*(self._list_in_turn(engine) for engine in self._find_engines()))
         self.peers.knows_caches = True
 
+    async def _wait_for_roster(self) -> None:
+        try:
+            async with asyncio.timeout(WAIT_FOR_ROSTER_S):
+                await self.roster_read.wait()
+        except TimeoutError:
+            log.warning("roster not read in time", extra={"waited_s": WAIT_FOR_ROSTER_S})
+
     def _find_listers(self) -> list[str]:
         """Return the hosts that list engines; who is alive is not known yet in a large fleet."""
         own, known = self.members.own_address, self.members.known()
--- a/src/cherrylane/gateway/roster.py
+++ b/src/cherrylane/gateway/roster.py
@@ -28,12 +28,16 @@
 
 @define
 class Roster:
-    """Keeps this host on the roster and learns of others from it."""
+    """Keeps this host on the roster and learns of others from it.
+
+    ``was_read`` is set when the other hosts of the roster are known.
+    """
 
     client: AsyncPlatformClient
     identity: HostIdentity
     boot: str
     members: Members
+    was_read: asyncio.Event = field(factory=asyncio.Event)
     _version: str = ""
     _silent_since: dict[str, float] = field(factory=dict)
     _random: Random = field(factory=Random, repr=False)
@@ -44,6 +48,7 @@
         while True:
             try:
                 await self._read()
+                self.was_read.set()
                 await asyncio.sleep(READ_INTERVAL_S * self._random.uniform(0.8, 1.2))
             except PlatformError as error:
                 log.info("roster not read", extra={"reason": str(error)})
--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -122,7 +122,9 @@
             settings.listen.peers.port,
             is_following=lambda: self._following.is_following,
         )
-        self._recovery = CacheRecovery(self.knowledge, self.members, self._peers)
+        self._recovery = CacheRecovery(
+            self.knowledge, self.members, self._peers, self._roster.was_read
+        )
         self._gossip = GossipNode(
             settings.listen.peers, self.members, self._make_heartbeat, self._take_heartbeat
         )
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -41,7 +41,8 @@
         self.peers = PeerKnowledge(self.knowledge, LoadBoard(), self.caches, 0)
         self.members = Members(address)
         # All hosts draw the same, so their turns are one TURN_S apart.
-        self.recovery = CacheRecovery(self.knowledge, self.members, self.peers, Random(1))
+        self.recovery = CacheRecovery(self.knowledge, self.members, self.peers, random=Random(1))
+        self.recovery.roster_read.set()
 
     def list_engine(self, engine: ScriptedUpstream) -> None:
         self.knowledge.take_peer_entries({"engine": engine.entry("s")}, 1)
@@ -110,6 +111,29 @@
         self.assertEqual([found[0]] * len(addresses), found)
         self.assertEqual(LISTERS, len(set(found[0])))
 
+    def test_nothing_is_listed_before_the_roster_tells_who_else_there_is(self) -> None:
+        """Seventy hosts start at once, and each knows only the seeds."""
+
+        async def work() -> None:
+            engine = await ScriptedUpstream(list_parts).start()
+            addresses = [f"127.0.0.{number}" for number in range(1, 74)]
+            listers = rank_names(recovery.LISTERS_KEY, addresses)[:LISTERS]
+            host = Host(next(one for one in addresses if one not in listers))
+            host.recovery.roster_read.clear()
+            host.list_engine(engine)
+            recovering = asyncio.create_task(host.recovery.run())
+            await asyncio.sleep(0.3)
+            for address in addresses:
+                host.members.add(address)
+            host.recovery.roster_read.set()
+            await asyncio.sleep(0.3)
+            self.assertEqual([], engine.calls)
+            recovering.cancel()
+
+        self.patch(recovery, "WAIT_FOR_ROSTER_S", PATIENCE_S)
+        self.patch(recovery, "LISTERS_LATE_S", PATIENCE_S)
+        run(work())
+
     def test_a_host_that_lists_for_nobody_does_so_when_nobody_told_it(self) -> None:
         """The hosts that should list are cut off."""
 
