Add a fault soak of real daemons

soak/ runs daemons as processes on loopback addresses of their own before the store's stand-in and scripted upstreams, with a proxy on every link to an upstream and to the store. Faults are drawn from a seed and overlap: hosts killed, frozen, stopped, reloaded, all killed; links slow, reset, silent, cut either way; the store away, slow, refusing, forgetting; upstreams that fail, decline, lose, cut, hang, truncate, add bytes. Checked from what callers and upstreams see: at most once, true refusals, own whole signed answers, streams without gaps, no version back, the retry budget, stops and ends of processes, service after the last fault. Not covered: clocks, and datagrams between hosts.

`make soak`, tests/test_soak.py.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/.installed
 PEER := src/cherrylane/peer
 
-.PHONY: run smoke test bench generate format check unit
+.PHONY: run smoke test bench soak generate format check unit
 
 $(STAMP): pyproject.toml constraints.txt
 	python3 -m venv $(VENV)
@@ -24,8 +24,8 @@
 
 # Formatter, linter and types.
 check: $(STAMP)
-	$(VENV)/bin/black --check --quiet src standins bench tests examples || (echo "run: make format"; exit 1)
-	$(VENV)/bin/ruff check --quiet src standins bench tests examples
+	$(VENV)/bin/black --check --quiet src standins bench soak tests examples || (echo "run: make format"; exit 1)
+	$(VENV)/bin/ruff check --quiet src standins bench soak tests examples
 	$(VENV)/bin/mypy
 
 unit: $(STAMP)
@@ -35,9 +35,14 @@
 bench: $(STAMP)
 	$(PYTHON) -m bench.run $(if $(ONLY),--only $(ONLY))
 
+# `make soak SEED=7` plays one seed again; `make soak SEEDS=50 SEED=100` plays a row of them, and
+# `make soak SEEDS=10 FRESH=1` others than ever before.
+soak: $(STAMP)
+	$(PYTHON) -m soak --seed $(or $(SEED),1) --seeds $(or $(SEEDS),1) $(if $(FRESH),--fresh)
+
 format: $(STAMP)
-	$(VENV)/bin/ruff check --quiet --fix src standins bench tests examples
-	$(VENV)/bin/black --quiet src standins bench tests examples
+	$(VENV)/bin/ruff check --quiet --fix src standins bench soak tests examples
+	$(VENV)/bin/black --quiet src standins bench soak tests examples
 
 # Makes the committed code of the protocol between daemons from its definition.
 generate: $(STAMP)
--- a/tests/wire.py
+++ b/tests/wire.py
@@ -69,9 +69,14 @@
 
     def answer(self, body: bytes = b"ok", *, status: int = 200, extra: str = "") -> None:
         """Write a whole, signed answer."""
+        self.start_answer(len(body), status=status, extra=extra)
+        self.writer.write(body)
+
+    def start_answer(self, length: int, *, status: int = 200, extra: str = "") -> None:
+        """Write the signed head of an answer whose body follows."""
         self.writer.write(
             f"HTTP/1.1 {status} X\r\nAttempt-Id: {self.header('Attempt-Id')}\r\n"
-            f"Server-Seal: s\r\n{extra}Content-Length: {len(body)}\r\n\r\n".encode() + body
+            f"Server-Seal: s\r\n{extra}Content-Length: {length}\r\n\r\n".encode()
         )
 
     def start_events(self, extra: str = "") -> None:
