Forget a single patient caller, and let late callers in up to a tenth of a second

Cause, found by reading: a caller's wait was told from the longest patience ever seen on its route. One caller with far more than all others would have made these look late for good, and late callers were refused as soon as every upstream had 0.05 s of work waiting, which cold prompts alone can bring about in calm.

Ruled out: a wait by the platform's word; nothing on the wire says how often a caller has asked.

Change: the longest patience fades by a thousandth with each request; 0.1 s for late callers.

--- a/src/cherrylane/limits/overload.py
+++ b/src/cherrylane/limits/overload.py
@@ -23,8 +23,8 @@
 # Parts of the target time that a request may be expected to wait, by rank; the last one stands for
 # all that follow. Upstreams take urgent requests first, so these begin sooner than expected.
 WAIT_SHARES = (0.8, 0.7, 0.5, 0.35, 0.25)
-# Seconds of expected wait below which nobody waits, so that late callers need not stand back.
-NO_WAIT_S = 0.05
+# Seconds of expected wait up to which hardly anybody waits, so that late callers are let in.
+NO_WAIT_S = 0.1
 # Weight of the newest sample in a learnt pace; the last ten or so count.
 NEWEST_WEIGHT = 0.1
 # Tokens per second that an engine is expected to read before any of its kind was seen to.
@@ -38,6 +38,9 @@
 RETRY_SHARE = 0.33
 # An overload is over after this many seconds without a refusal.
 QUIET_S = 1.0
+# Part of the longest patience seen on a route that is kept from one request to the next, so that a
+# single caller with far more of it than all others does not make these look late for long.
+PATIENCE_KEPT = 0.999
 
 
 @define
@@ -129,6 +132,6 @@
 
     def estimate_waited(self, route: str, patience_s: float) -> float:
         """Return how long ago a caller with ``patience_s`` left is likely to have begun."""
-        longest = max(patience_s, self._longest.get(route, 0.0))
+        longest = max(patience_s, self._longest.get(route, 0.0) * PATIENCE_KEPT)
         self._longest[route] = longest
         return longest - patience_s
