Measure admission under overload beside engines' queues alone

Besides: a soak that is ended by SIGTERM ends its processes too; one that was killed had left ten daemons.

--- a/bench/run.py
+++ b/bench/run.py
@@ -12,6 +12,7 @@
 from bench.fairness import measure_fairness
 from bench.figures import RESULTS, Benchmark, Figure, write_results
 from bench.gateway import measure_gateway
+from bench.overload import measure_overload
 from bench.path import measure_path
 from bench.routing import measure_large, measure_routing
 from bench.streaming import measure_streaming
@@ -24,6 +25,7 @@
     "control": measure_control,
     "path": measure_path,
     "gateway": measure_gateway,
+    "overload": measure_overload,
     "streaming": measure_streaming,
 }
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -4,6 +4,7 @@
 from argparse import ArgumentParser, Namespace
 from pathlib import Path
 from random import Random
+from signal import SIGTERM, default_int_handler, signal
 from sys import exit as exit_process
 from sys import stdout
 from tempfile import mkdtemp
@@ -21,6 +22,8 @@
 def main() -> None:
     """Run the soaks asked for; the exit code is 1 if a promise was broken."""
     options = _parse_arguments()
+    # Ends like an interrupt, so that every process that was started is ended too.
+    signal(SIGTERM, default_int_handler)
     seeds = [options.seed + number for number in range(options.seeds)]
     if options.fresh:
         seeds = [Random(time()).randrange(MAX_SEED) for _ in range(options.seeds)]
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -1,10 +1,8 @@
-from collections import Counter
-from heapq import heappop, heappush
 from random import Random
 
-from attrs import define, field, frozen
 from testtools import TestCase
 
+from bench.overload import CAPACITY, SLOTS, TARGET_S, Kind, play
 from cherrylane.limits.overload import (
     MIN_RETRY_S,
     NO_WAIT_S,
@@ -20,76 +18,6 @@
 )
 from cherrylane.placement.loads import Load
 
-SLOTS = 16
-ENGINES = 4
-SECONDS_PER_REQUEST = 2.0
-# Requests that all engines together can begin in a second.
-CAPACITY = ENGINES * SLOTS / SECONDS_PER_REQUEST
-TARGET_S = 0.5
-
-
-@frozen
-class Kind:
-    rank: int
-    per_s: float
-
-
-@define
-class Engine:
-    """Works on ``SLOTS`` requests at once and takes waiting ones by rank, then in order."""
-
-    random: Random
-    running: list[float] = field(factory=list)
-    waiting: list[tuple[int, float]] = field(factory=list)
-
-    @property
-    def load(self) -> Load:
-        return Load(len(self.running) + len(self.waiting))
-
-    def advance(self, now: float, begun: list[tuple[int, float]]) -> None:
-        """Let requests begin whose turn has come; ``begun`` takes their rank and their wait."""
-        while self.waiting and (len(self.running) < SLOTS or self.running[0] <= now):
-            freed = heappop(self.running) if len(self.running) >= SLOTS else 0.0
-            rank, sent = heappop(self.waiting)
-            starts = max(freed, sent)
-            lasts = self.random.expovariate(1 / SECONDS_PER_REQUEST)
-            heappush(self.running, starts + lasts)
-            begun.append((rank, starts - sent))
-        while self.running and self.running[0] <= now:
-            heappop(self.running)
-
-
-@frozen
-class Played:
-    asked: Counter[int]
-    in_time: Counter[int]
-
-
-def play(kinds: tuple[Kind, ...], seconds: float, *, limited: bool, seed: int = 1) -> Played:
-    """Send each request to the least loaded engine, if it is let in there."""
-    random = Random(seed)
-    engines = [Engine(random) for _ in range(ENGINES)]
-    pace = Pace(SECONDS_PER_REQUEST)
-    arrivals = []
-    for kind in kinds:
-        at = random.expovariate(kind.per_s)
-        while at < seconds:
-            arrivals.append((at, kind.rank))
-            at += random.expovariate(kind.per_s)
-    asked: Counter[int] = Counter()
-    begun: list[tuple[int, float]] = []
-    for now, rank in sorted(arrivals):
-        asked[rank] += 1
-        for engine in engines:
-            engine.advance(now, begun)
-        chosen = min(engines, key=lambda one: one.load.requests)
-        if not limited or has_room(Demand(rank, TARGET_S), chosen.load, SLOTS, pace):
-            heappush(chosen.waiting, (rank, now))
-            chosen.advance(now, begun)
-    for engine in engines:
-        engine.advance(seconds + 1000, begun)
-    return Played(asked, Counter(rank for rank, wait in begun if wait <= TARGET_S))
-
 
 class BurstTest(TestCase):
     """Several times as many requests come as the engines can begin."""
