--- a/tests/test_relay_overload.py
+++ b/tests/test_relay_overload.py
@@ -4,7 +4,7 @@
 from cherrylane.limits.overload import MIN_RETRY_S
 from cherrylane.placement.loads import Load
 from cherrylane.routing.routes import RequestKind
-from tests.test_relay_service import Desk, succeed
+from tests.desk import Desk, succeed
 from tests.wire import make_configuration, make_route, run
 
 ROUTE = make_route(RequestKind.STREAM, target_s=0.5, max_attempts=2)
--- a/tests/test_relay_service.py
+++ b/tests/test_relay_service.py
@@ -1,166 +1,34 @@
 import asyncio
-from typing import Any
 
-from attrs import define, field
 from testtools import TestCase
 from testtools.matchers import Contains, Not, StartsWith
 
-from cherrylane.http.inbound import InboundServer
-from cherrylane.http.limits import InboundLimits
-from cherrylane.http.outbound import ConnectionPool
-from cherrylane.limits.retries import RetryAllowance
-from cherrylane.limits.suspicion import Suspicion
-from cherrylane.placement.choice import Chooser
-from cherrylane.placement.loads import Load, LoadBoard
 from cherrylane.relay import service
-from cherrylane.relay.attempts import Attempts
-from cherrylane.relay.exchange import Exchanges
-from cherrylane.relay.selection import Selection
-from cherrylane.relay.service import RelayService
-from cherrylane.routing.routes import Configuration, RequestKind, Route
+from cherrylane.routing.routes import RequestKind
 from cherrylane.routing.snapshot import Snapshot
-from cherrylane.settings.gateway import RetryBounds
-from cherrylane.telemetry.counters import Telemetry
+from tests.desk import (
+    SAFE,
+    STREAM,
+    UNSAFE,
+    Desk,
+    answer_to_another,
+    ask,
+    fail,
+    hang,
+    refuse,
+    refuse_without_saying,
+    reset,
+    short,
+    succeed,
+    unsigned,
+)
 from tests.wire import (
-    LOOPBACK,
     PATIENCE_S,
     Call,
-    Script,
-    ScriptedUpstream,
     make_configuration,
     make_route,
-    make_snapshot,
-    open_listener,
     run,
-    send_raw,
-    wait_for,
-)
-
-SAFE = make_route(RequestKind.SAFE)
-UNSAFE = make_route(RequestKind.UNSAFE, max_attempts=2)
-RESUMABLE = make_route(
-    RequestKind.STREAM, is_resumable=True, max_pause_s=0.25, target_s=1.0, max_attempts=2
 )
-STREAM = make_route(RequestKind.STREAM, max_pause_s=0.05, max_attempts=2)
-
-
-@define
-class Desk:
-    """A relay before scripted upstreams, which are tried in the order given."""
-
-    scripts: tuple[Script, ...]
-    configuration: Configuration
-    slack: float = 100.0
-    upstreams: list[ScriptedUpstream] = field(factory=list)
-    snapshot: Snapshot = field(factory=Snapshot)
-    board: LoadBoard = field(factory=LoadBoard)
-    server: InboundServer | None = None
-    relay: RelayService | None = None
-
-    async def open(self) -> "Desk":
-        self.upstreams = [await ScriptedUpstream(script).start() for script in self.scripts]
-        described = [one.describe(f"i{place}") for place, one in enumerate(self.upstreams)]
-        self.snapshot = make_snapshot(described, self.configuration)
-        # The order of choice is by load, so that a test knows who is asked first.
-        self.board.take_peer(
-            "peer", {f"i{place}": Load(place * 10) for place in range(len(described))}, float("inf")
-        )
-        suspicion = Suspicion()
-        attempts = Attempts(
-            Selection(Chooser("a", 2.0), self.board, suspicion),
-            Exchanges(ConnectionPool(1.0, 1.0)),
-            self.board,
-            lambda: self.snapshot,
-            lambda name: RetryAllowance(RetryBounds(0.2, 10.0, self.slack), 1),
-        )
-        self.relay = RelayService(attempts, lambda: self.snapshot, Telemetry())
-        self.server = InboundServer(self.relay.handle, InboundLimits())
-        await self.server.listen(open_listener())
-        return self
-
-    async def ask(self, method: str = "GET", *, extra: str = "", request_id: str = "1") -> bytes:
-        assert self.server is not None
-        identity = f"Attempt-Id: {request_id}\r\n" if request_id else ""
-        head = f"{method} /x/y?q=1 HTTP/1.1\r\nHost: desk.example\r\n{identity}{extra}"
-        return await send_raw(self.server.port, f"{head}Connection: close\r\n\r\n".encode())
-
-    @property
-    def calls(self) -> list[int]:
-        return [len(one.calls) for one in self.upstreams]
-
-
-def ask(route: Route, *scripts: Script, keys: str = "", **options: Any) -> tuple[bytes, list[int]]:
-    async def work() -> tuple[bytes, list[int]]:
-        desk = await Desk(scripts, make_configuration(route, keys=keys)).open()
-        return await desk.ask(**options), desk.calls
-
-    return run(work())
-
-
-async def succeed(call: Call) -> None:
-    call.answer(b"done")
-
-
-async def fail(call: Call) -> None:
-    call.answer(b"oops", status=500)
-
-
-async def refuse(call: Call) -> None:
-    call.answer(b"", status=503, extra="Not-Executed: 1\r\n")
-
-
-async def refuse_without_saying(call: Call) -> None:
-    call.answer(b"", status=503)
-
-
-async def reset(call: Call) -> None:
-    call.reset()
-
-
-async def hang(call: Call) -> None:
-    await asyncio.sleep(60)
-
-
-async def unsigned(call: Call) -> None:
-    call.writer.write(b"HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\nContent-Length: 1\r\n\r\na")
-
-
-async def short(call: Call) -> None:
-    call.writer.write(
-        b"HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\nServer-Seal: s\r\nContent-Length: 9\r\n\r\na"
-    )
-    call.writer.close()
-
-
-async def answer_to_another(call: Call) -> None:
-    call.writer.write(
-        b"HTTP/1.1 200 OK\r\nAttempt-Id: 77\r\nServer-Seal: s\r\nContent-Length: 5\r\n\r\nother"
-    )
-    call.answer(b"own")
-
-
-def stream(first: int, last: int, *, cut: bool = False, then: Script | None = None) -> Script:
-    async def script(call: Call) -> None:
-        call.start_events()
-        for number in range(first, last + 1):
-            call.event(number)
-        if cut:
-            call.event(last + 1, cut=5)
-            await call.writer.drain()
-            await asyncio.sleep(0.02)
-            call.reset()
-        elif then is not None:
-            await call.writer.drain()
-            await then(call)
-        else:
-            call.end_events()
-
-    return script
-
-
-def events(answer: bytes) -> list[int]:
-    lines = answer.replace(b"\r\n", b"\n").split(b"\n")
-    return [int(line[6:]) for line in lines if line.startswith(b"data: ")]
 
 
 class AnswersTest(TestCase):
@@ -334,93 +202,3 @@
         brief = make_route(RequestKind.UNSAFE, timeout_s=0.2)
         answer, _ = ask(brief, hang, method="POST")
         self.assertThat(answer, StartsWith(b"HTTP/1.1 504 "))
-
-
-class StreamsTest(TestCase):
-    def test_a_stream_without_a_signature_is_no_success(self) -> None:
-        async def unsigned_stream(call: Call) -> None:
-            head = b"HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
-            call.writer.write(head)
-            call.event(1)
-            call.end_events()
-
-        answer, calls = ask(STREAM, unsigned_stream, stream(1, 3), method="POST")
-        self.assertThat(answer, StartsWith(b"HTTP/1.1 502 "))
-        self.assertEqual([1, 0], calls)
-        answer, calls = ask(RESUMABLE, unsigned_stream, stream(1, 3), method="POST")
-        self.assertEqual(([1, 2, 3], [1, 1]), (events(answer), calls))
-
-    def test_a_stream_is_relayed_whole(self) -> None:
-        answer, calls = ask(STREAM, stream(1, 5), method="POST")
-        self.assertEqual([1, 2, 3, 4, 5], events(answer))
-        self.assertTrue(answer.endswith(b"0\r\n\r\n"))
-        self.assertEqual([1], calls)
-
-    def test_a_broken_stream_does_not_look_complete(self) -> None:
-        answer, calls = ask(STREAM, stream(1, 2, cut=True), stream(1, 5), method="POST")
-        self.assertEqual([1, 2], events(answer))
-        self.assertFalse(answer.endswith(b"0\r\n\r\n"))
-        self.assertEqual([1, 0], calls)
-
-    def test_a_resumable_stream_goes_on_after_its_last_whole_event(self) -> None:
-        asked: list[str] = []
-
-        async def resume(call: Call) -> None:
-            asked.append(call.header("Last-Event-Id"))
-            await stream(3, 5)(call)
-
-        answer, _ = ask(RESUMABLE, stream(1, 2, cut=True), resume, method="POST")
-        self.assertEqual(["2"], asked)
-        self.assertEqual([1, 2, 3, 4, 5], events(answer))
-        self.assertTrue(answer.endswith(b"0\r\n\r\n"))
-
-    def test_a_silent_stream_is_left_before_another_upstream_begins(self) -> None:
-        async def work() -> tuple[list[int], int]:
-            left = 0
-
-            async def resume(call: Call) -> None:
-                nonlocal left
-                await wait_for(lambda: desk.upstreams[0].left == 1)
-                left = desk.upstreams[0].left
-                await stream(2, 3)(call)
-
-            async def silent(call: Call) -> None:
-                await call.reader.read()
-
-            scripts = (stream(1, 1, then=silent), resume)
-            desk = await Desk(scripts, make_configuration(RESUMABLE)).open()
-            return events(await desk.ask("POST")), left
-
-        self.assertEqual(([1, 2, 3], 1), run(work()))
-
-    def test_a_stream_that_broke_before_its_first_event_is_begun_again(self) -> None:
-        answer, calls = ask(RESUMABLE, stream(1, 0, cut=True), stream(1, 3), method="POST")
-        self.assertEqual([1, 2, 3], events(answer))
-        self.assertEqual([1, 1], calls)
-
-    def test_what_the_caller_has_seen_is_told_to_the_upstream(self) -> None:
-        asked: list[str] = []
-
-        async def resume(call: Call) -> None:
-            asked.append(call.header("Last-Event-Id"))
-            await stream(8, 9)(call)
-
-        ask(RESUMABLE, resume, method="POST", extra="Last-Event-Id: 7\r\n")
-        ask(STREAM, resume, method="POST", extra="Last-Event-Id: 7\r\n")
-        self.assertEqual(["7", ""], asked)
-
-    def test_a_caller_that_leaves_ends_the_work_of_its_upstream(self) -> None:
-        async def work() -> None:
-            async def go_on(call: Call) -> None:
-                await call.reader.read()
-
-            desk = await Desk((stream(1, 1, then=go_on),), make_configuration(STREAM)).open()
-            assert desk.server is not None
-            reader, writer = await asyncio.open_connection(LOOPBACK, desk.server.port)
-            writer.write(b"POST /x/ HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: 1\r\n\r\n")
-            await reader.readuntil(b"data: 1")
-            writer.close()
-            await wait_for(lambda: desk.upstreams[0].left == 1)
-            await wait_for(lambda: not desk.board.own)
-
-        run(work())
