End in order when a stop comes during the start

Nothing is in work then.

Change: until the loop handles the signal, it ends the program with the code of a stop in order.

Test, which failed before with -15: test_soak.SignalAtStartTest, with settings that are written only after the signal, so that the moment does not depend on the machine.

--- a/src/cherrylane/gateway/__main__.py
+++ b/src/cherrylane/gateway/__main__.py
@@ -2,7 +2,7 @@
 
 from argparse import ArgumentParser, Namespace
 from pathlib import Path
-from signal import SIG_IGN, SIGHUP, signal
+from signal import SIG_IGN, SIGHUP, SIGTERM, signal
 from sys import exit as exit_process
 from sys import stderr
 
@@ -12,8 +12,10 @@
 
 def main() -> None:
     """Run the daemon until a signal comes."""
-    # Settings are read below; until the loop handles it, the signal would end the process.
+    # Until the loop handles the signals: settings are read below, so that a reload may be ignored,
+    # and nothing is in work, so that a stop may end the process in order.
     signal(SIGHUP, SIG_IGN)
+    signal(SIGTERM, lambda number, frame: exit_process(EXIT_OK))
     from attrs import evolve
 
     from cherrylane.errors import SettingsError
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,7 @@
 from os import mkfifo
 from pathlib import Path
 from random import Random
-from signal import SIGHUP
+from signal import SIGHUP, SIGTERM
 from subprocess import DEVNULL, Popen
 from tempfile import TemporaryDirectory
 
@@ -23,6 +23,7 @@
 
 SECONDS = 6.0
 # Seeds that have found something, with its cause. They are played with `make soak SEED=...`.
+#   9: a SIGTERM that came while the daemon was starting ended it with the signal's own exit code.
 #   3: a SIGHUP that came while the daemon was starting ended it (its handler was not set yet).
 
 
@@ -42,16 +43,23 @@
 class SignalAtStartTest(TestCase):
     def test_a_reload_that_comes_while_the_daemon_starts_does_not_end_it(self) -> None:
         """Found by the soak, seed 3."""
+        self.assertEqual(0, self.start_and_signal(SIGHUP, BOOT))
+
+    def test_a_stop_that_comes_while_the_daemon_starts_ends_it_in_order(self) -> None:
+        """Found by the soak, seed 9."""
+        self.assertEqual(0, self.start_and_signal(SIGTERM, ""))
+
+    def start_and_signal(self, number: int, text: str) -> int:
+        """Signal a daemon that waits for its settings, write them, and return its exit code."""
         with TemporaryDirectory() as folder:
-            # The daemon waits at its settings until they are written.
             settings = Path(folder) / "boot.conf"
             mkfifo(settings)
             command = [sys.executable, "-m", "cherrylane.gateway", "--check"]
-            process = Popen([*command, "--settings", str(settings)], stdout=DEVNULL)
+            process = Popen([*command, "--settings", str(settings)], stdout=DEVNULL, stderr=DEVNULL)
             with settings.open("w", encoding="utf-8") as stream:
-                process.send_signal(SIGHUP)
-                stream.write(BOOT)
-            self.assertEqual(0, process.wait(PATIENCE_S))
+                process.send_signal(number)
+                stream.write(text)
+            return process.wait(PATIENCE_S)
 
 
 def make_exchange(kind: Kind, answer: Answer, **fields: float) -> Exchange:
