Test the bound on log lines with a clock that stands still

With more than a second for its 2,500 lines what was left out had been told and cleared, or nothing was left out.

Change: the clock stands still, and the check is stricter: exactly the 500 lines beyond the burst are left out and counted (more than none before). A second test moves the clock on and checks that the count is told and cleared.

--- a/tests/test_output.py
+++ b/tests/test_output.py
@@ -4,8 +4,15 @@
 from logbook import INFO, Logger
 from testtools import TestCase
 
+from cherrylane.telemetry import output
 from cherrylane.telemetry.counters import Telemetry
-from cherrylane.telemetry.output import BUFFER_BYTES, BURST_LINES, BoundedHandler, LineWriter
+from cherrylane.telemetry.output import (
+    BUFFER_BYTES,
+    BURST_LINES,
+    SUMMARY_INTERVAL_S,
+    BoundedHandler,
+    LineWriter,
+)
 
 log = Logger("cherrylane.tests")
 
@@ -49,14 +56,30 @@
         for line in self.read_lines():
             self.assertEqual("x" * 1000, line["message"])
 
-    def test_a_flood_is_cut_and_counted(self) -> None:
+    def flood(self, lines: int) -> list[str]:
+        """Log so many lines and return the messages that were written."""
+        messages: list[str] = []
         with self.handler.applicationbound():
-            for _ in range(int(BURST_LINES) + 500):
+            for _ in range(lines):
                 log.info("flood")
-                if not self.writer._waiting:
-                    continue
-                self.read_lines()
-        self.assertTrue(self.handler.left_out["flood"] > 0)
+                if self.writer._waiting:
+                    messages += [str(line["message"]) for line in self.read_lines()]
+        return messages + [str(line["message"]) for line in self.read_lines()]
+
+    def test_a_flood_is_cut_and_counted(self) -> None:
+        """All lines come at one moment, however long the machine takes for them."""
+        now = self.handler._refilled_at
+        self.patch(output, "monotonic", lambda: now)
+        self.assertEqual(int(BURST_LINES), len(self.flood(int(BURST_LINES) + 500)))
+        self.assertEqual(500, self.handler.left_out["flood"])
+
+    def test_what_was_left_out_is_told_after_a_second(self) -> None:
+        now = self.handler._refilled_at
+        self.patch(output, "monotonic", lambda: now)
+        self.flood(int(BURST_LINES) + 500)
+        self.patch(output, "monotonic", lambda: now + 2 * SUMMARY_INTERVAL_S)
+        self.assertEqual(["flood", "log lines left out"], self.flood(1))
+        self.assertEqual(0, self.handler.left_out["flood"])
 
     def test_nobody_reading_any_more_is_no_error(self) -> None:
         reader, writer = os.pipe()
