Move no chat for lack of room alone

An engine with one unread prompt of 10,000 tokens had no room for less urgent requests, so chats that it had cached were moved and read anew elsewhere, which took room there.

Change: room decides whether a request is refused, not which engine it goes to.

--- a/src/cherrylane/placement/choice.py
+++ b/src/cherrylane/placement/choice.py
@@ -32,7 +32,9 @@
 class Candidate:
     """An upstream that may take the request, and its load.
 
-    ``has_room`` says whether it is expected to begin the request early enough.
+    ``has_room`` says whether it is expected to begin the request early enough. A request is refused
+    where no candidate has room; among candidates the choice goes by caches and the bound on load,
+    since a chat that is moved has to be read anew.
     """
 
     upstream: Upstream
@@ -126,8 +128,6 @@
     order: list[str], by_name: dict[str, Candidate], limit: float
 ) -> tuple[str, str]:
     for position, name in enumerate(order):
-        candidate = by_name[name]
-        if candidate.has_room and candidate.load.requests + 1 <= limit:
+        if by_name[name].load.requests + 1 <= limit:
             return name, "preferred" if position == 0 else "preferred one loaded"
-    with_room = [name for name in order if by_name[name].has_room] or order
-    return min(with_room, key=lambda name: by_name[name].load.requests), "all loaded"
+    return min(order, key=lambda name: by_name[name].load.requests), "all loaded"
