--- a/src/cherrylane/placement/loads.py
+++ b/src/cherrylane/placement/loads.py
@@ -91,14 +91,13 @@
         """Take in what a peer says of its own requests."""
         self._peers[peer] = PeerLoads(loads, now)
 
-    def drop_peer(self, peer: str) -> None:
-        """Forget the requests of a peer that is gone."""
-        self._peers.pop(peer, None)
-
     def read(self, upstreams: Iterable[str], now: float) -> dict[str, Load]:
         """Return the known load of each of ``upstreams``."""
-        fresh = [peer.loads for peer in self._peers.values() if now - peer.at <= self.lifetime_s]
-        return {
-            name: sum((loads.get(name, NO_LOAD) for loads in fresh), self.own.get(name, NO_LOAD))
-            for name in upstreams
-        }
+        totals = {name: self.own.get(name, NO_LOAD) for name in upstreams}
+        for peer in self._peers.values():
+            if now - peer.at > self.lifetime_s:
+                continue
+            for name, load in peer.loads.items():
+                if name in totals:
+                    totals[name] += load
+        return totals
