Work out room where it decides

Room has decided since only whether a request is refused, but each candidate still carried it, worked out for all of them and for requests that are not asked about it. It is asked once, and ends with the first that has room. The decisions are the same.

--- a/src/cherrylane/placement/choice.py
+++ b/src/cherrylane/placement/choice.py
@@ -30,16 +30,10 @@
 
 @frozen
 class Candidate:
-    """An upstream that may take the request, and its load.
-
-    ``has_room`` says whether it is expected to begin the request early enough. A request is refused
-    where no candidate has room; among candidates the choice goes by caches and the bound on load,
-    since a chat that is moved has to be read anew.
-    """
+    """An upstream that may take the request, and its load."""
 
     upstream: Upstream
     load: Load
-    has_room: bool = True
 
 
 @frozen
--- a/src/cherrylane/relay/selection.py
+++ b/src/cherrylane/relay/selection.py
@@ -5,10 +5,9 @@
 from cherrylane.limits.overload import Demand, Pace, has_room
 from cherrylane.limits.suspicion import Suspicion
 from cherrylane.placement.choice import Candidate, Choice, Chooser
-from cherrylane.placement.loads import Load, LoadBoard
+from cherrylane.placement.loads import LoadBoard
 from cherrylane.relay.request import CallerRequest
 from cherrylane.routing.snapshot import KnownUpstream, Snapshot
-from cherrylane.routing.upstreams import Upstream
 
 
 @frozen
@@ -38,13 +37,14 @@
     ) -> Choice | Overloaded | None:
         """Return the upstream for the next attempt, or None if there is none left.
 
-        A request that was tried already goes on, since work was spent on it.
+        A request that was tried already goes on, since work was spent on it. Room decides only
+        whether a request is refused: a chat that is moved for it has to be read anew.
         """
         listed = snapshot.upstreams_of(request.service)
-        candidates = self._find_candidates(request, listed, tried, now)
+        candidates = self._find_candidates(listed, tried, now)
         if not candidates:
             return None
-        if not tried and not any(candidate.has_room for candidate in candidates):
+        if not tried and not self._find_room(request, candidates):
             return _describe_overload(candidates)
         if not request.prompt.chat_key:
             return self.chooser.choose_by_load(candidates)
@@ -56,11 +56,7 @@
         return self.chooser.choose_for_chat(request.prompt, candidates, holders)
 
     def _find_candidates(
-        self,
-        request: CallerRequest,
-        listed: tuple[KnownUpstream, ...],
-        tried: set[str],
-        now: float,
+        self, listed: tuple[KnownUpstream, ...], tried: set[str], now: float
     ) -> list[Candidate]:
         working = [known for known in listed if known.upstream.takes_work]
         untried = [known for known in working if known.upstream.name not in tried]
@@ -70,12 +66,13 @@
         # Where all are suspect, the fault is likely not theirs.
         chosen = trusted or untried
         loads = self.board.read([known.upstream.name for known in chosen], now)
-        return [self._weigh(request, one.upstream, loads[one.upstream.name]) for one in chosen]
+        return [Candidate(known.upstream, loads[known.upstream.name]) for known in chosen]
 
-    def _weigh(self, request: CallerRequest, upstream: Upstream, load: Load) -> Candidate:
+    def _find_room(self, request: CallerRequest, candidates: list[Candidate]) -> bool:
+        """Say whether any candidate is expected to begin the request early enough."""
         demand = Demand(request.rank, request.route.target_s, request.waited_s)
         pace = self.pace_of(request.service)
-        return Candidate(upstream, load, has_room(demand, load, upstream.slots, pace))
+        return any(has_room(demand, one.load, one.upstream.slots, pace) for one in candidates)
 
 
 def _describe_overload(candidates: list[Candidate]) -> Overloaded:
