Keep one way from the command line to the store

apply.py and differences.py each had an _open_store and inspect.py a _connect with the same line; they are cli/connection.py now. The object of the generation in force was read by two functions with the same handling of its absence, and the empty generation was made in two places: one each.

--- a/src/cherrylane/cli/apply.py
+++ b/src/cherrylane/cli/apply.py
@@ -10,14 +10,13 @@
 from result import Err, Ok, Result
 from yaml import YAMLError, safe_load
 
+from cherrylane.cli.connection import open_store
 from cherrylane.cli.differences import make_difference_table
 from cherrylane.cli.output import Table, print_table
 from cherrylane.configuration.documents import Base, Overlay
 from cherrylane.configuration.store import ConfigurationStore, Generation
 from cherrylane.errors import PlatformUnavailableError, SettingsError
-from cherrylane.platform.client import PlatformClient
 from cherrylane.settings.documents import structure_document
-from cherrylane.settings.schema import PlatformSettings
 
 APPLY_ID_BYTES = 8
 
@@ -42,7 +41,7 @@
 def plan_documents(arguments: Namespace) -> None:
     """Show what an apply of the files would change."""
     documents = read_documents(arguments.files)
-    match _open_store(arguments).plan(documents.base, documents.overlays):
+    match open_store(arguments).plan(documents.base, documents.overlays):
         case Err(problem):
             raise problem
         case Ok(change):
@@ -62,17 +61,13 @@
     _change(arguments, lambda store, apply_id: store.withdraw(arguments.site, apply_id=apply_id))
 
 
-def _open_store(arguments: Namespace) -> ConfigurationStore:
-    return ConfigurationStore(PlatformClient(PlatformSettings(url=arguments.platform)))
-
-
 def _change(
     arguments: Namespace,
     change: Callable[[ConfigurationStore, str], Result[Generation, SettingsError]],
 ) -> None:
     apply_id = arguments.apply_id or token_hex(APPLY_ID_BYTES)
     try:
-        accepted = change(_open_store(arguments), apply_id)
+        accepted = change(open_store(arguments), apply_id)
     except PlatformUnavailableError as error:
         raise PlatformUnavailableError(
             f"{error.problem}; whether the change took effect is not known",
--- a/src/cherrylane/cli/differences.py
+++ b/src/cherrylane/cli/differences.py
@@ -4,10 +4,9 @@
 from collections.abc import Iterator
 from typing import Any
 
+from cherrylane.cli.connection import open_store
 from cherrylane.cli.output import Table, print_table
-from cherrylane.configuration.store import Change, ConfigurationStore, Documents
-from cherrylane.platform.client import PlatformClient
-from cherrylane.settings.schema import PlatformSettings
+from cherrylane.configuration.store import Change, Documents
 
 HISTORY_HEADINGS = ("generation", "apply_id", "documents", "changed")
 DIFFERENCE_HEADINGS = ("document", "field", "before", "after")
@@ -20,7 +19,7 @@
     """List the remembered generations, the one in force last."""
     rows = []
     before: dict[str, str] = {}
-    for past in _open_store(arguments).read_present().list_all():
+    for past in open_store(arguments).read_present().list_all():
         names = sorted(past.fragments.keys() | before.keys())
         changed = [name for name in names if past.fragments.get(name) != before.get(name)]
         rows.append((past.number, past.apply_id, sorted(past.fragments), changed))
@@ -30,7 +29,7 @@
 
 def show_difference(arguments: Namespace) -> None:
     """Show what changed from one generation to another, or to the one in force."""
-    store = _open_store(arguments)
+    store = open_store(arguments)
     present = store.read_present()
     after = present.number if arguments.after is None else arguments.after
     change = Change(
@@ -80,7 +79,3 @@
             yield from _flatten_value(f"{prefix}.{key}", one)
     else:
         yield prefix, value
-
-
-def _open_store(arguments: Namespace) -> ConfigurationStore:
-    return ConfigurationStore(PlatformClient(PlatformSettings(url=arguments.platform)))
--- a/src/cherrylane/cli/inspect.py
+++ b/src/cherrylane/cli/inspect.py
@@ -10,6 +10,7 @@
 from urllib3 import PoolManager, Timeout
 from urllib3.exceptions import HTTPError
 
+from cherrylane.cli.connection import connect
 from cherrylane.cli.output import OutputFormat, Table, print_table
 from cherrylane.configuration.merging import FleetConfiguration
 from cherrylane.configuration.store import ConfigurationStore
@@ -18,7 +19,6 @@
 from cherrylane.membership.runners import read_runners
 from cherrylane.platform.client import PlatformClient
 from cherrylane.platform.objects import Kind
-from cherrylane.settings.schema import PlatformSettings
 
 # Seconds that a host's answer may take.
 OPERATOR_TIMEOUT_S = 2.0
@@ -36,7 +36,7 @@
 
 def get_objects(arguments: Namespace) -> None:
     """List what is configured or registered."""
-    client = _connect(arguments)
+    client = connect(arguments)
     match arguments.what:
         case "sites":
             table = _list_sites(_read_configuration(client))
@@ -57,7 +57,7 @@
     Raises :class:`PlatformUnavailableError` when the wait is over before every host serves by the
     generation in force.
     """
-    client = _connect(arguments)
+    client = connect(arguments)
     deadline = monotonic() + arguments.wait
     while True:
         rows = [_status_row(host) for host in _hosts(client)]
@@ -84,7 +84,7 @@
     query = urlencode(
         {"chat": arguments.chat, "account": arguments.account, "model": arguments.model}
     )
-    answers = [_ask_host(host, f"/explain?{query}") for host in _hosts(_connect(arguments))]
+    answers = [_ask_host(host, f"/explain?{query}") for host in _hosts(connect(arguments))]
     given = [answer for answer in answers if answer is not None]
     if not given:
         raise PlatformUnavailableError("no host of the roster answered", remedy="start a daemon")
@@ -117,10 +117,6 @@
     ]
 
 
-def _connect(arguments: Namespace) -> PlatformClient:
-    return PlatformClient(PlatformSettings(url=arguments.platform))
-
-
 def _read_configuration(client: PlatformClient) -> FleetConfiguration:
     store = ConfigurationStore(client)
     generation = store.read_current()
--- a/src/cherrylane/configuration/store.py
+++ b/src/cherrylane/configuration/store.py
@@ -79,6 +79,9 @@
         )
 
 
+NO_GENERATION = Generation(number=0, apply_id="")
+
+
 class ConfigurationStore:
     """Reads and writes generations through the platform."""
 
@@ -87,10 +90,8 @@
 
     def read_current(self) -> Generation | None:
         """Return the generation in force, or None before the first apply."""
-        try:
-            return _read_generation(self._client.get(Kind.GENERATIONS, CURRENT))
-        except ObjectNotFoundError:
-            return None
+        stored = self._read_stored()
+        return None if stored is None else _read_generation(stored)
 
     def read_fragment(self, name: str) -> dict[str, Any]:
         """Return the document kept as fragment ``name``."""
@@ -136,7 +137,7 @@
 
     def read_present(self) -> Generation:
         """Return the generation in force, number 0 before the first apply."""
-        return self.read_current() or Generation(number=0, apply_id="")
+        return self.read_current() or NO_GENERATION
 
     def read_documents(self, fragments: dict[str, str]) -> Documents:
         """Return the documents of a generation, keyed ``base`` or by site."""
@@ -146,7 +147,7 @@
         self, edit: Callable[[Documents], Documents], apply_id: str
     ) -> Result[Generation, SettingsError]:
         stored = self._read_stored()
-        current = Generation(number=0, apply_id="") if stored is None else _read_generation(stored)
+        current = NO_GENERATION if stored is None else _read_generation(stored)
         if current.apply_id == apply_id:
             return Ok(current)
         documents = edit(self.read_documents(current.fragments))
