Let the soak use what the tests and the standard library have

The proxy reset connections as tests/wire.py does: one function, with the value that http/inbound.py has. Without use or a second value, and gone: read_log, a host's zone, bootstrap as a parameter, a check that send_signal makes.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -153,15 +153,15 @@
         await asyncio.to_thread(self.fleet.set_store_faults)
 
     async def _break_link(self, fault: Fault, links: list[Link]) -> None:
-        index = fault.target % len(links)
+        link = links[fault.target % len(links)]
         states = [state for state in LinkState if state is not LinkState.PASS]
 
         async def change() -> None:
-            links[index].change(states[fault.variant % len(states)])
+            link.change(states[fault.variant % len(states)])
             await asyncio.sleep(fault.length_s)
-            links[index].change(LinkState.PASS)
+            link.change(LinkState.PASS)
 
-        await self._exclusively(f"link {links[index].port}", change)
+        await self._exclusively(f"link {link.port}", change)
 
     async def _spoil_upstream(self, fault: Fault) -> None:
         upstream = self.fleet.upstreams[fault.target % len(self.fleet.upstreams)]
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -39,7 +39,7 @@
 listen.directory={address}:{directory}
 port_range={peers},{peers}
 seeds=127.0.1.1:{peers},127.0.1.2:{peers},127.0.1.3:{peers}
-bootstrap={first}
+bootstrap=true
 limits.memory_mb=300
 limits.max_fds=1000
 bounds.config_apply_ms=2000
@@ -58,7 +58,6 @@
 
     name: str
     address: str
-    zone: str
     callers_port: int
     directory_port: int
     settings: Path
@@ -84,8 +83,8 @@
             )
 
     def signal(self, number: int) -> None:
-        """Send a signal, unless the process has ended."""
-        if self.process is not None and self.process.poll() is None:
+        """Send a signal; one to a process that has ended does nothing."""
+        if self.process is not None:
             self.process.send_signal(number)
 
     def freeze(self) -> None:
@@ -177,13 +176,12 @@
                 directory=directory,
                 peers=peers,
                 store=store.port,
-                first="true",
                 grace=GRACE_S,
             ),
             encoding="utf-8",
         )
         log = self.folder / f"{name}.log"
-        return SoakHost(name, address, "ab"[number % 2], callers, directory, settings, log, store)
+        return SoakHost(name, address, callers, directory, settings, log, store)
 
     async def write_configuration(self) -> None:
         """Write the next version, which has a route more than the one before."""
@@ -282,14 +280,3 @@
 def decode_addresses(body: bytes) -> list[str]:
     """Return the IP addresses in an answer of the directory."""
     return [str(one).rpartition(":")[0] for one in loads(body)["addresses"]]
-
-
-def read_log(path: Path) -> list[dict[str, Any]]:
-    """Return a daemon's log lines; lines that a kill cut off are left out."""
-    lines = []
-    for text in path.read_text(encoding="utf-8", errors="replace").splitlines():
-        try:
-            lines.append(loads(text))
-        except ValueError:
-            continue
-    return lines
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -2,18 +2,17 @@
 
 import asyncio
 from enum import Enum
-from socket import SO_LINGER, SOL_SOCKET
-from struct import pack
 
 from attrs import define, field
 
+from tests.wire import reset_connection
+
 # Bytes that are passed on at once.
 CHUNK_BYTES = 16 * 1024
 # Seconds between looks whether a silenced link speaks again.
 POLL_S = 0.02
 # Seconds by which a slow link delays each part.
 DELAY_S = 0.15
-RESET_ON_CLOSE = pack("ii", 1, 0)
 
 
 class LinkState(Enum):
@@ -47,7 +46,7 @@
         self.state = state
         if state is LinkState.RESET:
             for writer in list(self._writers):
-                _reset(writer)
+                reset_connection(writer)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
@@ -55,7 +54,7 @@
             while self.state is LinkState.SILENT:
                 await asyncio.sleep(POLL_S)
             if self.state is LinkState.RESET:
-                _reset(writer)
+                reset_connection(writer)
                 return
             far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self.target_port)
             self._writers.add(far_writer)
@@ -67,7 +66,7 @@
                 self._writers.discard(far_writer)
                 far_writer.close()
         except OSError:
-            _reset(writer)
+            reset_connection(writer)
         finally:
             self._writers.discard(writer)
             writer.close()
@@ -84,10 +83,3 @@
             await writer.drain()
         if writer.can_write_eof():
             writer.write_eof()
-
-
-def _reset(writer: asyncio.StreamWriter) -> None:
-    connection = writer.get_extra_info("socket")
-    if connection is not None and connection.fileno() >= 0:
-        connection.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
-    writer.transport.abort()
--- a/tests/wire.py
+++ b/tests/wire.py
@@ -3,11 +3,11 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Coroutine
 from socket import SO_LINGER, SOL_SOCKET, create_server, socket
-from struct import pack
 from typing import Any, TypeVar
 
 from attrs import define, field, frozen
 
+from cherrylane.http.inbound import RESET_ON_CLOSE
 from cherrylane.http.limits import InboundLimits
 from cherrylane.relay.request import CallerRequest, Prompt
 from cherrylane.routing.routes import (
@@ -50,6 +50,14 @@
     return asyncio.run(bounded())
 
 
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Close a connection at once, so that its other end is reset."""
+    connection = writer.get_extra_info("socket")
+    if connection is not None and connection.fileno() >= 0:
+        connection.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
+    writer.transport.abort()
+
+
 @frozen
 class Call:
     """One request as an upstream has read it."""
@@ -98,9 +106,7 @@
 
     def reset(self) -> None:
         """Break off the connection, so that its end is told from an orderly one."""
-        linger = pack("ii", 1, 0)
-        self.writer.get_extra_info("socket").setsockopt(SOL_SOCKET, SO_LINGER, linger)
-        self.writer.transport.abort()
+        reset_connection(self.writer)
 
 
 @define
