Try engines in the order of the list, and do not count those without a connection

Ruled out: ejection (the dead engines are ejected after their first failure, as before). Change: engines, pools, probed and watched hosts are kept in the order of their lists; an upstream without a connection, which received nothing, is no attempt and takes nothing from the retry budget; four of them end the search.

--- a/src/cherrylane/delivery/attempts.py
+++ b/src/cherrylane/delivery/attempts.py
@@ -26,7 +26,10 @@
 from cherrylane.telemetry.decisions import RoutingDecision, log_routing
 from cherrylane.telemetry.metrics import Metrics
 
+# Number of upstreams that a request is sent to at most.
 MAX_ATTEMPTS = 3
+# Number of upstreams without a connection after which a request is abandoned; nothing is sent there.
+MAX_UNREACHABLE = 4
 RETRY_AFTER_S = 1.0
 NOT_RUN_STATUSES = frozenset({429, 503})
 
@@ -73,6 +76,14 @@
         self.outcome = GrantOutcome(found_tokens=find_cached_tokens(response_end))
 
 
+@frozen
+class FailedAttempt:
+    """Why an upstream gave no response; ``unreachable`` if it could not be connected to."""
+
+    refusal: Refusal
+    unreachable: bool = False
+
+
 class AttemptRunner:
     """Delivers tasks to upstreams, with a limited number of attempts for each."""
 
@@ -90,7 +101,8 @@
         """Send ``task`` to an upstream, in at most ``MAX_ATTEMPTS`` attempts.
 
         A task is tried again only if it was certainly not run or is repeatable, and while the retry
-        budget allows it.
+        budget allows it. An upstream that cannot be connected to received nothing, so it counts as
+        no attempt and takes nothing from the budget; ``MAX_UNREACHABLE`` of them end the search.
 
         Raises :class:`CallerDisconnectedError` when the caller disconnects before the response
         starts.
@@ -98,10 +110,10 @@
         self._budget.deposit()
         excluded: tuple[str, ...] = ()
         last_refusal: Refusal | None = None
-        for attempt in range(1, MAX_ATTEMPTS + 1):
-            admission_request = evolve(
-                task.admission_request, id=f"{task.request_id}.{attempt}", excluded=excluded
-            )
+        sent = unreachable = 0
+        while sent < MAX_ATTEMPTS and unreachable < MAX_UNREACHABLE:
+            attempt_id = f"{task.request_id}.{len(excluded) + 1}"
+            admission_request = evolve(task.admission_request, id=attempt_id, excluded=excluded)
             match request_grant(
                 admission_request,
                 service,
@@ -114,18 +126,25 @@
             match outcome:
                 case Ok(granted):
                     return Ok(granted)
-                case Err(refusal):
-                    last_refusal = refusal
-            if refusal.execution is not Execution.NOT_RUN and not task.repeatable:
-                return Err(refusal)
-            if not self._budget.withdraw():
-                self._metrics.count("refusals", "retry_budget")
-                return Err(refusal)
+                case Err(FailedAttempt(last_refusal, unreachable=True)):
+                    unreachable += 1
+                case Err(FailedAttempt(last_refusal)):
+                    sent += 1
+                    if not self._may_retry(task, last_refusal):
+                        return Err(last_refusal)
             excluded = (*excluded, grant.engine)
             self._metrics.count("retries", service.entry.name)
         message = f"service {service.entry.name} has no live upstream for this request"
         return Err(last_refusal or _make_not_run_refusal("no_upstream", message))
 
+    def _may_retry(self, task: DeliveryTask, refusal: Refusal) -> bool:
+        if refusal.execution is not Execution.NOT_RUN and not task.repeatable:
+            return False
+        if self._budget.withdraw():
+            return True
+        self._metrics.count("refusals", "retry_budget")
+        return False
+
     def _admit(
         self, task: DeliveryTask, admission_request: AdmissionRequest, view: FleetView
     ) -> Result[Grant, AdmissionRefusal]:
@@ -162,12 +181,12 @@
 
     def _run_attempt(
         self, task: DeliveryTask, grant: Grant, service: ServiceView
-    ) -> Result[GrantedExchange, Refusal]:
+    ) -> Result[GrantedExchange, FailedAttempt]:
         runner = service.runners.get(grant.engine)
         if runner is None:
             self._admission.release(grant)
             message = f"upstream {grant.engine} is not yet listed on this host"
-            return Err(_make_not_run_refusal("upstream_not_listed", message))
+            return Err(FailedAttempt(_make_not_run_refusal("upstream_not_listed", message)))
         try:
             exchange = self._upstreams.open(runner, task.request, caller=task.caller)
         except UpstreamError as error:
@@ -175,7 +194,7 @@
                 grant, GrantOutcome(unreachable=not error.sent, failed=error.sent)
             )
             log.warning(f"attempt failed: {error}", extra={"request": task.request_id})
-            return Err(refuse_upstream(error, runner))
+            return Err(FailedAttempt(refuse_upstream(error, runner), unreachable=not error.sent))
         except BaseException:
             self._admission.release(grant)
             raise
@@ -186,7 +205,7 @@
             granted.record_failure()
             granted.finish()
             message = f"upstream {runner.name} declined the request with status {exchange.status}"
-            return Err(_make_not_run_refusal("upstream_declined", message))
+            return Err(FailedAttempt(_make_not_run_refusal("upstream_declined", message)))
         return Ok(granted)
 
 
--- a/src/cherrylane/limits/health.py
+++ b/src/cherrylane/limits/health.py
@@ -40,7 +40,7 @@
 
     def set_listed(self, names: Iterable[str], now: float) -> None:
         """Update the listed engines; those of the first list skip the slow start."""
-        listed = set(names)
+        listed = dict.fromkeys(names)
         first = not self._records
         for name, record in self._records.items():
             if record.listed and name not in listed:
--- a/src/cherrylane/limits/homes.py
+++ b/src/cherrylane/limits/homes.py
@@ -72,7 +72,7 @@
         holders = frozenset(host.holder for host in view.roster.hosts.values())
         wanted = {key: home for key, home in view.homes.items() if self._is_own(home)}
         with self._lock:
-            lost = [self._pools.pop(key) for key in set(self._pools) - set(wanted)]
+            lost = [self._pools.pop(key) for key in list(self._pools) if key not in wanted]
             kept = {key: self._pools[key] for key in wanted if key in self._pools}
             for key in wanted:
                 if key not in kept:
--- a/src/cherrylane/limits/pool.py
+++ b/src/cherrylane/limits/pool.py
@@ -343,7 +343,9 @@
         now = self._clock()
         counted = self._health.counted(now)
         if counted != set(self._ledger.engines):
-            self._ledger.set_engines({name: self._runners[name].weight for name in counted})
+            # In the order of the list, since a set's order depends on the hash seed of the process.
+            weights = {n: runner.weight for n, runner in self._runners.items() if n in counted}
+            self._ledger.set_engines(weights)
         available = self._health.available(now)
         for name, load in self._ledger.engines.items():
             load.is_available = name in available
--- a/src/cherrylane/membership/failure_detector.py
+++ b/src/cherrylane/membership/failure_detector.py
@@ -7,7 +7,7 @@
 lease has expired for good, and it can be removed from the roster.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from threading import Lock
 from time import monotonic
 
@@ -42,7 +42,7 @@
         self._dead: set[str] = set()
         self._lock = Lock()
 
-    def watch(self, holders: set[str]) -> None:
+    def watch(self, holders: Iterable[str]) -> None:
         """Set the watched holders; a new one counts as acknowledged now."""
         with self._lock:
             now = self._clock()
--- a/src/cherrylane/membership/prober.py
+++ b/src/cherrylane/membership/prober.py
@@ -71,20 +71,21 @@
     def update_roster(self, roster: Roster) -> None:
         """Apply a roster: probe this host's witnesses, and watch the hosts it is a witness of."""
         own_witnesses = find_witnesses(self._identity.name, self._site, roster)
-        watched = {
+        watched = [
             host.holder
             for host in roster.hosts.values()
             if host.site == self._site and self._is_witness_of(host, roster)
-        }
+        ]
         self._lease.set_peers(host.name for host in own_witnesses)
         self._failure_detector.watch(watched)
         wanted = {host.holder: host for host in own_witnesses}
         with self._lock:
             self._roster = roster
-            for holder in set(self._probe_stops) - set(wanted):
+            for holder in [known for known in self._probe_stops if known not in wanted]:
                 self._probe_stops.pop(holder).set()
-            for holder in set(wanted) - set(self._probe_stops):
-                self._start_probing(holder, wanted[holder])
+            for holder, host in wanted.items():
+                if holder not in self._probe_stops:
+                    self._start_probing(holder, host)
 
     def handle_probe(self, peer: PeerIdentity, target: str, state: SharedState) -> ProbeAnswer:
         """Return the reply to a peer's probe.
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -3,7 +3,7 @@
 from result import Err, Ok, Result
 from testtools import TestCase
 
-from cherrylane.delivery.attempts import AttemptRunner, DeliveryTask
+from cherrylane.delivery.attempts import MAX_UNREACHABLE, AttemptRunner, DeliveryTask
 from cherrylane.delivery.exchange import UpstreamClient, UpstreamRequest
 from cherrylane.errors import Execution
 from cherrylane.limits.pool import PoolHome
@@ -59,6 +59,9 @@
         self.addCleanup(upstream.close)
         return upstream.runner.port
 
+    def alive(self, count: int) -> list[int]:
+        return [self.start(send(RESPONSE)) for _ in range(count)]
+
     def make(self, *ports: int) -> tuple[AttemptRunner, DirectAdmissionClient, FleetView]:
         runners = [make_runner(f"engine-{n}", port=port) for n, port in enumerate(ports)]
         view = make_view_of(runners)
@@ -76,14 +79,28 @@
         )
 
     def test_retries_stay_few_when_half_of_the_engines_are_down(self) -> None:
-        alive = [self.start(send(RESPONSE)) for _ in range(3)]
-        attempts, admission, view = self.make(*alive, DEAD_PORT, DEAD_PORT, DEAD_PORT)
+        attempts, admission, view = self.make(*self.alive(3), DEAD_PORT, DEAD_PORT, DEAD_PORT)
         for number in range(REQUESTS):
             granted = attempts.run(self.make_task(number), view, view.services[SERVICE])
             granted.unwrap().finish()
         self.assertTrue(admission.grants <= REQUESTS + 2 * 3, str(admission.grants))
         self.assertEqual(0.0, admission.load())
 
+    def test_engines_without_a_connection_do_not_use_up_the_attempts(self) -> None:
+        """Three dead engines took all attempts of a request though live ones were left.
+
+        In which order idle engines were tried depended on the hash seed of the process.
+        """
+        attempts, _admission, view = self.make(DEAD_PORT, DEAD_PORT, DEAD_PORT, *self.alive(1))
+        attempts.run(self.make_task(1), view, view.services[SERVICE]).unwrap().finish()
+
+    def test_the_search_ends_after_a_few_engines_without_a_connection(self) -> None:
+        attempts, admission, view = self.make(*(DEAD_PORT for _ in range(MAX_UNREACHABLE + 2)))
+        refusal = attempts.run(self.make_task(1), view, view.services[SERVICE]).unwrap_err()
+        self.assertEqual(
+            (Execution.NOT_RUN, MAX_UNREACHABLE), (refusal.execution, admission.grants)
+        )
+
     def test_a_non_repeatable_request_is_retried_after_a_refused_connection(self) -> None:
         attempts, _admission, view = self.make(DEAD_PORT, self.start(send(RESPONSE)))
         for number in range(5):
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -43,6 +43,12 @@
         loads = home.loads().values()
         self.assertTrue(max(loads) <= 1.25 * sum(loads) / 5, loads)
 
+    def test_engines_stand_in_the_order_of_the_list(self) -> None:
+        """Idle engines were tried in the order of a set, which differs between processes."""
+        view = make_view(engines=12)
+        loads = make_home(view, self.clock).loads()
+        self.assertEqual(list(view.services[SERVICE].get_pool_runners(POOL)), list(loads))
+
     def test_requests_wait_for_capacity_until_their_wait_expires(self) -> None:
         view = make_view(engines=1, bound=BoundSettings(capacity_tokens=100.0))
         home = make_home(view, self.clock)
