--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -10,6 +10,7 @@
 from cherrylane.placement.caches import CachedPart, CacheMap
 from cherrylane.placement.choice import Candidate, Chooser
 from cherrylane.placement.loads import Load
+from cherrylane.platform.versions import StoreVersion
 from cherrylane.relay.events import EventSplitter
 from cherrylane.relay.request import Prompt, PromptPart
 from cherrylane.routing.routes import (
@@ -86,7 +87,7 @@
         state=HostState.READY,
         callers=Endpoint("10.1.0.40", 8227),
         config_version=75,
-        upstreams_version=1058,
+        upstreams_version=StoreVersion(1, 1058),
         loads=tuple((f"i-{n:010x}", Load(2, 1500)) for n in range(9)),
         hosts=tuple(PeerLiveness(f"10.1.0.{n}", 250) for n in range(12)),
         cached=tuple(CachedPart(f"i-{n:010x}", f"{n:08x}", 500) for n in range(4)),
--- a/src/cherrylane/configuration/store.py
+++ b/src/cherrylane/configuration/store.py
@@ -68,6 +68,10 @@
             return []
         return [*self.history, PastGeneration(self.number, self.apply_id, self.fragments)]
 
+    def precedes(self, other: "Generation") -> bool:
+        """Return whether this generation is one of the retained ones before ``other``."""
+        return any(past.apply_id == self.apply_id for past in other.history)
+
     def find(self, number: int) -> PastGeneration:
         """Return a retained generation; raises :class:`ObjectNotFoundError` if there is none."""
         retained = self.list_retained()
@@ -146,6 +150,26 @@
         """Return the documents in ``fragments``, keyed by ``base`` or the name of the site."""
         return {key: self.read_fragment(name) for key, name in fragments.items()}
 
+    def restore(self, generation: Generation) -> bool:
+        """Put a generation back in force that the store has lost by coming back from an older copy.
+
+        Returns False if it cannot be put back: the store no longer has all of its fragments.
+        Nothing is done if the store has it, or a later one.
+        """
+        stored = self._read_stored()
+        current = EMPTY_GENERATION if stored is None else _read_generation(stored)
+        if current.number and not current.precedes(generation):
+            return True
+        try:
+            self.read_documents(generation.fragments)
+        except ObjectNotFoundError:
+            return False
+        try:
+            self._write_generation(generation, stored)
+        except ConflictError:
+            pass  # Another host has put it back, or an operator has applied a later one.
+        return True
+
     def _update_documents(
         self, edit: Callable[[RawDocuments], RawDocuments], apply_id: str
     ) -> Result[Generation, SettingsError]:
--- a/src/cherrylane/daemon/runtime.py
+++ b/src/cherrylane/daemon/runtime.py
@@ -82,7 +82,9 @@
             on_peer_state=self._update_peer_loads,
             on_declared_dead=self._rejoin,
         )
-        self._fleet_watcher = FleetWatcher(self._platform, self._apply_view)
+        self._fleet_watcher = FleetWatcher(
+            self._platform, self._apply_view, self._handle_restored_store
+        )
         self._peer_server = PeerServer(
             settings.peers, self.homes, self._prober.handle_probe, self._traffic
         )
@@ -111,6 +113,8 @@
             if self._stopping.is_set():
                 return
         self._join()
+        if self._stopping.is_set():
+            return
         self._prober.start()
         self._callers.start()
         self._serving = True
@@ -191,6 +195,16 @@
         finally:
             self._rejoin_lock.release()
 
+    def _handle_restored_store(self) -> None:
+        """Write again what this host has written to a store that came back from an older copy."""
+        self.homes.restore_claims()
+        try:
+            self._roster_entry.restore()
+        except PlatformError as error:
+            log.error(
+                f"roster entry not written again: {error}; restart this host if it is missing"
+            )
+
     def _apply_view(self, view: FleetView) -> None:
         self._prober.update_roster(view.roster)
         self.admission.update_view(view)
--- a/src/cherrylane/delivery/attempts.py
+++ b/src/cherrylane/delivery/attempts.py
@@ -28,7 +28,7 @@
 
 # Number of upstreams that a request is sent to at most.
 MAX_ATTEMPTS = 3
-# Number of upstreams without a connection after which a request is abandoned; nothing is sent there.
+# Number of upstreams that cannot be connected to after which a request is abandoned.
 MAX_UNREACHABLE = 4
 RETRY_AFTER_S = 1.0
 NOT_RUN_STATUSES = frozenset({429, 503})
--- a/src/cherrylane/errors.py
+++ b/src/cherrylane/errors.py
@@ -38,6 +38,10 @@
     """The store rejected the call without running it."""
 
 
+class StoreRestoredError(PlatformUnavailableError):
+    """The store came back from an older copy during the call, so its effect is not certain."""
+
+
 class ObjectNotFoundError(PlatformError):
     """The object does not exist."""
 
--- a/src/cherrylane/gateway/peer_sync.py
+++ b/src/cherrylane/gateway/peer_sync.py
@@ -18,6 +18,7 @@
 from cherrylane.http.responder import Responder
 from cherrylane.placement.caches import CachedPart, CacheMap
 from cherrylane.placement.loads import LoadTracker
+from cherrylane.platform.versions import StoreVersion
 from cherrylane.settings.schema import Endpoint
 
 # Seconds that a follower waits before it fetches newer state from a peer; the store usually sends
@@ -128,7 +129,8 @@
             return self.routing_state.config_document
         if target == UPSTREAMS_PATH:
             return {
-                "version": self.routing_state.snapshot.upstreams_version,
+                "version": self.routing_state.snapshot.upstreams_version.revision,
+                "era": self.routing_state.snapshot.upstreams_version.era,
                 "entries": self.routing_state.entries,
             }
         if target == CACHED_PATH:
@@ -164,9 +166,8 @@
         if target == CONFIG_PATH:
             self.routing_state.apply_config(document, source="peer")
         elif target == UPSTREAMS_PATH:
-            self.routing_state.apply_peer_entries(
-                dict(document["entries"]), int(document["version"])
-            )
+            version = StoreVersion(int(document.get("era", 0)), int(document["version"]))
+            self.routing_state.apply_peer_entries(dict(document["entries"]), version)
         else:
             self.record_cached_parts(_decode_cached(document))
             self.has_full_cache_map = True
--- a/src/cherrylane/gateway/registry.py
+++ b/src/cherrylane/gateway/registry.py
@@ -14,6 +14,7 @@
 from cherrylane.gossip.members import Members
 from cherrylane.platform.client import AsyncPlatformClient
 from cherrylane.platform.objects import Kind, PlatformObject
+from cherrylane.platform.versions import StoreVersion
 from cherrylane.settings.gateway import HostIdentity
 
 # Mean seconds between reads; they use the cheap kind of list, which may be stale.
@@ -22,6 +23,8 @@
 RETRY_INTERVAL_S = 1.0
 # Seconds without heartbeats after which a host's entry is deleted by the first host that notices.
 REMOVE_SILENT_AFTER_S = 60.0
+# Seconds per host over which the hosts register again after the store was restored.
+SPREAD_PER_HOST_S = 0.005
 
 log = Logger("cherrylane.roster")
 
@@ -38,7 +41,8 @@
     boot_id: str
     members: Members
     loaded: asyncio.Event = field(factory=asyncio.Event)
-    _version: str = ""
+    _version: StoreVersion | None = None
+    _restored: asyncio.Event = field(factory=asyncio.Event)
     _silent_since: dict[str, float] = field(factory=dict)
     _random: Random = field(factory=Random, repr=False)
 
@@ -49,14 +53,35 @@
             try:
                 await self._refresh()
                 self.loaded.set()
-                await asyncio.sleep(REFRESH_INTERVAL_S * self._random.uniform(0.8, 1.2))
+                if await self._wait_for_restoration(
+                    REFRESH_INTERVAL_S * self._random.uniform(0.8, 1.2)
+                ):
+                    await self._register_again()
             except PlatformError as error:
                 log.info("cannot read the host registry", extra={"reason": str(error)})
                 await asyncio.sleep(RETRY_INTERVAL_S * self._random.uniform(0.5, 1.5))
 
+    def note_restored(self) -> None:
+        """Write the entry again, since the store came back from a copy that may lack it."""
+        self._restored.set()
+
+    async def _wait_for_restoration(self, timeout_s: float) -> bool:
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._restored.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def _register_again(self) -> None:
+        """Register after a random delay, since all hosts of the fleet do so."""
+        await asyncio.sleep(self._random.uniform(0.0, SPREAD_PER_HOST_S * (len(self.members) + 1)))
+        self._restored.clear()
+        await self._register()
+
     async def deregister(self) -> None:
         """Delete this host's entry, unless a later start of this host has replaced it."""
-        if not self._version:
+        if self._version is None:
             return
         try:
             await self.client.delete(Kind.ENTRY_HOSTS, self.identity.name, version=self._version)
@@ -69,13 +94,13 @@
         while True:
             try:
                 self._version = await self._write_entry()
-                log.info("host registered", extra={"version": self._version})
+                log.info("host registered", extra={"version": str(self._version)})
                 return
             except PlatformError as error:
                 log.warning("cannot register host, retrying", extra={"reason": str(error)})
                 await asyncio.sleep(RETRY_INTERVAL_S * self._random.uniform(0.5, 1.5))
 
-    async def _write_entry(self) -> str:
+    async def _write_entry(self) -> StoreVersion | None:
         spec = {"address": self.identity.address, "zone": self.identity.zone, "boot": self.boot_id}
         entry = PlatformObject(Kind.ENTRY_HOSTS, self.identity.name, spec)
         try:
@@ -102,8 +127,11 @@
         self.members.remove(address)
         try:
             await self.client.delete(Kind.ENTRY_HOSTS, item.name, version=item.version)
-            log.notice("registry entry of silent host deleted", extra={"peer": item.name})
-        except (ConflictError, ObjectNotFoundError):
+        except PlatformError as error:
+            # It stays in the registry, and the next host that notices deletes it.
             log.info(
-                "registry entry of silent host has changed, not deleted", extra={"peer": item.name}
+                "registry entry of silent host not deleted",
+                extra={"peer": item.name, "reason": str(error)},
             )
+            return
+        log.notice("registry entry of silent host deleted", extra={"peer": item.name})
--- a/src/cherrylane/gateway/routing_state.py
+++ b/src/cherrylane/gateway/routing_state.py
@@ -12,12 +12,14 @@
 from logbook import Logger
 
 from cherrylane.errors import SettingsError
+from cherrylane.membership.departures import Departures
 from cherrylane.platform.configuration import CONFIG_NAME, decode_configuration
 from cherrylane.platform.objects import ObjectList, PlatformObject, WatchEvents
-from cherrylane.platform.upstreams import decode_upstream
+from cherrylane.platform.upstreams import decode_upstream, mark_draining
+from cherrylane.platform.versions import NO_VERSION, StoreVersion
 from cherrylane.routing.routes import Configuration, RouteTable
 from cherrylane.routing.snapshot import KnownUpstream, Snapshot
-from cherrylane.routing.upstreams import Upstream
+from cherrylane.routing.upstreams import Upstream, UpstreamState
 
 # Seconds after the store is reachable again during which missing upstreams may register again.
 REMOVAL_GRACE_S = 2.0
@@ -45,7 +47,13 @@
     entries: dict[str, Any] = field(factory=dict)
     on_upstream_reset: Callable[[str], None] = lambda name: None
     _known: dict[str, KnownUpstream] = field(factory=dict)
-    _pending_removals: dict[str, asyncio.TimerHandle] = field(factory=dict)
+    # Upstreams that had gone and that an older copy of the store lists again.
+    _returned: dict[str, Any] = field(factory=dict)
+    # Ends of the grace periods of missing and of returned upstreams.
+    _timers: dict[str, asyncio.TimerHandle] = field(factory=dict)
+    _departures: Departures = field(factory=Departures)
+    # When missing and returned upstreams are trusted again after the store was restored.
+    _restored_until: float = float("-inf")
 
     def apply_config_list(self, listed: ObjectList) -> None:
         """Apply a full list of the configuration objects."""
@@ -79,48 +87,94 @@
     def apply_upstream_list(self, listed: ObjectList) -> None:
         """Apply a full list of upstreams from the store."""
         entries = {item.name: item.spec for item in listed.objects}
-        self._replace_entries(entries, int(listed.version), source="store")
+        self._replace_entries(entries, listed.version, source="store")
 
     def apply_upstream_changes(self, changes: WatchEvents) -> None:
-        """Apply changes of upstreams from the store."""
+        """Apply changes of upstreams from the store; those of an earlier era are ignored."""
         version = self.snapshot.upstreams_version
+        if changes.version.era < version.era:
+            return
         for event in changes.events:
             name = event.object.name
             if event.is_deleted:
                 self._schedule_removal(name)
-                version = max(version, int(changes.version))
+                version = max(version, changes.version)
             else:
                 self._apply_entry(name, event.object.spec)
-                version = max(version, int(event.object.version))
+                if event.object.version is not None:
+                    version = max(version, event.object.version)
         self._publish_upstreams(version)
 
-    def apply_peer_entries(self, entries: dict[str, Any], version: int) -> None:
+    def apply_peer_entries(self, entries: dict[str, Any], version: StoreVersion) -> None:
         """Apply a peer's full list of upstreams, if it is newer."""
         if version > self.snapshot.upstreams_version:
             self._replace_entries(entries, version, source="peer")
 
-    def _replace_entries(self, entries: dict[str, Any], version: int, *, source: str) -> None:
+    def note_leaving(self, name: str, incarnation: int, *, source: str) -> bool:
+        """Send nothing more to an upstream that has said that it leaves.
+
+        Returns whether that is new. Its running requests continue.
+        """
+        now = asyncio.get_running_loop().time()
+        if self._departures.is_leaving(name, incarnation):
+            return False
+        self._departures.note_leaving(name, incarnation, now)
+        log.info("upstream says that it leaves", extra={"upstream": name, "source": source})
+        known = self._known.get(name)
+        if known is not None and known.upstream.incarnation == incarnation:
+            draining = evolve(known.upstream, state=UpstreamState.DRAINING)
+            self._known[name] = evolve(known, upstream=draining)
+            if name in self.entries:
+                self.entries[name] = mark_draining(self.entries[name])
+            self._publish_upstreams(self.snapshot.upstreams_version)
+        return True
+
+    def _replace_entries(
+        self, entries: dict[str, Any], version: StoreVersion, *, source: str
+    ) -> None:
+        known_version = self.snapshot.upstreams_version
+        if version.era < known_version.era:
+            return
+        if known_version != NO_VERSION and version.era > known_version.era:
+            self._note_restored(known_version, version, source)
         for name in [name for name in self._known if name not in entries]:
             self._schedule_removal(name)
         for name, spec in entries.items():
             self._apply_entry(name, spec)
         log.info(
             "upstream list applied",
-            extra={"source": source, "version": version, "count": len(self._known)},
+            extra={"source": source, "version": str(version), "count": len(self._known)},
+        )
+        self._publish_upstreams(max(version, known_version))
+
+    def _note_restored(self, known: StoreVersion, version: StoreVersion, source: str) -> None:
+        """Distrust what the older copy of a restored store lacks or lists again, for a while."""
+        self._restored_until = asyncio.get_running_loop().time() + REMOVAL_GRACE_S
+        log.warning(
+            "upstreams of an older copy of the store",
+            extra={
+                "before": str(known),
+                "version": str(version),
+                "source": source,
+                "count": len(self._known),
+                "grace_s": REMOVAL_GRACE_S,
+            },
         )
-        self._publish_upstreams(max(version, self.snapshot.upstreams_version))
 
     def _apply_entry(self, name: str, spec: Any) -> None:
-        self._cancel_removal(name)
+        self._cancel_timers(name)
         try:
             upstream = decode_upstream(name, spec)
         except SettingsError as error:
             log.error(
                 "invalid upstream entry ignored", extra={"upstream": name, "reason": str(error)}
             )
-            self._known.pop(name, None)
-            self.entries.pop(name, None)
+            if name in self._known:
+                self._remove(name)
             return
+        if self._hold_back_if_returned(upstream, spec):
+            return
+        upstream, spec = self._apply_departure(upstream, spec)
         self.entries[name] = spec
         known = self._known.get(name)
         if known is not None and known.upstream == upstream:
@@ -138,37 +192,73 @@
         ):
             self._log_upstream(upstream)
 
+    def _apply_departure(self, upstream: Upstream, spec: Any) -> tuple[Upstream, Any]:
+        """Return an upstream that leaves as draining, whatever its entry says."""
+        name, incarnation = upstream.name, upstream.incarnation
+        if not upstream.accepts_requests:
+            self._departures.note_leaving(name, incarnation, asyncio.get_running_loop().time())
+            return upstream, spec
+        if incarnation and self._departures.is_leaving(name, incarnation):
+            return evolve(upstream, state=UpstreamState.DRAINING), mark_draining(spec)
+        return upstream, spec
+
+    def _hold_back_if_returned(self, upstream: Upstream, spec: Any) -> bool:
+        """Hold back an upstream that had gone and that an older copy of the store lists again.
+
+        If it is alive it is still listed after the grace period; if not, its entry is deleted anew.
+        """
+        loop = asyncio.get_running_loop()
+        name = upstream.name
+        if (
+            name in self._known
+            or loop.time() >= self._restored_until
+            or not self._departures.was_deleted(name, upstream.incarnation)
+        ):
+            return False
+        self._returned[name] = spec
+        self._timers[name] = loop.call_at(self._restored_until, self._accept_returned, name)
+        log.info("upstream listed again by an older copy", extra={"upstream": name})
+        return True
+
+    def _accept_returned(self, name: str) -> None:
+        self._apply_entry(name, self._returned[name])
+        self._publish_upstreams(self.snapshot.upstreams_version)
+
     def _schedule_removal(self, name: str) -> None:
         """Remove an upstream, either at once or when the grace period has passed."""
-        if name not in self._known or name in self._pending_removals:
+        if name in self._returned:
+            self._cancel_timers(name)
+        if name not in self._known or name in self._timers:
             return
-        grace_s = self.get_grace_s()
+        loop = asyncio.get_running_loop()
+        grace_s = max(self.get_grace_s(), self._restored_until - loop.time())
         if grace_s <= 0:
             self._remove(name)
             return
         # Peers may already know that it has left, so its entry is no longer sent to them.
         self.entries.pop(name, None)
-        loop = asyncio.get_running_loop()
-        self._pending_removals[name] = loop.call_later(grace_s, self._finish_removal, name)
+        self._timers[name] = loop.call_later(grace_s, self._finish_removal, name)
         log.info("upstream missing", extra={"upstream": name, "grace_s": round(grace_s, 3)})
 
     def _finish_removal(self, name: str) -> None:
-        self._pending_removals.pop(name, None)
+        self._timers.pop(name, None)
         self._remove(name)
         self._publish_upstreams(self.snapshot.upstreams_version)
 
     def _remove(self, name: str) -> None:
-        self._known.pop(name, None)
+        incarnation = self._known.pop(name).upstream.incarnation
         self.entries.pop(name, None)
+        self._departures.note_deleted(name, incarnation, asyncio.get_running_loop().time())
         self.on_upstream_reset(name)
         log.info("upstream gone", extra={"upstream": name})
 
-    def _cancel_removal(self, name: str) -> None:
-        timer = self._pending_removals.pop(name, None)
+    def _cancel_timers(self, name: str) -> None:
+        self._returned.pop(name, None)
+        timer = self._timers.pop(name, None)
         if timer is not None:
             timer.cancel()
 
-    def _publish_upstreams(self, version: int) -> None:
+    def _publish_upstreams(self, version: StoreVersion) -> None:
         services: dict[str, list[KnownUpstream]] = {}
         for known in self._known.values():
             services.setdefault(known.upstream.service, []).append(known)
--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -15,13 +15,15 @@
 from cherrylane.gateway.routing_state import REMOVAL_GRACE_S, RoutingState
 from cherrylane.gateway.sockets import ListeningSockets
 from cherrylane.gossip.members import Members
-from cherrylane.gossip.messages import Heartbeat, HostState
+from cherrylane.gossip.messages import Heartbeat, HostState, UpstreamBackoff, UpstreamLeaving
 from cherrylane.gossip.node import HEARTBEAT_INTERVAL_S, GossipNode
+from cherrylane.gossip.updates import UpdateQueue
 from cherrylane.http.inbound import InboundServer
 from cherrylane.http.limits import InboundLimits
 from cherrylane.http.messages import Request
 from cherrylane.http.outbound import ConnectionPool
 from cherrylane.http.responder import Responder
+from cherrylane.limits.backoff import BackoffTracker
 from cherrylane.limits.connections import share_idle_connections
 from cherrylane.limits.outliers import OutlierDetector
 from cherrylane.limits.retries import HostRetryBudget
@@ -31,11 +33,13 @@
 from cherrylane.platform.async_watcher import AsyncWatcher
 from cherrylane.platform.client import AsyncPlatformClient
 from cherrylane.platform.objects import Kind
+from cherrylane.platform.versions import NO_VERSION
 from cherrylane.relay.attempts import AttemptRunner
 from cherrylane.relay.exchange import ExchangeClient
 from cherrylane.relay.selection import UpstreamSelector
 from cherrylane.relay.service import RelayService
 from cherrylane.routing.snapshot import Snapshot
+from cherrylane.routing.upstreams import Upstream
 from cherrylane.settings.gateway import GatewaySettings
 from cherrylane.settings.schema import Endpoint, PlatformSettings
 from cherrylane.telemetry.counters import Telemetry
@@ -55,8 +59,8 @@
 GRACE_MARGIN_S = 0.7
 # Polling interval while a stopping daemon has requests in progress, in seconds.
 DRAIN_POLL_S = 0.05
-# Sweeps of heartbeats to all hosts in which a newly cached part is sent.
-CACHE_UPDATE_SWEEPS = 2
+# Sweeps of heartbeats to all hosts in which an update is sent, such as a newly cached part.
+UPDATE_SWEEPS = 2
 # Sweeps of heartbeats to all hosts for which a peer's last loads count, so that one may be lost.
 LOAD_LIFETIME_SWEEPS = 2
 BOOT_ID_BYTES = 6
@@ -117,6 +121,9 @@
         self._watchers = self._make_watchers()
         self._follower_selection = FollowerSelection(self.members, self._watchers)
         self._registry = HostRegistry(self.store, settings.identity, self._boot_id, self.members)
+        self.store.on_new_era = self._handle_new_era
+        self._leaving_updates: UpdateQueue[UpstreamLeaving] = UpdateQueue()
+        self.backoffs = BackoffTracker()
         self._peer_sync = PeerSync(
             self.routing_state,
             self.load_tracker,
@@ -234,11 +241,12 @@
             self.settings.identity.zone, self.settings.bounds.load_multiple, self.caches
         )
         attempt_runner = AttemptRunner(
-            UpstreamSelector(chooser, self.load_tracker, self.outliers),
+            UpstreamSelector(chooser, self.load_tracker, self.outliers, self.backoffs),
             ExchangeClient(self.pool),
             self.load_tracker,
             lambda: self.routing_state.snapshot,
             self._find_retry_budget,
+            self._handle_leaving_upstream,
         )
         return RelayService(attempt_runner, lambda: self.routing_state.snapshot, self.telemetry)
 
@@ -274,6 +282,8 @@
 
     def _make_heartbeat(self) -> Heartbeat:
         snapshot = self.routing_state.snapshot
+        now = asyncio.get_running_loop().time()
+        rounds_to_reach_all = self._gossip.rounds_to_reach_all
         state = HostState.READY if self._has_routing_data else HostState.STARTING
         return Heartbeat(
             host=self.settings.identity.name,
@@ -284,17 +294,43 @@
             config_version=snapshot.config_version,
             upstreams_version=snapshot.upstreams_version,
             loads=tuple(self.load_tracker.own.items()),
-            cached=self.caches.take_updates(self._gossip.rounds_to_reach_all * CACHE_UPDATE_SWEEPS),
-            has_full_cache_map=self._peer_sync.has_full_cache_map,
-            confirmation_age_ms=self._follower_selection.get_state_age_ms(
-                asyncio.get_running_loop().time()
+            cached=self.caches.take_updates(rounds_to_reach_all * UPDATE_SWEEPS),
+            leaving=self._leaving_updates.take(rounds_to_reach_all * UPDATE_SWEEPS),
+            backing_off=tuple(
+                UpstreamBackoff(name, round(remaining_s * 1000))
+                for name, remaining_s in self.backoffs.list_active(now)
             ),
+            has_full_cache_map=self._peer_sync.has_full_cache_map,
+            confirmation_age_ms=self._follower_selection.get_state_age_ms(now),
         )
 
     def _handle_heartbeat(self, address: str, heartbeat: Heartbeat, is_new: bool) -> None:
+        now = asyncio.get_running_loop().time()
+        if heartbeat.upstreams_version != NO_VERSION:
+            self.store.note_era(heartbeat.upstreams_version.era)
+        for upstream in heartbeat.leaving:
+            self.routing_state.note_leaving(upstream.name, upstream.incarnation, source="peer")
+        for backoff in heartbeat.backing_off:
+            self.backoffs.note_peer(backoff.name, backoff.remaining_ms / 1000, now)
         self._follower_selection.handle_heartbeat(heartbeat)
         self._peer_sync.handle_heartbeat(address, heartbeat, is_new)
 
+    def _handle_leaving_upstream(self, upstream: Upstream) -> None:
+        """Send nothing more to an upstream that leaves, and tell the peers."""
+        if self.routing_state.note_leaving(upstream.name, upstream.incarnation, source="answer"):
+            self._leaving_updates.add(UpstreamLeaving(upstream.name, upstream.incarnation))
+
+    def _handle_new_era(self, era: int) -> None:
+        """Write again what this host has written to a store that came back from an older copy."""
+        log.warning(
+            "store is in a new era; what it had acknowledged before may be lost, and what "
+            "this host wrote is written again",
+            extra={"era": era},
+        )
+        self._registry.note_restored()
+        for watcher in self._watchers:
+            watcher.note_era(era)
+
     def _on_snapshot(self, snapshot: Snapshot) -> None:
         self._peer_sync.reset_lag_timer()
         if self._follower_selection.must_notify_peers:
@@ -348,8 +384,9 @@
         callers = self._listeners.callers
         telemetry.add_gauge("config_version", lambda: self.routing_state.snapshot.config_version)
         telemetry.add_gauge(
-            "upstreams_version", lambda: self.routing_state.snapshot.upstreams_version
+            "upstreams_version", lambda: self.routing_state.snapshot.upstreams_version.revision
         )
+        telemetry.add_gauge("store_era", lambda: self.store.era or 0)
         telemetry.add_gauge("knowledge_age_seconds", self._get_state_age_s)
         telemetry.add_gauge("caller_connections", lambda: len(callers.connections))
         telemetry.add_gauge("requests_in_work", lambda: callers.busy)
--- a/src/cherrylane/gossip/messages.py
+++ b/src/cherrylane/gossip/messages.py
@@ -10,6 +10,7 @@
 from cherrylane.errors import PeerMessageError
 from cherrylane.placement.caches import CachedPart
 from cherrylane.placement.loads import Load
+from cherrylane.platform.versions import NO_VERSION, StoreVersion
 from cherrylane.settings.schema import Endpoint
 
 # Size limit of a datagram; most links carry 1,500 bytes without fragmentation.
@@ -35,16 +36,33 @@
     age_ms: int
 
 
+@frozen
+class UpstreamLeaving:
+    """An incarnation of an upstream that has said in an answer that it leaves."""
+
+    name: str
+    incarnation: int
+
+
+@frozen
+class UpstreamBackoff:
+    """An upstream that wants no request from the sender for ``remaining_ms`` milliseconds."""
+
+    name: str
+    remaining_ms: int
+
+
 @frozen
 class Heartbeat:
     """The state that a host announces to its peers several times a second.
 
-    ``config_version`` and ``upstreams_version`` are the newest versions it has, 0 for none.
+    ``config_version`` and ``upstreams_version`` are the newest versions it has, lowest for none.
     ``loads`` is its own load on each upstream. ``cached`` lists the prompt parts that its requests
     have recently left in engine caches, and ``has_full_cache_map`` says whether it also knows what
     was cached before it started. ``hosts`` are some of the other live hosts.
     ``confirmation_age_ms`` is how long ago a host that follows the store last confirmed that the
-    state of this host is current.
+    state of this host is current. ``leaving`` are upstreams that have lately said in an answer that
+    they leave, and ``backing_off`` those that want nothing from this host for a while.
     """
 
     host: str
@@ -53,17 +71,20 @@
     state: HostState
     callers: Endpoint
     config_version: int = 0
-    upstreams_version: int = 0
+    upstreams_version: StoreVersion = NO_VERSION
     loads: tuple[tuple[str, Load], ...] = ()
     hosts: tuple[PeerLiveness, ...] = ()
     confirmation_age_ms: int = UNCONFIRMED_MS
     cached: tuple[CachedPart, ...] = ()
     has_full_cache_map: bool = False
+    leaving: tuple[UpstreamLeaving, ...] = ()
+    backing_off: tuple[UpstreamBackoff, ...] = ()
 
     def encode(self) -> bytes:
         """Return the datagram.
 
-        Above ``MAX_DATAGRAM_BYTES``, cached parts are dropped first, then hosts, then loads.
+        Above ``MAX_DATAGRAM_BYTES``, the least important parts are dropped first: cached parts,
+        then hosts, then backoffs, then loads.
         """
         data = self._to_json()
         if len(data) <= MAX_DATAGRAM_BYTES:
@@ -76,6 +97,8 @@
             return evolve(self, cached=self.cached[: len(self.cached) // 2])
         if self.hosts:
             return evolve(self, hosts=self.hosts[: len(self.hosts) // 2])
+        if self.backing_off:
+            return evolve(self, backing_off=self.backing_off[: len(self.backing_off) // 2])
         largest = sorted(self.loads, key=lambda item: item[1].requests, reverse=True)
         return evolve(self, loads=tuple(largest[: len(largest) // 2]))
 
@@ -88,7 +111,8 @@
             "a": self.callers.address,
             "p": self.callers.port,
             "c": self.config_version,
-            "u": self.upstreams_version,
+            "u": self.upstreams_version.revision,
+            "e": self.upstreams_version.era,
             "n": int(self.has_full_cache_map),
             "l": {name: load.requests for name, load in self.loads},
             "t": {name: load.unread_tokens for name, load in self.loads if load.unread_tokens},
@@ -96,6 +120,10 @@
             "f": self.confirmation_age_ms,
             "k": [(part.upstream, part.key, part.tokens) for part in self.cached],
         }
+        if self.leaving:
+            fields["d"] = [(upstream.name, upstream.incarnation) for upstream in self.leaving]
+        if self.backing_off:
+            fields["w"] = [(upstream.name, upstream.remaining_ms) for upstream in self.backing_off]
         return dumps(fields, separators=(",", ":")).encode()
 
 
@@ -110,7 +138,7 @@
             state=HostState(fields["s"]),
             callers=Endpoint(str(fields["a"]), int(fields["p"])),
             config_version=int(fields["c"]),
-            upstreams_version=int(fields["u"]),
+            upstreams_version=StoreVersion(int(fields.get("e", 0)), int(fields["u"])),
             has_full_cache_map=bool(fields.get("n", 0)),
             loads=tuple(_decode_loads(fields)),
             hosts=tuple(PeerLiveness(str(host), int(age)) for host, age in fields.get("m", ())),
@@ -119,8 +147,23 @@
                 CachedPart(str(upstream), str(key), int(tokens))
                 for upstream, key, tokens in fields.get("k", ())
             ),
+            leaving=tuple(
+                UpstreamLeaving(str(name), int(incarnation))
+                for name, incarnation in fields.get("d", ())
+            ),
+            backing_off=tuple(
+                UpstreamBackoff(str(name), int(remaining))
+                for name, remaining in fields.get("w", ())
+            ),
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except (
+        ValueError,
+        KeyError,
+        TypeError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         raise PeerMessageError(
             f"invalid heartbeat datagram ({type(error).__name__}: {error})",
             remedy="run the same release on all hosts",
--- a/src/cherrylane/idempotency/shards.py
+++ b/src/cherrylane/idempotency/shards.py
@@ -25,6 +25,7 @@
 from cherrylane.idempotency.claims import ClaimAnswer, ClaimOutcome, ClaimRequest
 from cherrylane.platform.client import PlatformClient
 from cherrylane.platform.objects import Kind, PlatformObject
+from cherrylane.platform.versions import StoreVersion
 from cherrylane.settings.documents import structure_document, unstructure
 
 WRITER_THREADS = 4
@@ -62,12 +63,18 @@
 
 @define
 class _Shard:
-    """One shard on this host: claims that wait for a write, and the last known object."""
+    """One shard on this host: claims that wait for a write, and the last known object.
+
+    While ``is_known`` is False, the object has to be read before the next write; ``version`` is
+    None if it does not exist. ``must_write`` is set when the store may have lost some records.
+    """
 
     name: str
     pending: list[_Pending] = field(factory=list)
     is_busy: bool = False
-    version: str | None = None
+    is_known: bool = False
+    must_write: bool = False
+    version: StoreVersion | None = None
     records: dict[str, ClaimRecord] = field(factory=dict)
 
 
@@ -92,6 +99,18 @@
             shard.is_busy = True
         self._writers.submit(self._process_pending, shard)
 
+    def restore(self) -> None:
+        """Write all known claims again after the store came back from an older copy."""
+        with self._lock:
+            shards = [shard for shard in self._shards.values() if shard.records]
+            idle = [shard for shard in shards if not shard.is_busy]
+            for shard in shards:
+                shard.must_write = True
+                shard.is_busy = True
+        log.warning(f"writing the claims of {len(shards)} shards again to the restored store")
+        for shard in idle:
+            self._writers.submit(self._process_pending, shard)
+
     def stop(self) -> None:
         """Complete the writes in progress and cancel the queued ones."""
         self._writers.shutdown(wait=True, cancel_futures=True)
@@ -100,7 +119,7 @@
         while True:
             with self._lock:
                 batch, shard.pending = shard.pending, []
-                if not batch:
+                if not batch and not shard.must_write:
                     shard.is_busy = False
                     return
             outcomes = self._decide_batch(shard, batch)
@@ -110,32 +129,51 @@
     def _decide_batch(self, shard: _Shard, batch: list[_Pending]) -> list[ClaimOutcome]:
         for _ in range(WRITE_ATTEMPTS):
             try:
-                if shard.version is None:
+                if shard.must_write or not shard.is_known:
                     self._read(shard)
                 return self._write(shard, [pending.request for pending in batch])
-            except ConflictError:
-                shard.version = None
+            except (ConflictError, ObjectNotFoundError):
+                shard.is_known = False
             except PlatformUnavailableError:
-                shard.version = None
+                shard.is_known = False
                 sleep(RETRY_INTERVAL_S)
             except PlatformError as error:
                 log.error(f"cannot store the claims of shard {shard.name}: {error}")
                 break
-        shard.version = None
+        shard.is_known = False
+        if shard.must_write:
+            shard.must_write = False
+            log.error(f"{len(shard.records)} claims of shard {shard.name} not written again")
         return [ClaimOutcome.UNAVAILABLE for _ in batch]
 
     def _read(self, shard: _Shard) -> None:
         try:
             stored = self._client.get(Kind.CLAIMS, shard.name)
         except ObjectNotFoundError:
-            shard.version, shard.records = "", {}
+            self._merge(shard, None, {})
             return
         match structure_document(stored.spec, ShardRecords, source=f"claims {shard.name}"):
             case Ok(content):
-                shard.version, shard.records = stored.version, dict(content.records)
+                self._merge(shard, stored.version, dict(content.records))
             case error:
                 raise PlatformError(str(error.err_value), remedy="repair or delete the object")
 
+    def _merge(
+        self, shard: _Shard, version: StoreVersion | None, stored: dict[str, ClaimRecord]
+    ) -> None:
+        """Take over what is stored; keep claims that a restored store has lost."""
+        known = shard.version
+        was_restored = shard.must_write or (
+            known is not None and (version is None or version.era > known.era)
+        )
+        if was_restored:
+            lost = {key: record for key, record in shard.records.items() if key not in stored}
+            if lost:
+                log.warning(f"{len(lost)} claims of shard {shard.name} were lost by the store")
+            stored = stored | lost
+            shard.must_write = bool(lost)
+        shard.version, shard.records, shard.is_known = version, stored, True
+
     def _write(self, shard: _Shard, requests: list[ClaimRequest]) -> list[ClaimOutcome]:
         now = self._clock()
         current = {
@@ -143,16 +181,17 @@
         }
         before = dict(current)
         outcomes = [_decide(current, request, now) for request in requests]
-        if current != before:
+        if current != before or shard.must_write:
             self._store(shard, current)
         return outcomes
 
     def _store(self, shard: _Shard, records: dict[str, ClaimRecord]) -> None:
         spec = unstructure(ShardRecords(records))
-        changed = PlatformObject(Kind.CLAIMS, shard.name, spec, shard.version or "")
-        write = self._client.update if shard.version else self._client.create
+        changed = PlatformObject(Kind.CLAIMS, shard.name, spec, shard.version)
+        write = self._client.create if shard.version is None else self._client.update
         shard.version = write(changed).version
         shard.records = records
+        shard.must_write = False
 
 
 def _decide(records: dict[str, ClaimRecord], request: ClaimRequest, now: float) -> ClaimOutcome:
--- a/src/cherrylane/limits/homes.py
+++ b/src/cherrylane/limits/homes.py
@@ -127,6 +127,10 @@
         """Decide a claim; any host may do so, as each write is conditional."""
         self._claims.submit(request, reply)
 
+    def restore_claims(self) -> None:
+        """Write the known claims again after the store came back from an older copy."""
+        self._claims.restore()
+
     def handle_link_down(self, holder: str) -> None:
         """Drop the waiting requests of a host whose stream broke; its grants stay counted."""
         for pool in list(self._pools.values()):
--- a/src/cherrylane/limits/retries.py
+++ b/src/cherrylane/limits/retries.py
@@ -39,9 +39,14 @@
         """Add the share that one request to the service earns."""
         self._balance = min(self.max_balance, self._balance + self.bounds.share * RETRY_SHARE_USED)
 
+    @property
+    def has_retry(self) -> bool:
+        """Whether a retry is left."""
+        return self._balance >= 1.0
+
     def withdraw(self) -> bool:
         """Take one retry from the balance; returns False if the balance is too low."""
-        if self._balance < 1.0:
+        if not self.has_retry:
             return False
         self._balance -= 1.0
         return True
--- a/src/cherrylane/membership/roster.py
+++ b/src/cherrylane/membership/roster.py
@@ -1,6 +1,7 @@
 """The roster: the list of the fleet's hosts, stored on the platform."""
 
 from secrets import token_hex
+from threading import Lock
 
 from attrs import evolve, field, frozen
 from logbook import Logger
@@ -10,6 +11,7 @@
 from cherrylane.peer.identity import PeerIdentity
 from cherrylane.platform.client import PlatformClient
 from cherrylane.platform.objects import Kind, PlatformObject
+from cherrylane.platform.versions import StoreVersion
 from cherrylane.settings.documents import structure_document, unstructure
 from cherrylane.settings.schema import Endpoint
 
@@ -76,13 +78,26 @@
 
     def __init__(self, client: PlatformClient, record: HostRecord) -> None:
         self._client = client
-        self._version = ""
+        self._version: StoreVersion | None = None
+        self._lock = Lock()
+        self._is_listed = False
         self.record = record
 
     def join(self) -> None:
         """Create the entry, or replace one that an earlier incarnation left behind."""
+        with self._lock:
+            self._write()
+            self._is_listed = True
+
+    def restore(self) -> None:
+        """Write the entry again after the store came back from a copy that may lack it."""
+        with self._lock:
+            if self._is_listed:
+                self._write()
+
+    def _write(self) -> None:
         try:
-            stored = self._client.create(self._to_object(""))
+            stored = self._client.create(self._to_object(None))
         except ConflictError:
             old = self._client.get(Kind.HOSTS, self.record.name)
             stored = self._client.update(self._to_object(old.version))
@@ -90,19 +105,22 @@
 
     def mark_draining(self) -> None:
         """Mark this host as draining, so that it is given no new requests."""
-        self.record = evolve(self.record, draining=True)
-        self._version = self._client.update(self._to_object(self._version)).version
+        with self._lock:
+            self.record = evolve(self.record, draining=True)
+            self._version = self._client.update(self._to_object(self._version)).version
 
     def leave(self) -> None:
         """Delete the entry, unless another incarnation has replaced it."""
         try:
-            self._client.delete(Kind.HOSTS, self.record.name, version=self._version)
+            with self._lock:
+                self._is_listed = False
+                self._client.delete(Kind.HOSTS, self.record.name, version=self._version)
         except (ConflictError, ObjectNotFoundError):
             log.notice(
                 f"roster entry of {self.record.name} not deleted: already replaced or removed"
             )
 
-    def _to_object(self, version: str) -> PlatformObject:
+    def _to_object(self, version: StoreVersion | None) -> PlatformObject:
         return PlatformObject(
             kind=Kind.HOSTS,
             name=self.record.name,
--- a/src/cherrylane/placement/caches.py
+++ b/src/cherrylane/placement/caches.py
@@ -10,17 +10,11 @@
 
 from attrs import define, field, frozen
 
+from cherrylane.gossip.updates import MIN_GOSSIP_ROUNDS, UpdateQueue
 from cherrylane.relay.request import PromptPart
 
 # Fraction of an engine's KV cache assumed to hold cached parts; running requests use the rest.
 CACHE_MEMORY_SHARE = 0.8
-# Minimum number of heartbeat rounds that carry each update, since a datagram may be lost.
-MIN_GOSSIP_ROUNDS = 3
-# Maximum updates in one heartbeat; the rest wait for the next one.
-MAX_UPDATES = 16
-# Maximum pending updates; beyond that the oldest are dropped, and peers record those parts only
-# when their own requests use them.
-MAX_PENDING = 400
 
 
 @frozen
@@ -32,26 +26,19 @@
     tokens: int
 
 
-@define
-class _PendingUpdate:
-    part: CachedPart
-    rounds: int = 0
-
-
 @define
 class CacheMap:
     """The cached parts of each engine in LRU order, least recently used first."""
 
     _parts: dict[str, OrderedDict[str, int]] = field(factory=dict)
     _tokens: dict[str, int] = field(factory=dict)
-    _pending: list[_PendingUpdate] = field(factory=list)
+    _updates: UpdateQueue[CachedPart] = field(factory=UpdateQueue)
 
     def note_run(self, upstream: str, parts: Iterable[PromptPart], kv_cache_tokens: int) -> None:
         """Record that an engine has cached the ``parts`` of one of this host's requests."""
         for part in parts:
             if self._add(upstream, part.key, part.tokens, kv_cache_tokens):
-                self._pending.append(_PendingUpdate(CachedPart(upstream, part.key, part.tokens)))
-        del self._pending[:-MAX_PENDING]
+                self._updates.add(CachedPart(upstream, part.key, part.tokens))
 
     def note_peer(self, cached: CachedPart, kv_cache_tokens: int) -> None:
         """Record an update from a peer; it is not forwarded to others."""
@@ -79,13 +66,7 @@
 
     def take_updates(self, rounds: int = MIN_GOSSIP_ROUNDS) -> tuple[CachedPart, ...]:
         """Return the updates for the next heartbeat; each is sent in at least ``rounds`` rounds."""
-        batch = self._pending[:MAX_UPDATES]
-        for update in batch:
-            update.rounds += 1
-        self._pending = [
-            update for update in self._pending if update.rounds < max(MIN_GOSSIP_ROUNDS, rounds)
-        ]
-        return tuple(update.part for update in batch)
+        return self._updates.take(rounds)
 
     def list_all(self) -> list[CachedPart]:
         """Return all cached parts, for a peer that starts."""
--- a/src/cherrylane/platform/async_watcher.py
+++ b/src/cherrylane/platform/async_watcher.py
@@ -10,6 +10,7 @@
 from cherrylane.errors import PlatformError, WatchExpiredError
 from cherrylane.platform.client import AsyncPlatformClient
 from cherrylane.platform.objects import Kind, ObjectList, WatchEvents
+from cherrylane.platform.versions import StoreVersion
 
 # Seconds between retries while the store is unavailable: the first delay, and the longest.
 RETRY_MIN_S = 0.1
@@ -42,6 +43,7 @@
     recovered_at: float = float("-inf")
     _random: Random = field(factory=Random, repr=False)
     _delay_s: float = RETRY_MIN_S
+    _version: StoreVersion | None = None
     _task: asyncio.Task[None] | None = field(default=None, repr=False)
 
     @property
@@ -67,29 +69,62 @@
         else:
             self._task = asyncio.get_running_loop().create_task(self._run())
 
+    def note_era(self, era: int) -> None:
+        """List again at once if the store was restored; a pending watch may learn of it late."""
+        if self._task is not None and self._version is not None and self._version.era < era:
+            self._task.cancel()
+            self._task = asyncio.get_running_loop().create_task(self._run())
+
     async def _run(self) -> None:
-        """List, then watch; list again if the store no longer has the changes to go on from."""
-        version = ""
+        """List, then watch; list again if the store no longer has the changes to go on from.
+
+        Any other error is logged and followed by a new list: without this task, the host would get
+        no further changes.
+        """
+        version: StoreVersion | None = None
         while True:
             try:
-                if not version:
-                    listed = await self.client.list(self.kind)
-                    self._record_success()
-                    self.on_list(listed)
-                    version = listed.version
+                if version is None:
+                    version = await self._list()
                 version = await self._watch(version)
             except WatchExpiredError as error:
                 log.info("watch expired", extra={"kind": self.kind.value, "reason": str(error)})
-                version = ""
+                version = None
                 await self._wait_before_retry()
             except PlatformError as error:
                 self._record_failure(error)
                 await self._wait_before_retry()
+            except Exception as error:
+                log.exception(
+                    "handling a change failed; listing again",
+                    extra={"kind": self.kind.value, "reason": f"{type(error).__name__}: {error}"},
+                )
+                version = None
+                await self._wait_before_retry()
 
-    async def _watch(self, version: str) -> str:
+    async def _list(self) -> StoreVersion:
+        listed = await self.client.list(self.kind)
+        self._record_success()
+        previous, self._version = self._version, listed.version
+        if previous is not None and listed.version.era > previous.era:
+            # Entries that the older copy lacks return as they do after an outage.
+            self.recovered_at = self.last_success_at
+            log.warning(
+                "store restored from an older copy",
+                extra={
+                    "kind": self.kind.value,
+                    "before": str(previous),
+                    "version": str(listed.version),
+                },
+            )
+        self.on_list(listed)
+        return listed.version
+
+    async def _watch(self, version: StoreVersion) -> StoreVersion:
         wait_s = WATCH_WAIT_S if self.unavailable_since is None else FIRST_WATCH_WAIT_S
         changes = await self.client.watch(self.kind, version, wait_s=wait_s)
         self._record_success()
+        self._version = changes.version
         if changes.events:
             self.on_changes(changes)
             await asyncio.sleep(COALESCE_S)
--- a/src/cherrylane/platform/calls.py
+++ b/src/cherrylane/platform/calls.py
@@ -12,8 +12,10 @@
     PlatformBusyError,
     PlatformError,
     PlatformUnavailableError,
+    StoreRestoredError,
     WatchExpiredError,
 )
+from cherrylane.http.messages import ResponseHead
 from cherrylane.platform.objects import (
     Kind,
     ObjectList,
@@ -21,7 +23,10 @@
     WatchEvent,
     WatchEvents,
 )
+from cherrylane.platform.versions import StoreVersion
 
+# Rises by one each time the store comes back from an older copy.
+ERA = b"Store-Era"
 MAX_MESSAGE_CHARACTERS = 300
 
 
@@ -34,12 +39,21 @@
     body: bytes | None = None
 
 
+@frozen
+class StoreResponse:
+    """A response of the store with the era that it comes from."""
+
+    status: int
+    body: bytes
+    era: int
+
+
 @frozen
 class ListPage:
     """One page of a list; ``has_more`` is set if further pages follow."""
 
     objects: list[PlatformObject]
-    version: str
+    version: StoreVersion
     has_more: bool
 
 
@@ -59,9 +73,9 @@
     return Call("GET", _path(kind) + (f"?{urlencode(query)}" if query else ""))
 
 
-def make_watch(kind: Kind, version: str, wait_s: float) -> Call:
+def make_watch(kind: Kind, version: StoreVersion, wait_s: float) -> Call:
     """Build the request that waits up to ``wait_s`` seconds for changes after ``version``."""
-    query = urlencode({"watch": version, "wait_ms": int(wait_s * 1000)})
+    query = urlencode({"watch": version.revision, "wait_ms": int(wait_s * 1000)})
     return Call("GET", f"{_path(kind)}?{query}")
 
 
@@ -75,25 +89,36 @@
     return Call("PUT", _path(changed.kind, changed.name), _encode(changed.to_wire()))
 
 
-def make_delete(kind: Kind, name: str, version: str) -> Call:
+def make_delete(kind: Kind, name: str, version: StoreVersion | None) -> Call:
     """Build the request that deletes an object if its stored version is still the given one."""
-    query = f"?{urlencode({'rev': version})}" if version else ""
+    query = f"?{urlencode({'rev': version.revision})}" if version is not None else ""
     return Call("DELETE", _path(kind, name) + query)
 
 
-def read_object(kind: Kind, body: bytes) -> PlatformObject:
+def read_era(head: ResponseHead) -> int:
+    """Return the era that a response states, 0 from a store that states none."""
+    text = head.find_text(ERA.lower()).strip()
+    return int(text) if text.isascii() and text.isdigit() else 0
+
+
+def read_object(kind: Kind, response: StoreResponse) -> PlatformObject:
     """Decode the response to a request for one object."""
-    return PlatformObject.from_wire(kind, _decode(body))
+    wire = _decode(response.body)
+    if not _is_object(wire):
+        _raise_malformed("no object with a name and a revision")
+    return PlatformObject.from_wire(kind, wire, response.era)
 
 
-def read_page(kind: Kind, body: bytes) -> ListPage:
+def read_page(kind: Kind, response: StoreResponse) -> ListPage:
     """Decode a page of a list; items without a name or version are skipped."""
-    wire = _decode(body)
+    wire = _decode(response.body)
     return ListPage(
         objects=[
-            PlatformObject.from_wire(kind, item) for item in wire["items"] if _is_object(item)
+            PlatformObject.from_wire(kind, item, response.era)
+            for item in _read_array(wire, "items")
+            if _is_object(item)
         ],
-        version=str(wire["store_revision"]),
+        version=_read_version(wire, response.era),
         has_more=bool(wire.get("more")),
     )
 
@@ -102,28 +127,36 @@
     """Join the pages of a list.
 
     The list gets the version of the first page, so that a watch misses no change that was made
-    while the later pages were read.
+    while the later pages were read. Raises :class:`StoreRestoredError` for pages of two eras.
     """
+    if pages[-1].version.era != pages[0].version.era:
+        raise StoreRestoredError(
+            "the store was restored from an older copy while a list was read",
+            remedy="list the objects again",
+        )
     objects = [found for page in pages for found in page.objects]
     return ObjectList(objects, pages[0].version)
 
 
-def read_events(kind: Kind, body: bytes) -> WatchEvents:
+def read_events(kind: Kind, response: StoreResponse) -> WatchEvents:
     """Decode the response to a watch; events without an object name or version are skipped."""
-    wire = _decode(body)
+    wire = _decode(response.body)
     events = tuple(
-        WatchEvent(PlatformObject.from_wire(kind, item["object"]), bool(item.get("deleted")))
-        for item in wire["events"]
-        if _is_object(item.get("object"))
+        WatchEvent(
+            PlatformObject.from_wire(kind, item["object"], response.era), bool(item.get("deleted"))
+        )
+        for item in _read_array(wire, "events")
+        if isinstance(item, dict) and _is_object(item.get("object"))
     )
-    return WatchEvents(events, str(wire["store_revision"]))
+    return WatchEvents(events, _read_version(wire, response.era))
 
 
-def raise_for_status(call: Call, status: int, body: bytes) -> None:
+def raise_for_status(call: Call, response: StoreResponse) -> None:
     """Raise the typed error for a status that is not a success."""
+    status = response.status
     if status < 300:
         return
-    text = body[:MAX_MESSAGE_CHARACTERS].decode(errors="replace")
+    text = response.body[:MAX_MESSAGE_CHARACTERS].decode(errors="replace")
     match status:
         case 404:
             raise ObjectNotFoundError(f"object not found: {text}", remedy="check the object's name")
@@ -163,21 +196,35 @@
     return isinstance(metadata.get("name"), str) and isinstance(metadata.get("rev"), int)
 
 
+def _read_array(wire: dict[str, Any], name: str) -> list[Any]:
+    items = wire.get(name)
+    if not isinstance(items, list):
+        _raise_malformed(f"{name} is not an array")
+    return items
+
+
+def _read_version(wire: dict[str, Any], era: int) -> StoreVersion:
+    revision = wire.get("store_revision")
+    if isinstance(revision, bool) or not isinstance(revision, int):
+        _raise_malformed("store_revision is not an integer")
+    return StoreVersion(era, revision)
+
+
 def _encode(wire: dict[str, Any]) -> bytes:
     return dumps(wire, separators=(",", ":")).encode()
 
 
-def _decode(body: bytes) -> Any:
+def _decode(body: bytes) -> dict[str, Any]:
     try:
         wire = loads(body)
-    except ValueError as error:
-        _raise_malformed(error)
+    except (ValueError, RecursionError) as error:
+        _raise_malformed(f"{type(error).__name__}: {error}")
     if not isinstance(wire, dict):
-        _raise_malformed(ValueError("not a JSON object"))
+        _raise_malformed("not a JSON object")
     return wire
 
 
-def _raise_malformed(error: ValueError) -> NoReturn:
+def _raise_malformed(problem: str) -> NoReturn:
     raise PlatformUnavailableError(
-        f"malformed response from the platform: {error}", remedy="retry later"
-    ) from error
+        f"malformed response from the platform: {problem}", remedy="retry later"
+    )
--- a/src/cherrylane/platform/client.py
+++ b/src/cherrylane/platform/client.py
@@ -5,17 +5,24 @@
 """
 
 import asyncio
-from collections.abc import Coroutine, Iterator
+from collections.abc import Callable, Coroutine
 from threading import Thread
 from typing import Any, TypeVar
 from urllib.parse import urlsplit
 
-from cherrylane.errors import PlatformUnavailableError, UpstreamError
-from cherrylane.http.messages import Header, Response, encode_request
+from cherrylane.errors import (
+    ConflictError,
+    PlatformUnavailableError,
+    StoreRestoredError,
+    UpstreamError,
+    WatchExpiredError,
+)
+from cherrylane.http.messages import Header, encode_request
 from cherrylane.http.outbound import ConnectionPool, OutboundConnection
 from cherrylane.platform.calls import (
     Call,
     ListPage,
+    StoreResponse,
     join_pages,
     make_create,
     make_delete,
@@ -24,6 +31,7 @@
     make_update,
     make_watch,
     raise_for_status,
+    read_era,
     read_events,
     read_object,
     read_page,
@@ -32,9 +40,9 @@
     Kind,
     ObjectList,
     PlatformObject,
-    WatchEvent,
     WatchEvents,
 )
+from cherrylane.platform.versions import StoreVersion
 from cherrylane.settings.schema import Endpoint, PlatformSettings
 
 # Seconds that an idle connection to the store is kept open for reuse.
@@ -56,6 +64,11 @@
     Calls raise :class:`PlatformUnavailableError` when no response came; a write may then still
     have taken effect, or take effect seconds later. ``calls`` counts the requests.
 
+    ``era`` is the newest era that is known, from a response or from a peer, and None before the
+    first. A write that depends on a version of an earlier era raises :class:`ConflictError`, and
+    one during which the era rose raises :class:`StoreRestoredError`, since the store may have given
+    out the same revision to another write. ``on_new_era`` is called when a known era is replaced.
+
     Example::
 
         client = AsyncPlatformClient(PlatformSettings(url="http://127.0.0.1:7000"))
@@ -67,6 +80,16 @@
         self._endpoint = parse_url(settings.url)
         self._pool = ConnectionPool(MAX_IDLE_S, connect_timeout_s=settings.timeout_s)
         self.calls = 0
+        self.era: int | None = None
+        self.on_new_era: Callable[[int], None] = lambda era: None
+
+    def note_era(self, era: int) -> None:
+        """Take over a newer era; an older one is ignored."""
+        if self.era is not None and era <= self.era:
+            return
+        previous, self.era = self.era, era
+        if previous is not None:
+            self.on_new_era(era)
 
     async def get(self, kind: Kind, name: str) -> PlatformObject:
         """Read one object; raises :class:`ObjectNotFoundError` when there is none."""
@@ -90,23 +113,46 @@
     async def update(self, changed: PlatformObject) -> PlatformObject:
         """Replace an object if its version is still ``changed.version``, else raise
         :class:`ConflictError`."""
-        return read_object(changed.kind, await self._call(make_update(changed)))
+        call = make_update(changed)
+        return read_object(changed.kind, await self._write_if(changed.version, call))
 
-    async def delete(self, kind: Kind, name: str, *, version: str) -> None:
+    async def delete(self, kind: Kind, name: str, *, version: StoreVersion | None) -> None:
         """Delete an object if its version is still ``version``, else raise
         :class:`ConflictError`."""
-        await self._call(make_delete(kind, name, version))
+        await self._write_if(version, make_delete(kind, name, version))
 
-    async def watch(self, kind: Kind, version: str, *, wait_s: float) -> WatchEvents:
+    async def watch(self, kind: Kind, version: StoreVersion, *, wait_s: float) -> WatchEvents:
         """Wait up to ``wait_s`` seconds for changes of ``kind`` after ``version``.
 
-        Raises :class:`WatchExpiredError` if the store no longer has the changes since ``version``.
+        Raises :class:`WatchExpiredError` if the store no longer has the changes since ``version``,
+        or was restored from an older copy meanwhile.
         """
         wait_s = min(wait_s, MAX_WATCH_S)
         call = make_watch(kind, version, wait_s)
-        return read_events(kind, await self._call(call, timeout_s=wait_s + WATCH_GRACE_S))
+        response = await self._call(call, timeout_s=wait_s + WATCH_GRACE_S)
+        if response.era != version.era:
+            raise WatchExpiredError(
+                f"the store was restored from an older copy (era {response.era})",
+                remedy="list the objects again and start a new watch",
+            )
+        return read_events(kind, response)
+
+    async def _write_if(self, version: StoreVersion | None, call: Call) -> StoreResponse:
+        """Send a write that depends on ``version``, unless the era is known to be over."""
+        if version is not None and self.era is not None and version.era < self.era:
+            raise ConflictError(
+                f"version {version} is of an earlier era of the store",
+                remedy="read the object again and retry",
+            )
+        response = await self._call(call)
+        if version is not None and response.era != version.era:
+            raise StoreRestoredError(
+                f"the store was restored from an older copy (era {response.era}) during a write",
+                remedy="read the object again and retry",
+            )
+        return response
 
-    async def _call(self, call: Call, *, timeout_s: float | None = None) -> bytes:
+    async def _call(self, call: Call, *, timeout_s: float | None = None) -> StoreResponse:
         self.calls += 1
         try:
             async with asyncio.timeout(timeout_s or self._settings.timeout_s):
@@ -117,10 +163,11 @@
                 f"({type(error).__name__})",
                 remedy="check that the platform is running and its URL in the settings is correct",
             ) from error
-        raise_for_status(call, response.status, response.body)
-        return response.body
+        self.note_era(response.era)
+        raise_for_status(call, response)
+        return response
 
-    async def _exchange(self, call: Call) -> Response:
+    async def _exchange(self, call: Call) -> StoreResponse:
         connection = self._pool.take_idle(POOL_NAME) or await self._pool.open(self._endpoint)
         try:
             return await self._send(connection, call)
@@ -128,7 +175,7 @@
             connection.close()
             raise
 
-    async def _send(self, connection: OutboundConnection, call: Call) -> Response:
+    async def _send(self, connection: OutboundConnection, call: Call) -> StoreResponse:
         headers: list[Header] = [(b"Host", str(self._endpoint).encode())]
         if self._settings.token:
             headers.append((b"Authorization", b"Bearer " + self._settings.token.encode()))
@@ -145,7 +192,7 @@
         body = await connection.read_body()
         if connection.release(head):
             self._pool.put(POOL_NAME, connection)
-        return Response(head.status, body=body)
+        return StoreResponse(head.status, body, read_era(head))
 
 
 class PlatformClient:
@@ -180,23 +227,21 @@
         :class:`ConflictError`."""
         return self._wait(self._client.update(changed))
 
-    def delete(self, kind: Kind, name: str, *, version: str) -> None:
+    def delete(self, kind: Kind, name: str, *, version: StoreVersion | None) -> None:
         """Delete an object if its version is still ``version``, else raise
         :class:`ConflictError`."""
         self._wait(self._client.delete(kind, name, version=version))
 
-    def watch(self, kind: Kind, version: str) -> Iterator[WatchEvent | str]:
-        """Yield the changes of ``kind`` after ``version`` without end.
+    def watch(
+        self, kind: Kind, version: StoreVersion, *, wait_s: float | None = None
+    ) -> WatchEvents:
+        """Wait for changes of ``kind`` after ``version``, by default for the settings' ``watch_s``.
 
-        After the changes of each response, the version that they lead to is yielded.
-
-        Raises :class:`WatchExpiredError` if the store no longer has the changes since ``version``.
+        Raises :class:`WatchExpiredError` if the store no longer has the changes since ``version``,
+        or was restored from an older copy meanwhile.
         """
-        while True:
-            changes = self._wait(self._client.watch(kind, version, wait_s=self._settings.watch_s))
-            yield from changes.events
-            version = changes.version
-            yield version
+        wait_s = self._settings.watch_s if wait_s is None else wait_s
+        return self._wait(self._client.watch(kind, version, wait_s=wait_s))
 
     def _wait(self, call: Coroutine[Any, Any, T]) -> T:
         return asyncio.run_coroutine_threadsafe(call, self._loop).result()
--- a/src/cherrylane/platform/headers.py
+++ b/src/cherrylane/platform/headers.py
@@ -1,5 +1,8 @@
 """Headers of the platform's protocol: decoding from messages and encoding for upstreams."""
 
+from http import HTTPStatus
+from math import ceil
+
 from attrs import frozen
 
 from cherrylane.http.messages import Head, Header, RequestHead, ResponseHead
@@ -16,6 +19,8 @@
 # Running requests, waiting requests and slots of an upstream, separated by commas.
 LOAD = b"Server-Load"
 NOT_EXECUTED = b"Not-Executed"
+# Sent by an upstream that leaves, with all its responses.
+LEAVING = b"Server-Leaving"
 PRIORITY = b"Request-Priority"
 # The address of the upstream from which the cached parts of a prompt are fetched.
 CACHE_SOURCE = b"Kv-Fetch"
@@ -129,6 +134,18 @@
     return head.status == 421
 
 
+def is_leaving(head: ResponseHead) -> bool:
+    """Return whether the upstream says that it leaves and wants no new requests."""
+    return head.find_text(LEAVING.lower()).strip() not in ("", "0")
+
+
+def read_backoff(head: ResponseHead) -> float | None:
+    """Return for how many seconds the upstream wants nothing from this host, None if it accepts."""
+    if head.status != HTTPStatus.SERVICE_UNAVAILABLE:
+        return None
+    return _read_number(head.find_text(RETRY_AFTER.lower()))
+
+
 def encode_dispatch(headers: list[Header], dispatch: Dispatch) -> list[Header]:
     """Return the headers for an upstream.
 
@@ -149,8 +166,8 @@
 
 
 def encode_retry_after(seconds: float) -> Header:
-    """Return the header that tells the caller after how many seconds to retry."""
-    return (RETRY_AFTER, f"{seconds:.2f}".encode())
+    """Return the header that tells the caller after how many seconds to retry, rounded up."""
+    return (RETRY_AFTER, f"{ceil(seconds * 100) / 100:.2f}".encode())
 
 
 def _read_parts(text: str) -> list[PromptPart]:
--- a/src/cherrylane/platform/objects.py
+++ b/src/cherrylane/platform/objects.py
@@ -5,6 +5,8 @@
 
 from attrs import frozen
 
+from cherrylane.platform.versions import StoreVersion
+
 
 class Kind(Enum):
     """The kinds of object; values are the names that the store uses.
@@ -27,26 +29,28 @@
 class PlatformObject:
     """One object, whose ``spec`` is plain JSON data.
 
-    ``version`` is the store's revision of the object's last change, empty if it is not stored yet.
+    ``version`` is the store's version of the object's last change, None if it is not stored yet or
+    if a write is not to depend on it.
     """
 
     kind: Kind
     name: str
     spec: Any
-    version: str = ""
+    version: StoreVersion | None = None
 
     def to_wire(self) -> dict[str, Any]:
         """Encode the object in the store's JSON form."""
         metadata: dict[str, Any] = {"name": self.name}
-        if self.version:
-            metadata["rev"] = int(self.version)
+        if self.version is not None:
+            metadata["rev"] = self.version.revision
         return {"metadata": metadata, "spec": self.spec}
 
     @classmethod
-    def from_wire(cls, kind: Kind, wire: dict[str, Any]) -> "PlatformObject":
-        """Decode an object from the store's JSON form."""
+    def from_wire(cls, kind: Kind, wire: dict[str, Any], era: int) -> "PlatformObject":
+        """Decode an object from the store's JSON form, received in ``era``."""
         metadata = wire["metadata"]
-        return cls(kind, str(metadata["name"]), wire.get("spec"), str(metadata["rev"]))
+        version = StoreVersion(era, int(metadata["rev"]))
+        return cls(kind, str(metadata["name"]), wire.get("spec"), version)
 
 
 @frozen
@@ -54,7 +58,7 @@
     """All objects of a kind, and the version from which a watch continues."""
 
     objects: list[PlatformObject]
-    version: str
+    version: StoreVersion
 
 
 @frozen
@@ -70,4 +74,4 @@
     """Changes in order, and the version from which the watch continues."""
 
     events: tuple[WatchEvent, ...]
-    version: str
+    version: StoreVersion
--- a/src/cherrylane/platform/upstreams.py
+++ b/src/cherrylane/platform/upstreams.py
@@ -7,7 +7,8 @@
 from cherrylane.settings.schema import Endpoint
 
 UPSTREAM_KIND = "servers"
-STATES = {"ready": UpstreamState.READY, "draining": UpstreamState.DRAINING}
+DRAINING = "draining"
+STATES = {"ready": UpstreamState.READY, DRAINING: UpstreamState.DRAINING}
 REMEDY = "correct the entry; it is ignored until then"
 
 
@@ -32,6 +33,11 @@
         ) from error
 
 
+def mark_draining(entry: dict[str, Any]) -> dict[str, Any]:
+    """Return a copy of a valid entry that says that its upstream leaves."""
+    return {**entry, "state": DRAINING}
+
+
 def _read_text(value: Any) -> str:
     if not isinstance(value, str) or not value:
         raise ValueError(f"{value!r} is not a non-empty string")
--- a/src/cherrylane/relay/attempts.py
+++ b/src/cherrylane/relay/attempts.py
@@ -6,16 +6,18 @@
 
 import asyncio
 from collections.abc import Callable
+from random import Random
 
 from attrs import define, field
 from logbook import Logger
 
+from cherrylane.http.messages import ResponseHead
 from cherrylane.http.responder import Responder
 from cherrylane.limits.overload import RetryDelays
 from cherrylane.limits.retries import HostRetryBudget
 from cherrylane.placement.choice import Choice
 from cherrylane.placement.loads import InFlightRequest, Load, LoadTracker
-from cherrylane.platform.headers import Dispatch
+from cherrylane.platform.headers import Dispatch, is_leaving, read_backoff
 from cherrylane.relay.admission import is_stream
 from cherrylane.relay.exchange import ExchangeClient, OpenAnswer, is_success
 from cherrylane.relay.outcomes import (
@@ -29,10 +31,12 @@
     Rejection,
     Unknown,
 )
+from cherrylane.relay.patience import MoveTimer
 from cherrylane.relay.request import CallerRequest
-from cherrylane.relay.selection import Overloaded, UpstreamSelector
+from cherrylane.relay.selection import AllBackingOff, Overloaded, UpstreamSelector
 from cherrylane.relay.streams import StreamProgress, StreamRelay
 from cherrylane.routing.snapshot import Snapshot
+from cherrylane.routing.upstreams import Upstream
 
 # Number of unreachable upstreams after which a request is abandoned.
 MAX_UNREACHABLE = 4
@@ -45,6 +49,8 @@
 # Retry-After, in seconds, by the reason why the request was not run.
 RETRY_NOT_ACCEPTED_S = 0.25
 RETRY_NO_UPSTREAM_S = 0.5
+# Seconds over which callers are spread when an upstream accepts requests again.
+BACKOFF_SPREAD_S = 0.25
 
 log = Logger("cherrylane.relay")
 
@@ -85,7 +91,7 @@
     """Runs the attempts of requests.
 
     ``load_tracker`` counts the requests in progress; ``find_retry_budget`` returns the budget of a
-    service.
+    service. ``on_leaving`` is called with an upstream that says in an answer that it leaves.
     """
 
     selector: UpstreamSelector
@@ -93,7 +99,9 @@
     load_tracker: LoadTracker
     read_snapshot: Callable[[], Snapshot]
     find_retry_budget: Callable[[str], HostRetryBudget]
+    on_leaving: Callable[[Upstream], None] = lambda upstream: None
     retry_delays: RetryDelays = field(factory=RetryDelays)
+    random: Random = field(factory=Random)
 
     async def run(
         self, state: RequestState, responder: Responder
@@ -111,6 +119,9 @@
                 return self._give_up(state, responder, Cause.NO_UPSTREAM)
             if isinstance(choice, Overloaded):
                 return self._refuse(state, choice, snapshot)
+            if isinstance(choice, AllBackingOff):
+                delay_s = choice.first_end_s + self.random.uniform(0.0, BACKOFF_SPREAD_S)
+                return self._give_up(state, responder, Cause.BACKING_OFF, delay_s)
             self._log_choice(state, choice, snapshot)
             outcome = await self._attempt(state, choice, responder)
             match outcome:
@@ -135,6 +146,17 @@
             return False
         return self.find_retry_budget(request.service).withdraw()
 
+    def _can_move(self, state: RequestState) -> bool:
+        """Return whether a request in progress could be sent to another upstream now."""
+        request = state.request
+        now = asyncio.get_running_loop().time()
+        return (
+            request.route.is_idempotent
+            and state.times_sent + 1 < request.route.max_attempts
+            and self.find_retry_budget(request.service).has_retry
+            and self.selector.has_another(request.service, self.read_snapshot(), state.tried, now)
+        )
+
     async def _attempt(self, state: RequestState, choice: Choice, responder: Responder) -> Outcome:
         loop = asyncio.get_running_loop()
         started_at = loop.time()
@@ -142,10 +164,13 @@
         state.tried.add(name)
         in_flight = self.load_tracker.begin(name, Load(1, choice.unread_tokens))
         try:
-            async with asyncio.timeout_at(
-                self._find_attempt_deadline(state, started_at)
-            ) as timeout:
-                outcome = await self._exchange(state, choice, responder, timeout, in_flight)
+            async with asyncio.timeout_at(state.request.deadline) as timeout:
+                move_timer = MoveTimer(timeout, lambda: self._can_move(state))
+                move_timer.restart(_find_patience(state.request))
+                try:
+                    outcome = await self._exchange(state, choice, responder, move_timer, in_flight)
+                finally:
+                    move_timer.stop()
         except TimeoutError:
             started = responder.started
             outcome = Broken("silent") if started else Unknown("no answer in time")
@@ -161,7 +186,7 @@
         state: RequestState,
         choice: Choice,
         responder: Responder,
-        timeout: asyncio.Timeout,
+        move_timer: MoveTimer,
         in_flight: InFlightRequest,
     ) -> Outcome:
         request = state.request
@@ -179,12 +204,13 @@
         answer = await self.client.begin(request, upstream, self._make_dispatch(state, choice))
         if not isinstance(answer, OpenAnswer):
             return answer
+        self._note_upstream_state(upstream, answer.head)
         if not is_stream(request) or not is_success(answer.head):
             return await self.client.finish(request, upstream, answer)
         self._record_cached(state, upstream.name)
         relay = StreamRelay(request, responder, state.progress, note_first_event)
         try:
-            outcome = await relay.relay(answer, timeout)
+            outcome = await relay.relay(answer, move_timer)
         except BaseException:
             answer.connection.close()
             raise
@@ -194,16 +220,19 @@
             return Unknown(f"stream ended before its first event: {outcome}")
         return outcome
 
-    def _find_attempt_deadline(self, state: RequestState, started_at: float) -> float:
-        """Return when this attempt times out if no part of its answer arrives."""
-        request = state.request
-        if not request.route.is_idempotent or state.times_sent + 1 >= request.route.max_attempts:
-            return request.deadline
-        if is_stream(request):
-            timeout_s = request.route.target_s * STREAM_TIMEOUT_TARGETS
-        else:
-            timeout_s = max(MIN_SAFE_TIMEOUT_S, request.route.target_s * SAFE_TIMEOUT_SHARE)
-        return min(request.deadline, started_at + timeout_s)
+    def _note_upstream_state(self, upstream: Upstream, head: ResponseHead) -> None:
+        """Take over what an upstream says of itself beside its answer."""
+        if is_leaving(head):
+            self.on_leaving(upstream)
+        backoff_s = read_backoff(head)
+        if backoff_s is None:
+            return
+        now = asyncio.get_running_loop().time()
+        self.selector.backoffs.note(upstream.name, upstream.incarnation, backoff_s, now)
+        log.info(
+            "upstream asks to back off",
+            extra={"upstream": upstream.name, "seconds": round(backoff_s, 3)},
+        )
 
     def _make_dispatch(self, state: RequestState, choice: Choice) -> Dispatch:
         request = state.request
@@ -218,7 +247,11 @@
         )
 
     def _give_up(
-        self, state: RequestState, responder: Responder, cause: Cause
+        self,
+        state: RequestState,
+        responder: Responder,
+        cause: Cause,
+        retry_after_s: float | None = None,
     ) -> Failed | Broken | Rejection:
         if responder.started:
             return Broken("the stream could not be resumed")
@@ -233,7 +266,7 @@
             case Cause.NOT_ACCEPTED:
                 return Rejection(cause, retry_after_s=RETRY_NOT_ACCEPTED_S)
             case _:
-                return Rejection(cause)
+                return Rejection(cause, retry_after_s=retry_after_s)
 
     def _refuse(self, state: RequestState, overload: Overloaded, snapshot: Snapshot) -> Rejection:
         request = state.request
@@ -254,7 +287,7 @@
                 "tokens_per_s": round(throughput.tokens_per_s),
                 "retry_after_s": round(delay_s, 2),
                 "config": snapshot.config_version,
-                "upstreams_version": snapshot.upstreams_version,
+                "upstreams_version": str(snapshot.upstreams_version),
             },
         )
         return Rejection(Cause.OVERLOADED, retry_after_s=delay_s)
@@ -313,7 +346,15 @@
                 "shared_tokens": state.request.prompt.shared_tokens,
                 "cache_source": choice.cache_source.name if choice.cache_source else "",
                 "config": snapshot.config_version,
-                "upstreams": snapshot.upstreams_version,
+                "upstreams": str(snapshot.upstreams_version),
                 "upstreams_age_s": round(now - snapshot.upstreams_updated_at, 1),
             },
         )
+
+
+def _find_patience(request: CallerRequest) -> float:
+    """Return how many seconds an upstream gets to start its answer, if others are left."""
+    target_s = request.route.target_s
+    if is_stream(request):
+        return target_s * STREAM_TIMEOUT_TARGETS
+    return max(MIN_SAFE_TIMEOUT_S, target_s * SAFE_TIMEOUT_SHARE)
--- a/src/cherrylane/relay/events.py
+++ b/src/cherrylane/relay/events.py
@@ -8,6 +8,8 @@
 
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
+# Largest event that is buffered; an upstream that sends a longer one is in trouble.
+MAX_EVENT_BYTES = 1024 * 1024
 
 
 @define
@@ -36,6 +38,11 @@
         self.last_id = _find_last_id(complete) or self.last_id
         return complete
 
+    @property
+    def is_oversized(self) -> bool:
+        """Whether the incomplete event is longer than any event may be."""
+        return len(self._buffer) > MAX_EVENT_BYTES
+
     @property
     def remainder(self) -> bytes:
         """The buffered bytes of an incomplete event."""
--- a/src/cherrylane/relay/outcomes.py
+++ b/src/cherrylane/relay/outcomes.py
@@ -68,6 +68,7 @@
     NO_REQUEST_ID = "no_request_id"
     NO_UPSTREAM = "no_upstream"
     OVERLOADED = "overloaded"
+    BACKING_OFF = "backing_off"
     STOPPING = "stopping"
     NOT_ACCEPTED = "not_accepted"
     OUTCOME_UNKNOWN = "outcome_unknown"
@@ -82,6 +83,7 @@
     Cause.NO_REQUEST_ID: HTTPStatus.BAD_REQUEST,
     Cause.NO_UPSTREAM: HTTPStatus.SERVICE_UNAVAILABLE,
     Cause.OVERLOADED: HTTPStatus.SERVICE_UNAVAILABLE,
+    Cause.BACKING_OFF: HTTPStatus.SERVICE_UNAVAILABLE,
     Cause.STOPPING: HTTPStatus.SERVICE_UNAVAILABLE,
     Cause.NOT_ACCEPTED: HTTPStatus.SERVICE_UNAVAILABLE,
     Cause.OUTCOME_UNKNOWN: HTTPStatus.BAD_GATEWAY,
--- a/src/cherrylane/relay/selection.py
+++ b/src/cherrylane/relay/selection.py
@@ -2,6 +2,7 @@
 
 from attrs import define, field, frozen
 
+from cherrylane.limits.backoff import BackoffTracker
 from cherrylane.limits.outliers import OutlierDetector
 from cherrylane.limits.overload import RequestUrgency, Throughput, can_start_in_time
 from cherrylane.placement.choice import Candidate, Choice, Chooser
@@ -19,6 +20,13 @@
     least_unread_tokens: int
 
 
+@frozen
+class AllBackingOff:
+    """Every upstream has asked this host to send nothing, the first for ``first_end_s`` seconds."""
+
+    first_end_s: float
+
+
 @define
 class UpstreamSelector:
     """Chooses upstreams by the platform's list, this host's outlier detection, and load."""
@@ -26,6 +34,7 @@
     chooser: Chooser
     load_tracker: LoadTracker
     outliers: OutlierDetector
+    backoffs: BackoffTracker = field(factory=BackoffTracker)
     _throughputs: dict[str, Throughput] = field(factory=dict)
 
     def throughput_of(self, service: str) -> Throughput:
@@ -34,7 +43,7 @@
 
     def choose(
         self, request: CallerRequest, snapshot: Snapshot, tried: set[str], now: float
-    ) -> Choice | Overloaded | None:
+    ) -> Choice | Overloaded | AllBackingOff | None:
         """Return the upstream for the next attempt, or None if there is none left.
 
         Only first attempts are refused for overload, since work was already spent on later ones.
@@ -42,7 +51,11 @@
         is moved to a less loaded engine has to be prefilled again.
         """
         listed = snapshot.list_upstreams(request.service)
-        candidates = self._find_candidates(listed, tried, now)
+        accepting = [known for known in listed if known.upstream.accepts_requests]
+        allowed = [known for known in accepting if not self._is_backing_off(known, now)]
+        if accepting and not allowed:
+            return AllBackingOff(self.backoffs.find_first_end(map(_get_key, accepting), now))
+        candidates = self._find_candidates(allowed, tried, now)
         if not candidates:
             return None
         if not tried and not self._can_any_start(request, candidates):
@@ -56,13 +69,27 @@
         ]
         return self.chooser.choose_for_chat(request.prompt, candidates, holders)
 
+    def has_another(self, service: str, snapshot: Snapshot, tried: set[str], now: float) -> bool:
+        """Return whether an upstream is left to which a request could be sent next."""
+        return any(
+            known.upstream.name not in tried
+            and known.upstream.accepts_requests
+            and not self._is_backing_off(known, now)
+            for known in snapshot.list_upstreams(service)
+        )
+
+    def _is_backing_off(self, known: KnownUpstream, now: float) -> bool:
+        return self.backoffs.is_backing_off(*_get_key(known), now)
+
     def _find_candidates(
-        self, listed: tuple[KnownUpstream, ...], tried: set[str], now: float
+        self, allowed: list[KnownUpstream], tried: set[str], now: float
     ) -> list[Candidate]:
-        accepting = [known for known in listed if known.upstream.accepts_requests]
-        untried = [known for known in accepting if known.upstream.name not in tried]
+        untried = [known for known in allowed if known.upstream.name not in tried]
         trusted = [
-            known for known in untried if not self.outliers.is_avoided(known.upstream.name, now)
+            known
+            for known in untried
+            if not self.outliers.is_avoided(known.upstream.name, now)
+            and not self.backoffs.is_peer_backing_off(known.upstream.name, now)
         ]
         # When all are avoided, the cause is likely elsewhere.
         chosen = trusted or untried
@@ -79,6 +106,10 @@
         )
 
 
+def _get_key(known: KnownUpstream) -> tuple[str, int]:
+    return known.upstream.name, known.upstream.incarnation
+
+
 def _describe_overload(candidates: list[Candidate]) -> Overloaded:
     loads = [candidate.load for candidate in candidates]
     return Overloaded(
--- a/src/cherrylane/relay/streams.py
+++ b/src/cherrylane/relay/streams.py
@@ -8,9 +8,10 @@
 from cherrylane.errors import IncompleteResponseError
 from cherrylane.http.messages import ResponseHead
 from cherrylane.http.responder import Responder
-from cherrylane.relay.events import EventSplitter
+from cherrylane.relay.events import MAX_EVENT_BYTES, EventSplitter
 from cherrylane.relay.exchange import OpenAnswer
 from cherrylane.relay.outcomes import Broken, Completed, Outcome
+from cherrylane.relay.patience import MoveTimer
 from cherrylane.relay.request import CallerRequest
 
 # Multiple of its target gap between events after which a silent resumable stream is retried at
@@ -38,16 +39,19 @@
     progress: StreamProgress
     note_first_event: Callable[[], None] = lambda: None
 
-    async def relay(self, answer: OpenAnswer, timeout: asyncio.Timeout) -> Outcome:
-        """Relay events until the answer ends; ``timeout`` is extended with each part received."""
+    async def relay(self, answer: OpenAnswer, move_timer: MoveTimer) -> Outcome:
+        """Relay events until the answer ends; ``move_timer`` is restarted with complete events."""
         splitter = EventSplitter(last_id=self.progress.last_id)
         connection = answer.connection
         has_started = False
         try:
             while (part := await connection.read_part()) is not None:
-                self._extend_timeout(timeout)
                 events = splitter.feed(part)
+                if splitter.is_oversized:
+                    connection.close()
+                    return Broken(f"an event of more than {MAX_EVENT_BYTES} bytes")
                 if events:
+                    self._note_progress(move_timer)
                     if not has_started:
                         has_started = True
                         self.note_first_event()
@@ -70,9 +74,9 @@
             return
         await self.responder.write(data)
 
-    def _extend_timeout(self, timeout: asyncio.Timeout) -> None:
+    def _note_progress(self, move_timer: MoveTimer) -> None:
         event_gap_s = self.request.route.target_event_gap_s
-        if event_gap_s is None or not self.request.route.is_resumable:
-            return
-        now = asyncio.get_running_loop().time()
-        timeout.reschedule(min(self.request.deadline, now + event_gap_s * EVENT_GAPS_TOLERATED))
+        if event_gap_s is None:
+            move_timer.stop()
+        else:
+            move_timer.restart(event_gap_s * EVENT_GAPS_TOLERATED)
--- a/src/cherrylane/routing/snapshot.py
+++ b/src/cherrylane/routing/snapshot.py
@@ -2,6 +2,7 @@
 
 from attrs import field, frozen
 
+from cherrylane.platform.versions import NO_VERSION, StoreVersion
 from cherrylane.routing.routes import RouteTable, Service
 from cherrylane.routing.upstreams import Upstream
 
@@ -21,14 +22,14 @@
 class Snapshot:
     """The routing state of a host; it is replaced as a whole on each change.
 
-    Versions are 0 until the first data arrives. ``upstreams_updated_at`` is when
+    Versions are the lowest until the first data arrives. ``upstreams_updated_at`` is when
     the upstreams were last updated, in seconds of the loop's clock.
     """
 
     table: RouteTable | None = None
     upstreams_by_service: dict[str, tuple[KnownUpstream, ...]] = field(factory=dict)
     service_by_upstream: dict[str, str] = field(factory=dict)
-    upstreams_version: int = 0
+    upstreams_version: StoreVersion = NO_VERSION
     upstreams_updated_at: float = 0.0
 
     @property
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -6,7 +6,9 @@
 ``{"slow_s": 2}`` (calls are delayed), ``{"lose_answers": 1}`` (the next write takes effect, but
 its connection is closed without a response) or ``{"late_writes": 1, "late_s": 1}`` (the same, but
 the write takes effect only after ``late_s``). ``POST /compact`` discards the change history, so
-that watches from an older revision get 410.
+that watches from an older revision get 410. ``POST /restore`` with ``{"writes": n}`` brings the
+store back from a copy without its last n writes: their revisions are given out again, and the
+header ``Store-Era`` of all responses rises by one.
 """
 
 import asyncio
@@ -65,9 +67,12 @@
     """
 
     objects: dict[str, dict[str, dict[str, Any]]] = field(factory=dict)
+    era: int = 1
     revision: int = 1
     compacted_revision: int = 1
     changes: list[Change] = field(factory=list)
+    # All changes since the start, from which an older copy is made.
+    log: list[Change] = field(factory=list)
     changed: asyncio.Condition = field(factory=asyncio.Condition)
     faults: Faults = field(factory=Faults)
     reads: int = 0
@@ -78,13 +83,30 @@
         self.revision += 1
         self.writes += 1
         stored["metadata"]["rev"] = self.revision
-        self.changes.append(Change(self.revision, kind, stored, deleted))
+        change = Change(self.revision, kind, stored, deleted)
+        self.changes.append(change)
+        self.log.append(change)
         if len(self.changes) > MAX_HISTORY:
             dropped = self.changes[: MAX_HISTORY // 2]
             self.changes = self.changes[MAX_HISTORY // 2 :]
             self.compacted_revision = dropped[-1].revision
         await self.wake_watches()
 
+    async def restore(self, writes: int) -> None:
+        """Come back without the last ``writes`` writes, in a new era."""
+        self.era += 1
+        self.log = self.log[: max(0, len(self.log) - writes)]
+        self.revision = self.log[-1].revision if self.log else 1
+        self.changes = [change for change in self.changes if change.revision <= self.revision]
+        self.objects = {}
+        for change in self.log:
+            objects = self.objects.setdefault(change.kind, {})
+            if change.deleted:
+                objects.pop(change.object["metadata"]["name"], None)
+            else:
+                objects[change.object["metadata"]["name"]] = change.object
+        await self.wake_watches()
+
     async def wake_watches(self) -> None:
         """Wake up all pending watches."""
         async with self.changed:
@@ -99,7 +121,9 @@
 
     def make_app(self) -> web.Application:
         """Create the web application with all routes."""
-        app = web.Application(middlewares=[self._inject_faults], client_max_size=2**21)
+        app = web.Application(
+            middlewares=[self._add_era, self._inject_faults], client_max_size=2**21
+        )
         prefix = "/objects/{kind}"
         app.router.add_get(prefix, self.list_or_watch)
         app.router.add_post(prefix, self.create)
@@ -108,13 +132,20 @@
         app.router.add_delete(prefix + "/{name}", self.delete)
         app.router.add_post("/faults", self.set_faults)
         app.router.add_post("/compact", self.compact)
+        app.router.add_post("/restore", self.restore)
         app.router.add_get("/counts", self.read_counts)
         return app
 
+    @web.middleware
+    async def _add_era(self, request: web.Request, handler: Any) -> web.StreamResponse:
+        response: web.StreamResponse = await handler(request)
+        response.headers["Store-Era"] = str(self.store.era)
+        return response
+
     @web.middleware
     async def _inject_faults(self, request: web.Request, handler: Any) -> web.StreamResponse:
         faults = self.store.faults
-        if request.path in ("/faults", "/counts", "/compact"):
+        if request.path in ("/faults", "/counts", "/compact", "/restore"):
             return await handler(request)  # type: ignore[no-any-return]
         if faults.slow_s:
             await asyncio.sleep(faults.slow_s)
@@ -153,6 +184,11 @@
         await self.store.wake_watches()
         return web.json_response({})
 
+    async def restore(self, request: web.Request) -> web.Response:
+        """Come back from an older copy."""
+        await self.store.restore(int((await request.json())["writes"]))
+        return web.json_response({})
+
     async def read_counts(self, request: web.Request) -> web.Response:
         """Return the number of reads and of writes so far."""
         return web.json_response({"reads": self.store.reads, "writes": self.store.writes})
@@ -226,12 +262,14 @@
         revision = int(request.query["watch"])
         wait_s = min(MAX_WAIT_S, float(request.query.get("wait_ms", "0")) / 1000)
         kind = request.match_info["kind"]
+        era = self.store.era
 
         def has_changes() -> bool:
             store = self.store
             return (
                 bool(self._list_changes(kind, revision))
                 or store.faults.is_unavailable
+                or store.era != era
                 or (revision < store.compacted_revision)
             )
 
@@ -243,7 +281,7 @@
         if self.store.faults.is_unavailable:
             _close_connection(request)
             return _make_error_response(503)
-        if revision < self.store.compacted_revision:
+        if revision < self.store.compacted_revision or revision > self.store.revision:
             return _make_error_response(410)
         events = [
             {"object": change.object, "deleted": change.deleted}
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -4,8 +4,11 @@
 from enum import Enum
 from threading import Lock
 
+from attrs import evolve
+
 from cherrylane.errors import ConflictError, ObjectNotFoundError, PlatformUnavailableError
 from cherrylane.platform.objects import Kind, PlatformObject
+from cherrylane.platform.versions import NO_VERSION, StoreVersion
 
 
 class Fault(Enum):
@@ -29,7 +32,9 @@
         self.writes = 0
         self.next_fault: Callable[[], Fault] = lambda: Fault.NONE
         self._late: list[PlatformObject] = []
-        self._version = 0
+        self._revision = 0
+        self._era = 0
+        self._log: list[PlatformObject] = []
         self._lock = Lock()
 
     def get(self, kind: Kind, name: str) -> PlatformObject:
@@ -55,6 +60,17 @@
                 except ConflictError:
                     pass
 
+    def restore(self, writes: int) -> None:
+        """Come back in a new era without the last ``writes`` writes."""
+        with self._lock:
+            self._era += 1
+            self._log = self._log[: len(self._log) - writes]
+            self._revision = len(self._log)
+            self.objects = {}
+            for written in self._log:
+                version = evolve(written.version or NO_VERSION, era=self._era)
+                self.objects[written.name] = evolve(written, version=version)
+
     def _write(self, changed: PlatformObject) -> PlatformObject:
         with self._lock:
             self._check_available()
@@ -72,11 +88,13 @@
 
     def _apply(self, changed: PlatformObject) -> PlatformObject:
         stored = self.objects.get(changed.name)
-        if (stored.version if stored else "") != changed.version:
+        if (stored.version if stored else None) != changed.version:
             raise ConflictError("conflict with another write", remedy="none")
-        self._version += 1
+        self._revision += 1
         self.writes += 1
-        written = PlatformObject(changed.kind, changed.name, changed.spec, str(self._version))
+        version = StoreVersion(self._era, self._revision)
+        written = PlatformObject(changed.kind, changed.name, changed.spec, version)
+        self._log.append(written)
         self.objects[changed.name] = written
         return written
 
--- a/tests/test_async_watcher.py
+++ b/tests/test_async_watcher.py
@@ -6,6 +6,7 @@
 from cherrylane.platform.async_watcher import AsyncWatcher
 from cherrylane.platform.client import AsyncPlatformClient
 from cherrylane.platform.objects import Kind, ObjectList, PlatformObject, WatchEvent, WatchEvents
+from cherrylane.platform.versions import StoreVersion
 from cherrylane.settings.schema import PlatformSettings
 from tests.wire import run, wait_for
 
@@ -21,15 +22,15 @@
         self.watches = 0
 
     async def list(self, kind: Kind, *, stale: bool = False) -> ObjectList:
-        return ObjectList([], str(self.version))
+        return ObjectList([], StoreVersion(1, self.version))
 
-    async def watch(self, kind: Kind, version: str, *, wait_s: float) -> WatchEvents:
+    async def watch(self, kind: Kind, version: StoreVersion, *, wait_s: float) -> WatchEvents:
         self.watches += 1
-        while self.version == int(version):
+        while self.version == version.revision:
             await asyncio.sleep(0.001)
-        changed = range(int(version) + 1, self.version + 1)
-        events = [WatchEvent(PlatformObject(kind, str(n), {}, str(n))) for n in changed]
-        return WatchEvents(tuple(events), str(self.version))
+        changed = range(version.revision + 1, self.version + 1)
+        events = [WatchEvent(PlatformObject(kind, str(n), {}, StoreVersion(1, n))) for n in changed]
+        return WatchEvents(tuple(events), StoreVersion(1, self.version))
 
 
 class CoalescingTest(TestCase):
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -2,7 +2,8 @@
 
 from testtools import TestCase
 
-from cherrylane.placement.caches import MIN_GOSSIP_ROUNDS, CachedPart, CacheMap
+from cherrylane.gossip.updates import MIN_GOSSIP_ROUNDS
+from cherrylane.placement.caches import CachedPart, CacheMap
 from cherrylane.placement.choice import Candidate, Chooser
 from cherrylane.placement.loads import Load
 from cherrylane.placement.ranking import rank_names
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -130,3 +130,25 @@
         self, answers: "SimpleQueue[tuple[str, ClaimAnswer]]", key: str
     ) -> Callable[[ClaimAnswer], None]:
         return lambda answer: answers.put((key, answer))
+
+    def test_claims_that_a_restored_store_has_lost_are_written_again(self) -> None:
+        """A key whose claim is lost would be run a second time after a change of home."""
+        home = self.make_home()
+        self.decide(home, claim_of("k", "a"))
+        self.decide(home, claim_of("k2", "a"))
+        self.platform.restore(writes=2)
+        home.restore()
+        home.stop()
+        other = self.make_home()
+        self.assertEqual(ClaimOutcome.TAKEN, self.decide(other, claim_of("k", "b")))
+        self.assertEqual(ClaimOutcome.TAKEN, self.decide(other, claim_of("k2", "b")))
+
+    def test_lost_claims_are_known_before_the_restoration_is(self) -> None:
+        home = self.make_home()
+        self.decide(home, claim_of("k", "a"))
+        first = claim_of("k", "a")
+        others = [claim_of(f"k{number}", "b") for number in range(500)]
+        same_shard = next(claim for claim in others if claim.shard == first.shard)
+        self.platform.restore(writes=1)
+        self.decide(home, same_shard)
+        self.assertEqual(ClaimOutcome.TAKEN, self.decide(self.make_home(), claim_of("k", "c")))
--- a/tests/test_cli_generations.py
+++ b/tests/test_cli_generations.py
@@ -6,12 +6,14 @@
 
 from cherrylane.cli.main import EXIT_BAD_INPUT, EXIT_FAILED, EXIT_OK, EXIT_UNAVAILABLE
 from cherrylane.configuration.store import HISTORY_LENGTH, ConfigurationStore, Generation
+from cherrylane.daemon.fleet import FleetWatcher
 from cherrylane.membership.roster import HostRecord
 from cherrylane.platform.client import PlatformClient
 from cherrylane.platform.objects import Kind, PlatformObject
+from cherrylane.routing.view import FleetView
 from cherrylane.settings.documents import unstructure
 from cherrylane.settings.schema import Endpoint, PlatformSettings
-from standins.fleet import ROOT, CommandResult
+from standins.fleet import ROOT, CommandResult, wait_until
 from tests.cases import FleetCase
 
 BASE_FILE, TW_NORTH_FILE = (
@@ -32,8 +34,8 @@
     def setUp(self) -> None:
         super().setUp()
         self.fleet.start_platform()
-        settings = PlatformSettings(url=self.fleet.platform_url)
-        self.store = ConfigurationStore(PlatformClient(settings))
+        self.settings = PlatformSettings(url=self.fleet.platform_url)
+        self.store = ConfigurationStore(PlatformClient(self.settings))
 
     def run_command(self, *arguments: str) -> CommandResult:
         return self.fleet.try_cli("--output", "json", *arguments)
@@ -147,3 +149,42 @@
         result = self.run_command("status", "--wait", "0.1")
         self.assertEqual(EXIT_UNAVAILABLE, result.code)
         self.assertThat(result.text, Contains("generation not in force after 0.1 s on hsinchu-1"))
+
+
+class RestoredStoreTest(GenerationsCase):
+    """The store comes back from a copy without the generation that hosts serve."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.run_successfully("apply", BASE_FILE, TW_NORTH_FILE)
+        self.first = self.read_current()
+        self.run_successfully("apply", self.write_ga_south_overlay("one"))
+        self.second = self.read_current()
+        self.generations: list[int] = []
+        self.hint_keys: list[str] = []
+        fleet = FleetWatcher(PlatformClient(self.settings), self.note_view)
+        fleet.start()
+        self.addCleanup(fleet.stop)
+        wait_until(lambda: self.generations[-1:] == [2], "the second generation")
+
+    def note_view(self, view: FleetView) -> None:
+        self.generations.append(view.configuration.generation)
+        self.hint_keys.append(view.configuration.hint_keys.get("ga-south", ""))
+
+    def restore(self, writes: int) -> None:
+        self.fleet.request("POST", f"{self.fleet.platform_url}/restore", {"writes": writes})
+
+    def test_a_host_puts_back_the_generation_that_it_serves(self) -> None:
+        # The last write made it the current one; its documents are in the copy.
+        self.restore(1)
+        wait_until(lambda: self.read_current() == self.second, "the return of the generation")
+        self.assertEqual({2}, set(self.generations[self.generations.index(2) :]))
+
+    def test_a_later_apply_gets_the_same_number_and_is_in_force(self) -> None:
+        self.restore(2)
+        self.assertEqual(self.first, self.read_current())
+        self.run_successfully("apply", self.write_ga_south_overlay("two"))
+        applied = self.read_current()
+        self.assertEqual(self.second.number, applied.number)
+        wait_until(lambda: self.hint_keys[-1].endswith("two"), "the later apply to be in force")
+        self.assertEqual({2}, set(self.generations[self.generations.index(2) :]))
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -11,6 +11,8 @@
     Heartbeat,
     HostState,
     PeerLiveness,
+    UpstreamBackoff,
+    UpstreamLeaving,
     decode_heartbeat,
 )
 from cherrylane.gossip.node import HEARTBEAT_INTERVAL_S, GossipNode
@@ -20,6 +22,7 @@
 from cherrylane.http.responder import Responder
 from cherrylane.placement.caches import CachedPart, CacheMap
 from cherrylane.placement.loads import PEER_LOADS_LIFETIME_S, Load, LoadTracker
+from cherrylane.platform.versions import StoreVersion
 from cherrylane.relay.request import PromptPart
 from cherrylane.settings.schema import Endpoint
 from tests.test_platform_documents import CONFIG, ENTRY
@@ -41,11 +44,13 @@
     def test_heartbeat_round_trip(self) -> None:
         sent = make_heartbeat(
             config_version=7,
-            upstreams_version=9,
+            upstreams_version=StoreVersion(2, 9),
             loads=(("i", Load(3, 40)),),
             hosts=(PeerLiveness("10.0.0.2", 40),),
             confirmation_age_ms=120,
             cached=(CachedPart("i", "5c1e", 90),),
+            leaving=(UpstreamLeaving("i", 1_700_000_000_000),),
+            backing_off=(UpstreamBackoff("i", 1500),),
         )
         self.assertEqual(sent, decode_heartbeat(sent.encode()))
 
@@ -161,7 +166,7 @@
         async def work() -> None:
             up_to_date = RoutingState(lambda snapshot: None)
             up_to_date.apply_config(CONFIG, source="test")
-            up_to_date.apply_peer_entries({"i": ENTRY}, 12)
+            up_to_date.apply_peer_entries({"i": ENTRY}, StoreVersion(1, 12))
             source_caches, caches = CacheMap(), CacheMap()
             parts = (PromptPart("chat", 90),)
             source_caches.note_run("i", parts, kv_cache_tokens=1000)
@@ -177,14 +182,14 @@
             peer_sync = PeerSync(routing_state, load_tracker, caches, server.port)
             heartbeat = make_heartbeat(
                 config_version=7,
-                upstreams_version=12,
+                upstreams_version=StoreVersion(1, 12),
                 loads=(("i", Load(3, 40)),),
                 has_full_cache_map=True,
             )
             peer_sync.handle_heartbeat(LOOPBACK, heartbeat, False)
             now = asyncio.get_running_loop().time()
             self.assertEqual({"i": Load(3, 40)}, load_tracker.read(["i"], now))
-            await wait_for(lambda: routing_state.snapshot.upstreams_version == 12)
+            await wait_for(lambda: routing_state.snapshot.upstreams_version == StoreVersion(1, 12))
             self.assertEqual(7, routing_state.snapshot.config_version)
             await wait_for(lambda: caches.count_cached("i", parts) == 90)
 
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -15,6 +15,7 @@
 from cherrylane.placement.caches import CacheMap
 from cherrylane.placement.loads import LoadTracker
 from cherrylane.placement.ranking import rank_names
+from cherrylane.platform.versions import StoreVersion
 from cherrylane.relay.request import PromptPart
 from tests.test_gossip import make_heartbeat
 from tests.test_platform_documents import CONFIG
@@ -47,7 +48,9 @@
         self.recovery.registry_loaded.set()
 
     def add_engine(self, engine: ScriptedUpstream) -> None:
-        self.routing_state.apply_peer_entries({"engine": engine.make_entry("s")}, 1)
+        self.routing_state.apply_peer_entries(
+            {"engine": engine.make_entry("s")}, StoreVersion(1, 1)
+        )
 
     async def listen(self, port: int = 0) -> int:
         async def handle(request: Request, responder: Responder) -> None:
--- a/tests/wire.py
+++ b/tests/wire.py
@@ -9,6 +9,7 @@
 
 from cherrylane.http.inbound import RESET_ON_CLOSE
 from cherrylane.http.limits import InboundLimits
+from cherrylane.platform.versions import StoreVersion
 from cherrylane.relay.request import CallerRequest, Prompt
 from cherrylane.routing.routes import (
     Account,
@@ -228,7 +229,9 @@
     """Return a snapshot in which the service ``desk`` has these upstreams."""
     known = tuple(KnownUpstream(one, 0.0) for one in upstreams)
     table = RouteTable(configuration or make_configuration())
-    return Snapshot(table=table, upstreams_by_service={"desk": known}, upstreams_version=1)
+    return Snapshot(
+        table=table, upstreams_by_service={"desk": known}, upstreams_version=StoreVersion(1, 1)
+    )
 
 
 def make_request(route: Route, now: float, **changes: Any) -> CallerRequest:
