Bound heads, bodies and streams of bytes that are no answer, on every reader of the gateway

Cause: a server in trouble may send bytes without end. Heads of responses had no size limit (header lines, one header, interim responses), bodies read as a whole neither, chunk extensions and trailers were not counted on either side, an event without end was buffered, a peer's state was decompressed without a limit, a caller's slow body had no time limit as a whole; nested JSON and infinite numbers raised what nobody caught; outcome labels of the request metric were unbounded. Ruled out: one limit on the bytes of a connection (streams are long); pausing the reader (it never ends).

--- a/src/cherrylane/gateway/peer_sync.py
+++ b/src/cherrylane/gateway/peer_sync.py
@@ -26,6 +26,8 @@
 PEER_FETCH_DELAY_S = 0.4
 # Time limit of one call to a peer, in seconds.
 PEER_CALL_TIMEOUT_S = 1.0
+# Largest state that is taken from a peer, decompressed, in bytes.
+MAX_STATE_BYTES = 64 * 1024 * 1024
 
 CONFIG_PATH = b"/config"
 UPSTREAMS_PATH = b"/upstreams"
@@ -119,7 +121,7 @@
             parts = _decode_cached(loads(body))
             self.reported_engines.update(part.upstream for part in parts)
             self.record_cached_parts(parts)
-        except (ValueError, TypeError) as error:
+        except (ValueError, TypeError, OverflowError, RecursionError) as error:
             log.warning("invalid list of cached parts from a peer", extra={"reason": str(error)})
             return 400
         return 204
@@ -155,8 +157,18 @@
         try:
             for target in targets:
                 body = await call(endpoint, target, timeout_s=PEER_CALL_TIMEOUT_S)
-                self._apply(target, loads(zlib.decompress(body)))
-        except (UpstreamError, TimeoutError, ValueError, KeyError, TypeError, zlib.error) as error:
+                self._apply(target, loads(_decompress(body)))
+        except (
+            UpstreamError,
+            TimeoutError,
+            ValueError,
+            KeyError,
+            TypeError,
+            AttributeError,
+            OverflowError,
+            RecursionError,
+            zlib.error,
+        ) as error:
             reason = f"{type(error).__name__}: {error}"
             log.warning(
                 "cannot fetch state from peer", extra={"peer": str(endpoint), "reason": reason}
@@ -173,5 +185,16 @@
             self.has_full_cache_map = True
 
 
+def _decompress(body: bytes) -> bytes:
+    """Decompress a peer's response; raises ``ValueError`` if it is too large."""
+    decompressor = zlib.decompressobj()
+    data = decompressor.decompress(body, MAX_STATE_BYTES)
+    if decompressor.unconsumed_tail:
+        raise ValueError(f"state of more than {MAX_STATE_BYTES} bytes")
+    if not decompressor.eof:
+        raise ValueError("state ends early")
+    return data
+
+
 def _decode_cached(items: list[tuple[str, str, int]]) -> list[CachedPart]:
     return [CachedPart(str(upstream), str(key), int(tokens)) for upstream, key, tokens in items]
--- a/src/cherrylane/http/framing.py
+++ b/src/cherrylane/http/framing.py
@@ -2,10 +2,38 @@
 
 from http import HTTPStatus
 
-from attrs import frozen
+from attrs import define, frozen
 
 from cherrylane.http.messages import RequestHead
 
+# Bytes of framing tolerated for each byte of data; a chunk of one byte takes five.
+FRAMING_PER_DATA_BYTE = 8
+
+
+@define
+class FramingMeter:
+    """Counts the bytes of a body that are no data: chunk sizes, chunk extensions and trailers.
+
+    A peer in trouble may send them without end; they never add up to a body that is too large.
+    ``allowance`` is how many are tolerated in any case.
+
+    Example::
+
+        meter = FramingMeter(allowance=1024)
+        meter.received += 5000  # bytes read from the connection
+        meter.data += 20  # bytes of the body that were in them
+        meter.is_excessive  # True
+    """
+
+    allowance: int
+    received: int = 0
+    data: int = 0
+
+    @property
+    def is_excessive(self) -> bool:
+        """Whether more framing was received than a sound peer sends."""
+        return self.received - self.data > self.allowance + FRAMING_PER_DATA_BYTE * self.data
+
 
 @frozen
 class ReadFailure:
--- a/src/cherrylane/http/inbound.py
+++ b/src/cherrylane/http/inbound.py
@@ -14,7 +14,7 @@
 from attrs import define, field
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
-from cherrylane.http.framing import ReadFailure, find_framing_problem, measure_head
+from cherrylane.http.framing import FramingMeter, ReadFailure, find_framing_problem, measure_head
 from cherrylane.http.limits import InboundLimits
 from cherrylane.http.messages import (
     Header,
@@ -100,6 +100,9 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._head_bytes = 0
+        self._body_started_at = 0.0
+        # Set while a body is read.
+        self._meter: FramingMeter | None = None
         self._reading = False
         self._stopped_reading = False
         self._lingering = False
@@ -124,6 +127,8 @@
             self._restart_timer(self._server.limits.read_timeout_s)
         if self._head is None:
             self._head_bytes += len(data)
+        elif self._meter is not None:
+            self._meter.received += len(data)
         try:
             self._parser.feed_data(data)
         except HttpParserUpgrade:
@@ -135,6 +140,8 @@
             self._fail(
                 ReadFailure(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "request head too large")
             )
+        if self._meter is not None and self._meter.is_excessive:
+            self._fail(ReadFailure(HTTPStatus.BAD_REQUEST, "more framing than data in the body"))
         if len(self._requests) > MAX_PIPELINED:
             self._fail(
                 ReadFailure(HTTPStatus.BAD_REQUEST, f"more than {MAX_PIPELINED} pipelined requests")
@@ -186,6 +193,8 @@
             http_1_0=self._parser.get_http_version() == "1.0",
         )
         self._head = head
+        self._meter = FramingMeter(self._server.limits.max_header_bytes)
+        self._body_started_at = self._loop.time()
         problem = find_framing_problem(head)
         if problem:
             self._fail(ReadFailure(HTTPStatus.BAD_REQUEST, problem))
@@ -208,7 +217,11 @@
             return
         self._body.append(data)
         self._body_bytes += len(data)
-        self._restart_timer(self._server.limits.read_timeout_s)
+        if self._meter is not None:
+            self._meter.data += len(data)
+        limits = self._server.limits
+        time_left_s = self._body_started_at + limits.body_timeout_s - self._loop.time()
+        self._restart_timer(max(0.0, min(limits.read_timeout_s, time_left_s)))
         if self._body_bytes > self._server.limits.max_body_bytes:
             self._fail(ReadFailure(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "request body too large"))
 
@@ -219,6 +232,7 @@
         self._head_bytes = 0
         self._requests.append(Request(self._head, b"".join(self._body)))
         self._head = None
+        self._meter = None
         self._notify_request()
 
     def close_if_idle(self) -> None:
--- a/src/cherrylane/http/outbound.py
+++ b/src/cherrylane/http/outbound.py
@@ -13,6 +13,8 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
 from cherrylane.errors import ConnectError, IncompleteResponseError
+from cherrylane.http.framing import FramingMeter
+from cherrylane.http.limits import ResponseLimits
 from cherrylane.http.messages import Header, ResponseHead
 from cherrylane.settings.schema import Endpoint
 
@@ -24,6 +26,7 @@
 # Bytes of response that may be queued for a reader before reading from the connection pauses.
 READ_BUFFER_BYTES = 256 * 1024
 BODILESS_STATUSES = frozenset({204, 304})
+DEFAULT_LIMITS = ResponseLimits()
 
 
 @frozen
@@ -37,7 +40,12 @@
 class OutboundConnection(asyncio.Protocol):
     """A connection that carries one request at a time."""
 
-    def __init__(self) -> None:
+    def __init__(self, limits: ResponseLimits = DEFAULT_LIMITS) -> None:
+        self._limits = limits
+        self._head_bytes = 0
+        self._meter: FramingMeter | None = None
+        # Whether a head or a body has ended in the bytes received last.
+        self._has_advanced = False
         self._loop = asyncio.get_running_loop()
         self._parser = HttpResponseParser(self)
         self._parts: deque[ResponseHead | bytes | _End] = deque()
@@ -74,10 +82,26 @@
             self._fail("an upgrade that was not asked for")
         except HttpParserError as error:
             self._fail(f"malformed answer: {error}")
+        self._check_size(len(data))
         if self._queued_bytes > READ_BUFFER_BYTES and not self._paused:
             self._paused = True
             self._transport.pause_reading()
 
+    def _check_size(self, received: int) -> None:
+        """Fail if the last ``received`` bytes exceed a limit; called after they are parsed."""
+        if self._has_advanced:
+            self._has_advanced = False
+            self._head_bytes = 0
+            self._meter = FramingMeter(self._limits.max_head_bytes) if self._in_body else None
+        elif self._meter is not None:
+            self._meter.received += received
+            if self._meter.is_excessive:
+                self._fail("more framing than data")
+        else:
+            self._head_bytes += received
+            if self._head_bytes > self._limits.max_head_bytes:
+                self._fail(f"more than {self._limits.max_head_bytes} bytes without a head")
+
     def eof_received(self) -> bool:
         if self._in_body and self._until_eof:
             self.on_message_complete()
@@ -100,20 +124,26 @@
             b"content-length" in names
             or b"chunked" in names.get(b"transfer-encoding", b"").lower()
             or status in BODILESS_STATUSES
-            or status < 200
         )
         self._until_eof = not has_length
-        self._in_body = True
+        if status < 200:
+            # An interim response; it counts as part of the head that follows.
+            return
+        self._in_body = self._has_advanced = True
         keep_alive = self._parser.should_keep_alive() and has_length
         self._queue(ResponseHead(tuple(self._headers), status, keep_alive, has_length))
 
     def on_body(self, data: bytes) -> None:
         self._queued_bytes += len(data)
+        if self._meter is not None:
+            self._meter.data += len(data)
         self._queue(data)
 
     def on_message_complete(self) -> None:
-        self._in_body = False
-        self._queue(_END)
+        if self._in_body:
+            self._in_body = False
+            self._has_advanced = True
+            self._queue(_END)
 
     def send(self, data: bytes) -> None:
         """Send a request; raises :class:`IncompleteResponseError` if the connection has failed."""
@@ -131,7 +161,10 @@
         return self._transport.get_write_buffer_size() == 0
 
     async def read_head(self) -> ResponseHead:
-        """Return the next response head; raises :class:`IncompleteResponseError` if none comes."""
+        """Return the next response head, skipping interim ones.
+
+        Raises :class:`IncompleteResponseError` if none comes.
+        """
         while True:
             match await self._next_part():
                 case ResponseHead() as head:
@@ -152,10 +185,19 @@
                 return None
 
     async def read_body(self) -> bytes:
-        """Return the whole body."""
+        """Return the whole body, unless it is larger than the limit."""
         parts: list[bytes] = []
+        size = 0
         while (part := await self.read_part()) is not None:
             parts.append(part)
+            size += len(part)
+            if size > self._limits.max_body_bytes:
+                self.close()
+                raise IncompleteResponseError(
+                    f"a body of more than {self._limits.max_body_bytes} bytes",
+                    remedy="check the server",
+                    sent=True,
+                )
         return b"".join(parts)
 
     def release(self, head: ResponseHead) -> bool:
@@ -214,13 +256,15 @@
             self._part_queued.set_result(None)
 
 
-async def open_connection(endpoint: Endpoint, timeout_s: float) -> OutboundConnection:
+async def open_connection(
+    endpoint: Endpoint, timeout_s: float, limits: ResponseLimits = DEFAULT_LIMITS
+) -> OutboundConnection:
     """Open a connection; raises :class:`ConnectError` if that fails, with nothing sent."""
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout_s):
             _, connection = await loop.create_connection(
-                OutboundConnection, endpoint.address, endpoint.port
+                lambda: OutboundConnection(limits), endpoint.address, endpoint.port
             )
     except (OSError, TimeoutError) as error:
         reason = (
@@ -244,6 +288,7 @@
     max_idle_s: float
     connect_timeout_s: float
     get_max_idle: Callable[[str], int] | None = None
+    limits: ResponseLimits = DEFAULT_LIMITS
     opened: int = 0
     _idle: dict[str, list[OutboundConnection]] = field(factory=dict)
 
@@ -262,7 +307,7 @@
     async def open(self, endpoint: Endpoint) -> OutboundConnection:
         """Open a new connection."""
         self.opened += 1
-        return await open_connection(endpoint, self.connect_timeout_s)
+        return await open_connection(endpoint, self.connect_timeout_s, self.limits)
 
     def put(self, name: str, connection: OutboundConnection) -> None:
         """Keep a released connection for reuse; closes the oldest ones above the limit."""
--- a/src/cherrylane/platform/configuration.py
+++ b/src/cherrylane/platform/configuration.py
@@ -35,7 +35,7 @@
             limits=_decode_limits(document["limits"]),
             accounts=tuple(_decode_account(item) for item in document.get("tenants") or ()),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise SettingsError(
             f"invalid configuration ({type(error).__name__}: {error})", remedy=REMEDY
         ) from error
--- a/src/cherrylane/relay/exchange.py
+++ b/src/cherrylane/relay/exchange.py
@@ -20,6 +20,8 @@
 # Statuses of requests that were not run; the upstream must also say so in a header.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 FIRST_SERVER_ERROR = 500
+# Number of answers to earlier requests after which the answer to this one is no longer awaited.
+MAX_LATE_ANSWERS = 2
 
 
 @frozen
@@ -115,17 +117,20 @@
 async def _read_matching_head(
     connection: OutboundConnection, request_id: str, *, is_reused: bool
 ) -> ResponseHead:
-    while True:
+    late_answers = 0
+    while late_answers <= MAX_LATE_ANSWERS:
         head = await connection.read_head()
-        if head.status < 200:
-            continue
         answered_id = read_request_id(head)
         if answered_id == request_id or (not answered_id and not is_reused):
             return head
         # A late answer to an earlier request. The answer to this request may follow, but the
         # connection is not reused afterwards.
         connection.is_reusable = False
+        late_answers += 1
         await connection.read_body()
+    raise IncompleteResponseError(
+        f"{late_answers} answers to other requests", remedy="use another connection", sent=True
+    )
 
 
 def _encode(request: CallerRequest, dispatch: Dispatch) -> bytes:
--- a/src/cherrylane/relay/service.py
+++ b/src/cherrylane/relay/service.py
@@ -149,7 +149,8 @@
         request = state.request
         now = asyncio.get_running_loop().time()
         kind = request.route.kind.value
-        self.telemetry.count("requests", kind=kind, outcome=outcome)
+        # Without the reason, of which there may be any number.
+        self.telemetry.count("requests", kind=kind, outcome=outcome.partition(":")[0])
         self.telemetry.observe("request", now - request.received, kind=kind)
         first_at = state.progress.first_at
         if first_at is not None:
