Bound the thread daemon's readers, and end what only looks complete

Cause: a socket's time-out bounds the time between two reads, so that heads and bodies of callers and upstreams had no time limit as a whole; a stream was kept by each byte. Found by the tests: a response with a huge Content-Length raised MemoryError (the whole rest was asked for in one read); a response whose head broke off was a success without a body, since http.client takes the end of the connection for the end of the headers; a line with the size of a chunk was read without a limit. Ruled out: a timer thread for each exchange (threads are the limit here). Change: SocketDeadlines, one thread that shuts sockets down; body reads of 64 KB; heads must end with an empty line; a body cut by its time limit is truncated; streams progress by complete events, and a caller that stops reading is no silence of the engine. Conclusion: every reader has a bound on size, on time as a whole and between bytes.

--- a/src/cherrylane/delivery/exchange.py
+++ b/src/cherrylane/delivery/exchange.py
@@ -2,10 +2,12 @@
 
 from collections import Counter
 from collections.abc import Iterator, Mapping
-from http.client import HTTPException
+from http.client import HTTPException, IncompleteRead
+from http.client import HTTPResponse as ClientResponse
 from select import POLLIN, POLLRDHUP, poll
 from socket import MSG_DONTWAIT, MSG_PEEK, socket
 from threading import Lock
+from typing import Any
 
 from attrs import frozen
 from urllib3.connection import HTTPConnection
@@ -13,6 +15,7 @@
 from urllib3.response import HTTPResponse
 
 from cherrylane.errors import CallerDisconnectedError, TruncatedResponseError, UpstreamError
+from cherrylane.http.deadlines import DEADLINES
 from cherrylane.membership.runners import Runner
 from cherrylane.settings.schema import UpstreamSettings
 
@@ -33,6 +36,37 @@
     body: bytes
 
 
+class _CompleteLineReader:
+    """Reads a response; its end within a line is an error, not the end of its head.
+
+    ``http.client`` takes the end of the connection for the empty line that ends the headers, so
+    that a head that breaks off would look like a complete response without a body.
+    """
+
+    def __init__(self, reader: Any) -> None:
+        self._reader = reader
+
+    def readline(self, size: int = -1) -> bytes:
+        """Read a line; raises ``IncompleteRead`` if it is not complete."""
+        line: bytes = self._reader.readline(size)
+        if not line.endswith(b"\n") and len(line) != size:
+            raise IncompleteRead(line)
+        return line
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._reader, name)
+
+
+class _CheckedResponse(ClientResponse):
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self.fp: Any = _CompleteLineReader(self.fp)
+
+
+class _UpstreamConnection(HTTPConnection):
+    response_class = _CheckedResponse
+
+
 class UpstreamClient:
     """Opens a new connection for each attempt, up to a limit of open connections per runner.
 
@@ -55,7 +89,7 @@
         host, and :class:`CallerDisconnectedError` when ``caller`` closes its connection first.
         """
         self._reserve(runner)
-        connection = HTTPConnection(
+        connection = _UpstreamConnection(
             runner.address,
             runner.port,
             timeout=self.settings.connect_timeout_s,
@@ -142,8 +176,10 @@
             )
 
     def _read_head(self, runner: Runner, connection: HTTPConnection) -> HTTPResponse:
+        what = f"head of a response of upstream {runner.name}"
         try:
-            return connection.getresponse()
+            with DEADLINES.limit(connection.sock, self.settings.head_timeout_s, what):
+                return connection.getresponse()
         except HTTP_FAILURES as error:
             raise UpstreamError(
                 f"upstream {runner.name} sent no valid response ({type(error).__name__})",
@@ -194,7 +230,7 @@
         expected = self._response.length_remaining
         received = 0
         try:
-            while chunk := self._response.read1():
+            while chunk := self._response.read1(READ_BYTES):
                 received += len(chunk)
                 yield chunk
         except HTTP_FAILURES as error:
@@ -206,9 +242,18 @@
     def read_full_body(self) -> bytes:
         """Return the whole body.
 
-        Raises :class:`TruncatedResponseError` if it ends early or exceeds
-        ``MAX_FULL_BODY_BYTES``.
+        Raises :class:`TruncatedResponseError` if it ends early, takes longer than the settings'
+        ``body_timeout_s`` or exceeds ``MAX_FULL_BODY_BYTES``.
         """
+        what = f"body of a response of upstream {self.runner.name}"
+        timeout_s = self._client.settings.body_timeout_s
+        with DEADLINES.limit(self._raw_socket, timeout_s, what) as limit:
+            body = self._read_all()
+        if limit.is_over:
+            raise self._make_truncated_error(len(body), f"not complete within {timeout_s:g} s")
+        return body
+
+    def _read_all(self) -> bytes:
         parts: list[bytes] = []
         size = 0
         for chunk in self.chunks():
--- a/src/cherrylane/delivery/relay.py
+++ b/src/cherrylane/delivery/relay.py
@@ -16,6 +16,7 @@
 from cherrylane.telemetry.metrics import Metrics
 
 DONE_EVENT = b"data: [DONE]"
+EVENT_END = b"\n\n"
 TAIL_BYTES = 1024
 READ_BYTES = 64 * 1024
 CHUNKS_PER_GAP_SAMPLE = 8
@@ -135,7 +136,7 @@
 
     def _stop_on(self, wake: WakeReason) -> None:
         if wake is WakeReason.SILENT:
-            self._end_early(f"the engine sent nothing for {self.owner.silence_timeout_s:g} s")
+            self._end_early(f"the engine completed no event for {self.owner.silence_timeout_s:g} s")
         else:
             self._count_disconnect()
 
@@ -161,6 +162,8 @@
     def _decode(self, data: bytes) -> bytes:
         body = self.decoder.decode(data)
         if body:
+            if EVENT_END in self.tail[-1:] + body:
+                self.stream.note_progress()
             self.tail = body if len(body) >= TAIL_BYTES else (self.tail + body)[-TAIL_BYTES:]
             self._record_timing()
         return body
--- a/src/cherrylane/delivery/streams.py
+++ b/src/cherrylane/delivery/streams.py
@@ -41,9 +41,13 @@
     caller: socket
     silence_timeout_s: float
     task: StreamTask | None = None
-    last_readable_at: float = field(factory=monotonic)
+    last_progress_at: float = field(factory=monotonic)
     is_blocked: bool = False
 
+    def note_progress(self) -> None:
+        """Record that an event was completed, or that the caller has taken data."""
+        self.last_progress_at = monotonic()
+
     def close(self) -> None:
         """Close both sockets."""
         self.upstream.close()
@@ -91,6 +95,8 @@
     def unblock(self, stream: Stream) -> None:
         """Resume reading from the upstream."""
         stream.is_blocked = False
+        # The upstream was not read meanwhile, so its silence begins now.
+        stream.note_progress()
         self._epoll.modify(stream.upstream.fileno(), EPOLLIN)
         self._epoll.modify(stream.caller.fileno(), EPOLLRDHUP)
 
@@ -108,7 +114,6 @@
     def _dispatch(self, descriptor: int, events: int) -> None:
         stream = self._upstreams.get(descriptor)
         if stream is not None:
-            stream.last_readable_at = monotonic()
             self._resume(stream, WakeReason.READABLE)
             return
         stream = self._callers.get(descriptor)
@@ -117,6 +122,7 @@
         elif events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR):
             self._resume(stream, WakeReason.CALLER_DISCONNECTED)
         else:
+            stream.note_progress()
             self._resume(stream, WakeReason.WRITABLE)
 
     def _register_new(self) -> None:
@@ -153,14 +159,15 @@
         stream.close()
 
     def _check_timeouts(self) -> None:
-        """Resume with ``SILENT`` each stream whose upstream was not read for its silence timeout.
+        """Resume each stream that has made no progress for its silence timeout.
 
-        Either the upstream has sent nothing, or the caller has not taken what was sent to it.
+        Either the upstream has completed no event, or the caller has not taken what was sent to it.
         """
         now = monotonic()
         for stream in list(self._upstreams.values()):
-            if now - stream.last_readable_at > stream.silence_timeout_s:
-                self._resume(stream, WakeReason.SILENT)
+            if now - stream.last_progress_at > stream.silence_timeout_s:
+                wake = WakeReason.CALLER_DISCONNECTED if stream.is_blocked else WakeReason.SILENT
+                self._resume(stream, wake)
 
     def _wake_loop(self) -> None:
         self._wake_writer.send(b"\0")
--- a/src/cherrylane/http/requests.py
+++ b/src/cherrylane/http/requests.py
@@ -12,9 +12,12 @@
 
 from cherrylane.configuration.merging import FleetConfiguration, SiteAccount
 from cherrylane.errors import Refusal
+from cherrylane.http.deadlines import DEADLINES
 from cherrylane.http.server import Environ, caller_socket, close_after_response
 
 REQUEST_ID_BYTES = 8
+# Time limit in seconds for a whole body; the server's idle timeout is for the time between reads.
+BODY_TIMEOUT_S = 60.0
 BEARER_PREFIX = "bearer "
 CHAT_HEADER = "Cherrylane-Chat"
 IDEMPOTENCY_HEADER = "Idempotency-Key"
@@ -110,11 +113,13 @@
         remedy="send a smaller body",
     )
     length = environ.get("CONTENT_LENGTH", "")
-    if length and (not length.isdigit() or int(length) > max_body_bytes):
+    if length and not (length.isascii() and length.isdigit()):
+        return Err(_make_incomplete_refusal(f"Content-Length {length[:20]!r} is not a number"))
+    if length and int(length) > max_body_bytes:
         return Err(too_large)
-    stream = environ["wsgi.input"]
+    size = int(length) if length else max_body_bytes + 1
     try:
-        body: bytes = stream.read(int(length)) if length else stream.read(max_body_bytes + 1)
+        body = _read_in_time(environ, size)
     except (OSError, ValueError) as error:
         return Err(_make_incomplete_refusal(type(error).__name__))
     if len(body) > max_body_bytes:
@@ -124,6 +129,15 @@
     return Ok(body)
 
 
+def _read_in_time(environ: Environ, size: int) -> bytes:
+    stream = environ["wsgi.input"]
+    caller = caller_socket(environ)
+    if caller is None:
+        return bytes(stream.read(size))
+    with DEADLINES.limit(caller, BODY_TIMEOUT_S, "body of a request"):
+        return bytes(stream.read(size))
+
+
 def _make_incomplete_refusal(reason: str) -> Refusal:
     return Refusal(
         status=400,
--- a/src/cherrylane/http/server.py
+++ b/src/cherrylane/http/server.py
@@ -18,8 +18,14 @@
     render_error,
 )
 from cherrylane.errors import Refusal, SettingsError
+from cherrylane.http.deadlines import DEADLINES
 from cherrylane.settings.schema import Endpoint
 
+# Time limit in seconds for a whole head.
+HEAD_TIMEOUT_S = 10.0
+# Longest line, such as the size of a chunk, and the most that one read of a body returns.
+MAX_LINE_BYTES = 64 * 1024
+MAX_READ_BYTES = 64 * 1024 * 1024
 CONNECTION_KEY = "cherrylane.connection"
 CLOSE_KEY = "cherrylane.close"
 STATUS_TEXTS = {
@@ -58,6 +64,11 @@
 class _JsonErrorRequest(HTTPRequest):
     """Responds with the JSON of a refusal to requests that cheroot itself rejects."""
 
+    def parse_request(self) -> None:
+        """Read the head of a request within ``HEAD_TIMEOUT_S``."""
+        with DEADLINES.limit(self.conn.socket, HEAD_TIMEOUT_S, "head of a request"):
+            super().parse_request()
+
     def simple_response(self, status: str | int, msg: str = "") -> None:
         """Write a complete response to a request that never reached the application."""
         text = str(status)
@@ -76,9 +87,38 @@
         self.conn.wfile.write(head.encode("latin-1") + body)
 
 
+class _BoundedReader:
+    """Reads from a caller's connection, with limits where cheroot has none.
+
+    These are lines with the size of a chunk, and chunks.
+    """
+
+    def __init__(self, reader: Any) -> None:
+        self._reader = reader
+
+    def readline(self, size: int = -1) -> bytes:
+        """Read a line; raises ``ValueError`` if it is too long."""
+        limit = size if 0 <= size <= MAX_LINE_BYTES else MAX_LINE_BYTES + 1
+        line: bytes = self._reader.readline(limit)
+        if len(line) > MAX_LINE_BYTES:
+            raise ValueError(f"line of more than {MAX_LINE_BYTES} bytes")
+        return line
+
+    def read(self, size: int = -1) -> bytes:
+        """Read up to ``MAX_READ_BYTES``."""
+        return bytes(self._reader.read(min(size, MAX_READ_BYTES) if size >= 0 else MAX_READ_BYTES))
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._reader, name)
+
+
 class _JsonErrorConnection(HTTPConnection):
     RequestHandlerClass = _JsonErrorRequest
 
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self.rfile = _BoundedReader(self.rfile)
+
 
 class _ConnectionGateway(Gateway_10):
     """Gives the application the caller's socket, so that it can detect a disconnect."""
--- a/src/cherrylane/idempotency/guard.py
+++ b/src/cherrylane/idempotency/guard.py
@@ -19,6 +19,8 @@
 RETRY_AFTER_S = 2.0
 WITHDRAW_INTERVAL_S = 1.0
 WITHDRAW_TIMEOUT_S = 600.0
+# Seconds that a stop spends on withdrawals.
+STOP_TIMEOUT_S = 3.0
 REPLAYED_HEADER = "Cherrylane-Replayed"
 
 log = Logger("cherrylane.idempotency")
@@ -57,8 +59,23 @@
         self._thread.start()
 
     def stop(self) -> None:
-        """Stop the thread; claims that are not yet withdrawn remain."""
+        """Withdraw what is queued once more, and stop the thread.
+
+        A claim that cannot be withdrawn remains, so that its key is never run; that is logged.
+        """
+        deadline = monotonic() + STOP_TIMEOUT_S
         self._stopping.set()
+        if self._thread.is_alive():
+            self._thread.join(STOP_TIMEOUT_S)
+        with self._lock:
+            queued, self._withdrawals = self._withdrawals, []
+        remaining = [
+            withdrawal
+            for withdrawal in queued
+            if monotonic() >= deadline or not self._withdraw(withdrawal)
+        ]
+        if remaining:
+            log.warning(f"{len(remaining)} claims of requests that were not run remain")
 
     def run(self, claim: Claim, send: Callable[[], FirstResponse], *, site: str) -> FirstResponse:
         """Return the response of ``send``, or the result of an earlier request with this key.
@@ -114,11 +131,15 @@
             with self._lock:
                 due, self._withdrawals = self._withdrawals, []
             for withdrawal in due:
-                outcome = self._client.claim(withdrawal.request, CLAIM_TIMEOUT_S)
-                if outcome is not ClaimOutcome.WITHDRAWN and monotonic() < withdrawal.deadline:
+                is_done = not self._stopping.is_set() and self._withdraw(withdrawal)
+                if not is_done and monotonic() < withdrawal.deadline:
                     with self._lock:
                         self._withdrawals.append(withdrawal)
 
+    def _withdraw(self, withdrawal: _Withdrawal) -> bool:
+        outcome = self._client.claim(withdrawal.request, CLAIM_TIMEOUT_S)
+        return outcome is ClaimOutcome.WITHDRAWN
+
 
 def _mark_replayed(first: FirstResponse) -> FirstResponse:
     match first:
--- a/src/cherrylane/limits/health.py
+++ b/src/cherrylane/limits/health.py
@@ -1,9 +1,10 @@
 """Engine health: ejection of failing engines and slow start of new ones.
 
 An engine that is unreachable, fails several times in a row, or flaps on the platform's list is
-ejected for a time that doubles with each ejection. At most ``max_aside_share`` of the listed
-engines may be ejected at once: when more look unhealthy, the cause is likely elsewhere. An engine
-that joins ramps up its weight over ``slow_start_s``.
+ejected for a time that doubles with each ejection, until it has served well for the longest such
+time. At most ``max_aside_share`` of the listed engines may be ejected at once: when more look
+unhealthy, the cause is likely elsewhere. An engine that joins ramps up its weight over
+``slow_start_s``.
 """
 
 from collections.abc import Iterable
@@ -59,6 +60,8 @@
         if not outcome.unreachable and not outcome.failed:
             record.failures = 0
             record.unreachable = False
+            if now > record.ejected_until + self.settings.max_aside_s:
+                record.ejections = 0
             return
         record.failures += 1
         record.unreachable = outcome.unreachable
--- a/src/cherrylane/settings/schema.py
+++ b/src/cherrylane/settings/schema.py
@@ -104,11 +104,18 @@
 
 @frozen
 class UpstreamSettings:
-    """Timeouts and limits of connections to engines and plain services."""
+    """Timeouts and limits of connections to engines and plain services.
+
+    ``first_byte_timeout_s`` is for the start of a response, ``head_timeout_s`` and
+    ``body_timeout_s`` for its whole head and a whole body that is no stream. A stream ends when
+    none of its events is complete within ``silence_timeout_s``.
+    """
 
     connect_timeout_s: float = field(default=1.0, validator=gt(0))
     first_byte_timeout_s: float = field(default=60.0, validator=gt(0))
     silence_timeout_s: float = field(default=15.0, validator=gt(0))
+    head_timeout_s: float = field(default=10.0, validator=gt(0))
+    body_timeout_s: float = field(default=60.0, validator=gt(0))
     max_connections: int = field(default=512, validator=ge(1))
 
 
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -104,3 +104,10 @@
         self.assertRaises(RuntimeError, self.guard.run, self.claim("a"), fail, site="s")
         refusal = self.guard.run(self.claim("b"), self.send, site="s").unwrap_err()
         self.assertEqual((Execution.UNKNOWN, 0), (refusal.execution, self.runs))
+
+    def test_a_stop_withdraws_what_is_queued(self) -> None:
+        """Withdrawals that were queued at a stop were dropped: the key could never be used."""
+        self.guard.start()
+        self.guard.run(self.claim("a"), self.refuse, site="s")
+        self.guard.stop()
+        self.assertEqual({}, self.client.claims)
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -26,6 +26,17 @@
         self.assertNotIn("a", self.health.available(15.9))
         self.assertIn("a", self.health.available(16.0))
 
+    def test_an_engine_that_serves_well_for_long_starts_anew(self) -> None:
+        """Ejections were never reset: each one of a long life was as long as the longest."""
+        for now in (10.0, 20.0, 30.0):
+            self.health.report("a", UNREACHABLE, now)
+        self.health.report("a", SUCCEEDED, 40.0)
+        self.health.report("a", UNREACHABLE, 50.0)
+        self.assertNotIn("a", self.health.available(65.9))
+        self.health.report("a", SUCCEEDED, 66.0 + SETTINGS.max_aside_s + 1.0)
+        self.health.report("a", UNREACHABLE, 200.0)
+        self.assertIn("a", self.health.available(202.0))
+
     def test_only_consecutive_failures_eject_an_engine(self) -> None:
         for outcome in (FAILED, FAILED, SUCCEEDED, FAILED, FAILED):
             self.health.report("a", outcome, 1.0)
