--- a/soak/callers.py
+++ b/soak/callers.py
@@ -28,13 +28,17 @@
 
 @define
 class Response:
-    """A response as the caller received it; ``complete`` if it was read to its end."""
+    """A response as the caller received it; ``complete`` if it was read to its end.
+
+    ``leaving_upstream`` is the upstream that said in this response that it leaves, if any.
+    """
 
     status: int = 0
     request_id: str = ""
     signature: str = ""
     body: bytes = b""
     complete: bool = False
+    leaving_upstream: str = ""
 
 
 @define
@@ -151,6 +155,8 @@
     response.status = int(head[0].split()[1])
     response.request_id = headers.get("attempt-id", "")
     response.signature = headers.get("server-seal", "")
+    if "server-leaving" in headers:
+        response.leaving_upstream = headers.get("soak-upstream", "")
     if headers.get("transfer-encoding") == "chunked":
         while size := int(await reader.readuntil(b"\r\n"), 16):
             response.body += (await reader.readexactly(size + 2))[:-2]
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -5,7 +5,7 @@
 from attrs import define, field
 
 from soak.callers import Exchange, RequestKind
-from soak.upstreams import EVENT_COUNT, make_response_body
+from soak.upstreams import EVENT_COUNT, SoakUpstream, make_response_body
 
 # Statuses that guarantee that a request was not executed and never will be.
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
@@ -15,6 +15,11 @@
 RETRY_SHARE = 0.2
 RETRY_SLACK = 54
 WINDOW_S = 10.0
+# Seconds after a process has passed on that an upstream leaves; it sends nothing there later.
+DRAIN_S = 2.0
+# Seconds after a refusal in which requests may be on their way, and how many may arrive later.
+BACKOFF_SLACK_S = 0.5
+MAX_DURING_BACKOFF = 2
 # Exit code of a daemon after an orderly shutdown.
 EXIT_CLEAN = 0
 
@@ -35,6 +40,7 @@
     stops: list[tuple[str, int | None]] = field(factory=list)
     exits: dict[str, list[int]] = field(factory=dict)
     unrecovered: list[str] = field(factory=list)
+    upstreams: list[SoakUpstream] = field(factory=list)
 
 
 def find_violations(observed: Observations) -> list[str]:
@@ -44,6 +50,9 @@
         violations += check_response(exchange, observed.executions[exchange.id])
     violations += _check_versions(observed.history)
     violations += _check_retries(observed)
+    for upstream in observed.upstreams:
+        violations += _check_departures(observed.history, upstream)
+        violations += _check_backoffs(observed.history, upstream)
     violations += _check_processes(observed)
     return violations
 
@@ -125,6 +134,54 @@
     return violations[:1]
 
 
+def _check_departures(history: list[Exchange], upstream: SoakUpstream) -> list[str]:
+    """Check that a process sends nothing to an upstream whose leaving it has passed on.
+
+    Requests that a caller sent up to ``DRAIN_S`` after that may still arrive, and those after the
+    upstream has come back.
+    """
+    passed_on: dict[tuple[str, int], float] = {}
+    for exchange in history:
+        if exchange.response.leaving_upstream == upstream.name and exchange.ended:
+            process = (exchange.host, exchange.incarnation)
+            passed_on.setdefault(process, exchange.ended)
+    by_id = {exchange.id: exchange for exchange in history}
+    violations = []
+    for _, request_id in upstream.arrivals:
+        exchange = by_id[request_id]
+        left = passed_on.get((exchange.host, exchange.incarnation))
+        if left is None or exchange.sent <= left + DRAIN_S:
+            continue
+        if not any(left < at < exchange.sent for at in upstream.rejoined_at):
+            violations.append(
+                f"{request_id} at {exchange.host}: sent to {upstream.name}, which left"
+            )
+    return violations
+
+
+def _check_backoffs(history: list[Exchange], upstream: SoakUpstream) -> list[str]:
+    """Check that a process leaves an upstream alone for as long as it has asked for.
+
+    A refusal may be late on a slow link; the process has read it when its request has ended.
+    """
+    by_id = {exchange.id: exchange for exchange in history}
+    processes = {exchange.id: (exchange.host, exchange.incarnation) for exchange in history}
+    violations = []
+    for refusal in upstream.refusals:
+        process = processes[refusal.request_id]
+        first = max(refusal.at + BACKOFF_SLACK_S, by_id[refusal.request_id].ended)
+        last = refusal.at + refusal.seconds
+        arrived = [
+            request_id
+            for at, request_id in upstream.arrivals
+            if first < at < last and processes[request_id] == process
+        ]
+        if len(arrived) > MAX_DURING_BACKOFF:
+            count = len(arrived)
+            violations.append(f"{count} requests of {process[0]} reached {upstream.name} too soon")
+    return violations
+
+
 def _check_processes(observed: Observations) -> list[str]:
     violations = [
         f"{host} stopped with exit code {code}" if code is not None else f"{host} did not stop"
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,13 +1,14 @@
 """Random faults of a soak, drawn from its seed; they overlap, and each is reverted at its end."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable
 from enum import Enum
 from random import Random
 
 from attrs import define, field, frozen
 from logbook import Logger
 
+from soak.checks import DRAIN_S
 from soak.fleet import SoakFleet, SoakHost
 from soak.proxy import Link, LinkState
 from soak.upstreams import Behaviour
@@ -20,6 +21,8 @@
 FAULTY_SHARE = 0.4
 # Delay of each call to a slow store.
 SLOW_STORE_DELAY_S = 0.4
+# Most writes that a restored store has lost.
+MAX_LOST_WRITES = 8
 
 log = Logger("soak")
 
@@ -39,6 +42,8 @@
     STORE_SLOW = "store slow"
     STORE_REFUSES = "store refuses calls"
     STORE_COMPACTED = "store compacts its history"
+    STORE_RESTORED = "store comes back from an older copy"
+    UPSTREAM_LEAVES = "upstream says that it leaves"
 
 
 # Relative frequency of each kind. Killing all hosts is rare, because little else is tested then.
@@ -109,16 +114,14 @@
         match fault.kind:
             case FaultKind.ALL_KILLED:
                 await self._kill_all(fault)
-            case FaultKind.STORE_UNAVAILABLE:
-                await self._inject_store_fault(
-                    fault, ({"down": True}, {"silent": True})[fault.variant % 2]
-                )
-            case FaultKind.STORE_SLOW:
-                await self._inject_store_fault(fault, {"slow_s": SLOW_STORE_DELAY_S})
-            case FaultKind.STORE_REFUSES:
-                await self._inject_store_fault(fault, {"refusal": (503, 429)[fault.variant % 2]})
+            case FaultKind.STORE_UNAVAILABLE | FaultKind.STORE_SLOW | FaultKind.STORE_REFUSES:
+                await self._inject_store_fault(fault)
             case FaultKind.STORE_COMPACTED:
                 await asyncio.to_thread(self.fleet.compact_store)
+            case FaultKind.STORE_RESTORED:
+                await self._restore_store(fault)
+            case FaultKind.UPSTREAM_LEAVES:
+                await self._inject_departure(fault)
             case FaultKind.STORE_LINK:
                 await self._inject_link_fault(fault, [host.store_link for host in self.fleet.hosts])
             case FaultKind.UPSTREAM_LINK:
@@ -158,13 +161,29 @@
             host.start()
         self._affected.difference_update(host.name for host in hosts)
 
-    async def _inject_store_fault(self, fault: Fault, faults: Mapping[str, object]) -> None:
-        await self._run_exclusively("store", lambda: self._apply_store_faults(fault, faults))
+    async def _inject_store_fault(self, fault: Fault) -> None:
+        async def apply() -> None:
+            await asyncio.to_thread(self.fleet.set_store_faults, **_make_store_faults(fault))
+            await asyncio.sleep(fault.duration_s)
+            await asyncio.to_thread(self.fleet.set_store_faults)
+
+        await self._run_exclusively("store", apply)
+
+    async def _restore_store(self, fault: Fault) -> None:
+        async def apply() -> None:
+            await self.fleet.restore_store(1 + fault.variant % MAX_LOST_WRITES)
+
+        await self._run_exclusively("store", apply)
 
-    async def _apply_store_faults(self, fault: Fault, faults: Mapping[str, object]) -> None:
-        await asyncio.to_thread(self.fleet.set_store_faults, **faults)
-        await asyncio.sleep(fault.duration_s)
-        await asyncio.to_thread(self.fleet.set_store_faults)
+    async def _inject_departure(self, fault: Fault) -> None:
+        upstream = self.fleet.upstreams[fault.target % len(self.fleet.upstreams)]
+
+        async def apply() -> None:
+            upstream.is_leaving = True
+            await asyncio.sleep(fault.duration_s + DRAIN_S)
+            await self.fleet.rejoin(upstream)
+
+        await self._run_exclusively(f"departure of {upstream.name}", apply)
 
     async def _inject_link_fault(self, fault: Fault, links: list[Link]) -> None:
         link = links[fault.target % len(links)]
@@ -198,3 +217,13 @@
             await inject()
         finally:
             self._affected.discard(name)
+
+
+def _make_store_faults(fault: Fault) -> dict[str, object]:
+    match fault.kind:
+        case FaultKind.STORE_SLOW:
+            return {"slow_s": SLOW_STORE_DELAY_S}
+        case FaultKind.STORE_REFUSES:
+            return {"refusal": (503, 429)[fault.variant % 2]}
+        case _:
+            return {("down", "silent")[fault.variant % 2]: True}
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -12,6 +12,7 @@
 
 from attrs import define, field
 
+from cherrylane.errors import ObjectNotFoundError, PlatformError
 from cherrylane.platform.client import AsyncPlatformClient
 from cherrylane.platform.objects import Kind, PlatformObject
 from cherrylane.settings.schema import PlatformSettings
@@ -26,6 +27,8 @@
 # Time-out of the calls by which the simulated operator writes to the store.
 OPERATOR_TIMEOUT_S = 2.0
 STOP_GRACE_S = 4
+# Seconds after which the operator and the upstreams write again what a restored store has lost.
+REWRITE_DELAY_S = 0.2
 SERVICES = ("desk", "filing")
 BOOT_FILE = """\
 node={name}
@@ -145,6 +148,7 @@
     upstreams: list[SoakUpstream] = field(factory=list)
     upstream_links: list[Link] = field(factory=list)
     acknowledged_version: int = 0
+    _registrations: dict[str, dict[str, object]] = field(factory=dict)
     _platform_fleet: Fleet = field(init=False)
     _operator_client: AsyncPlatformClient = field(init=False)
 
@@ -171,10 +175,47 @@
         registration = upstream.scripted.make_entry(
             service, address=f"127.0.0.1:{link.port}", slots=64
         )
+        self._registrations[upstream.name] = registration
         await self._operator_client.create(
             PlatformObject(Kind.UPSTREAMS, upstream.name, registration)
         )
 
+    async def rejoin(self, upstream: SoakUpstream) -> None:
+        """Bring an upstream that was leaving back, under a new incarnation."""
+        upstream.incarnation += 1
+        self._registrations[upstream.name]["born"] = upstream.incarnation
+        upstream.is_leaving = False
+        upstream.rejoined_at.append(asyncio.get_running_loop().time())
+        await self._write_again()
+
+    async def restore_store(self, writes: int) -> None:
+        """Bring the store back without its last writes; the operator and upstreams write again."""
+        url = f"{self._platform_fleet.platform_url}/restore"
+        await asyncio.to_thread(self._platform_fleet.request, "POST", url, {"writes": writes})
+        await asyncio.sleep(REWRITE_DELAY_S)
+        await self._write_again()
+
+    async def _write_again(self) -> None:
+        """Write the newest configuration and all registrations, until the store takes them."""
+        config = PlatformObject(Kind.CONFIG, "main", make_document(self.acknowledged_version))
+        entries = [
+            PlatformObject(Kind.UPSTREAMS, name, registration)
+            for name, registration in self._registrations.items()
+        ]
+        for item in [config, *entries]:
+            while True:
+                try:
+                    await self._write(item)
+                    break
+                except PlatformError:
+                    await asyncio.sleep(REWRITE_DELAY_S)
+
+    async def _write(self, item: PlatformObject) -> None:
+        try:
+            await self._operator_client.update(item)
+        except ObjectNotFoundError:
+            await self._operator_client.create(item)
+
     async def _make_host(self, number: int, ports: list[int]) -> SoakHost:
         port = int(self._platform_fleet.platform_url.rpartition(":")[2])
         store_link = await Link(port).open()
@@ -203,10 +244,7 @@
         version = self.acknowledged_version + 1
         document = make_document(version)
         config = PlatformObject(Kind.CONFIG, "main", document)
-        if version == 1:
-            await self._operator_client.create(config)
-        else:
-            await self._operator_client.update(config)
+        await self._write(config)
         self.acknowledged_version = version
 
     def set_store_faults(self, **faults: Any) -> None:
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -72,6 +72,7 @@
         injector.stops,
         {host.name: host.exits for host in fleet.hosts},
         unrecovered,
+        upstreams,
     )
     statuses = Counter(item.response.status for item in callers.history)
     status_counts = ", ".join(f"{status or 'none'}: {n}" for status, n in sorted(statuses.items()))
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -17,6 +17,9 @@
 PROCESSING_S = 0.02
 # How long a hanging upstream waits before it resets the connection.
 HANG_S = 4.0
+# The pause that an upstream asks for, in seconds, and the size of the parts of endless bytes.
+BACK_OFF_S = 1.5
+ENDLESS_PART_BYTES = 16 * 1024
 
 
 class Behaviour(Enum):
@@ -24,7 +27,8 @@
 
     ``DECLINE`` refuses without execution, ``LOSE_RESPONSE`` resets the connection after execution,
     ``CUT_STREAM`` resets a stream within an event, ``TRUNCATE`` does so too and ends other bodies
-    early, and ``SURPLUS`` sends a second response that belongs to no request.
+    early, and ``SURPLUS`` sends a second response that belongs to no request. ``BACK_OFF`` refuses
+    and asks for a pause, the endless ones send until the connection is closed.
     """
 
     NORMAL = "well"
@@ -35,6 +39,18 @@
     HANG = "hang"
     TRUNCATE = "truncate"
     SURPLUS = "surplus"
+    BACK_OFF = "back off"
+    ENDLESS_HEAD = "endless head"
+    ENDLESS_BODY = "endless body"
+
+
+async def _send_without_end(call: Call, behaviour: Behaviour) -> None:
+    """Send until the other end closes, which raises a ConnectionError."""
+    end_of_head = b"\r\n\r\n" if behaviour is Behaviour.ENDLESS_BODY else b""
+    call.writer.write(b"HTTP/1.1 200 OK\r\nX: " + end_of_head)
+    while True:
+        call.writer.write(b"x" * ENDLESS_PART_BYTES)
+        await call.writer.drain()
 
 
 def make_response_body(request_id: str) -> bytes:
@@ -42,14 +58,31 @@
     return sha256(request_id.encode()).hexdigest().encode()
 
 
+@define
+class Refusal:
+    """A refusal that asks its host to send nothing for ``seconds``."""
+
+    at: float
+    request_id: str
+    seconds: float
+
+
 @define
 class SoakUpstream:
-    """An upstream; ``executions`` counts how often it began to process each request."""
+    """An upstream; ``executions`` counts how often it began to process each request.
+
+    While ``is_leaving``, all its responses say so. ``rejoined_at`` are the times at which it came
+    back under a new incarnation.
+    """
 
     name: str
     random: Random
     executions: Counter[str] = field(factory=Counter)
     arrivals: list[tuple[float, str]] = field(factory=list)
+    refusals: list[Refusal] = field(factory=list)
+    is_leaving: bool = False
+    incarnation: int = 1
+    rejoined_at: list[float] = field(factory=list)
     behaviour: Behaviour = Behaviour.NORMAL
     faulty_share: float = 0.0
     scripted: ScriptedUpstream = field(init=False)
@@ -66,8 +99,8 @@
             return
         self.arrivals.append((asyncio.get_running_loop().time(), request_id))
         behaviour = self.behaviour if self.random.random() < self.faulty_share else Behaviour.NORMAL
-        if behaviour is Behaviour.DECLINE:
-            call.answer(b"", status=503, extra="Not-Executed: 1\r\n")
+        if behaviour in (Behaviour.DECLINE, Behaviour.BACK_OFF):
+            self._refuse(call, behaviour)
             return
         self.executions[request_id] += 1
         await asyncio.sleep(PROCESSING_S)
@@ -79,6 +112,8 @@
             case Behaviour.HANG:
                 await asyncio.sleep(HANG_S)
                 call.reset()
+            case Behaviour.ENDLESS_HEAD | Behaviour.ENDLESS_BODY:
+                await _send_without_end(call, behaviour)
             case _ if " /stream/" in call.lines[0]:
                 cut = behaviour in (Behaviour.CUT_STREAM, Behaviour.TRUNCATE)
                 await self._stream(call, cut=cut)
@@ -87,12 +122,24 @@
                 call.writer.write(make_response_body(request_id)[:20])
                 call.writer.close()
             case _:
-                call.answer(make_response_body(request_id))
+                call.answer(make_response_body(request_id), extra=self._make_headers())
                 if behaviour is Behaviour.SURPLUS:
                     call.answer(b"surplus")
 
+    def _refuse(self, call: Call, behaviour: Behaviour) -> None:
+        extra = "Not-Executed: 1\r\n"
+        if behaviour is Behaviour.BACK_OFF:
+            now = asyncio.get_running_loop().time()
+            self.refusals.append(Refusal(now, call.header("Attempt-Id"), BACK_OFF_S))
+            extra += f"Retry-After: {BACK_OFF_S}\r\n"
+        call.answer(b"", status=503, extra=extra)
+
+    def _make_headers(self) -> str:
+        leaving = "Server-Leaving: 1\r\n" if self.is_leaving else ""
+        return f"{leaving}Soak-Upstream: {self.name}\r\n"
+
     async def _stream(self, call: Call, *, cut: bool) -> None:
-        call.start_events()
+        call.start_events(self._make_headers())
         first = int(call.header("Last-Event-Id") or 0) + 1
         for number in range(first, EVENT_COUNT + 1):
             await asyncio.sleep(EVENT_INTERVAL_S)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,10 +14,10 @@
 from testtools.matchers import Contains
 
 from soak.callers import Exchange, RequestKind, Response
-from soak.checks import REGRESSION_GRACE_S, Observations, check_response, find_violations
+from soak.checks import DRAIN_S, REGRESSION_GRACE_S, Observations, check_response, find_violations
 from soak.faults import FaultKind, draw_faults
 from soak.runs import SoakOptions, run_soak
-from soak.upstreams import make_response_body
+from soak.upstreams import Refusal, SoakUpstream, make_response_body
 from tests.test_platform_documents import BOOT
 from tests.wire import TEST_TIMEOUT_S
 
@@ -123,3 +123,32 @@
     def test_unexpected_ends_and_failed_stops_are_found(self) -> None:
         observed = Observations([], Counter(), [], [("a", 0), ("b", None)], {"c": [-11]}, ["d"])
         self.assertEqual(3, len(find_violations(observed)))
+
+    def test_requests_to_an_upstream_whose_leaving_was_passed_on_are_found(self) -> None:
+        upstream = SoakUpstream("i-1", Random(1))
+        leaving = Response(200, "r1", "s", b"", True, leaving_upstream="i-1")
+        history = [make_exchange(RequestKind.SAFE, leaving, ended=1.0)]
+        for number, sent in ((2, 1.0 + DRAIN_S), (3, 1.5 + DRAIN_S), (4, 9.0)):
+            later = make_exchange(RequestKind.SAFE, Response(), sent=sent)
+            later.id = f"r{number}"
+            history.append(later)
+        upstream.arrivals = [(exchange.sent, exchange.id) for exchange in history]
+        observed = Observations(history, Counter(), [], upstreams=[upstream])
+        self.assertEqual(2, len(find_violations(observed)))
+        upstream.rejoined_at = [5.0]
+        self.assertThat(find_violations(observed)[0], Contains("r3 at host-1"))
+        self.assertEqual(1, len(find_violations(observed)))
+
+    def test_requests_to_an_upstream_that_wanted_none_are_found(self) -> None:
+        upstream = SoakUpstream("i-1", Random(1))
+        history = []
+        for number in range(1, 5):
+            exchange = make_exchange(RequestKind.SAFE, Response())
+            exchange.id = f"r{number}"
+            history.append(exchange)
+        upstream.refusals = [Refusal(0.0, "r1", 2.0)]
+        upstream.arrivals = [(0.0, "r1"), (0.4, "r2"), (1.0, "r3"), (1.1, "r4")]
+        observed = Observations(history, Counter(), [], upstreams=[upstream])
+        self.assertEqual([], find_violations(observed))
+        upstream.arrivals.append((1.2, "r2"))
+        self.assertThat(find_violations(observed)[0], Contains("reached i-1 too soon"))
