--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -126,7 +126,7 @@
 
     def test_requests_to_an_upstream_whose_leaving_was_passed_on_are_found(self) -> None:
         upstream = SoakUpstream("i-1", Random(1))
-        leaving = Response(200, "r1", "s", b"", True, leaving_upstream="i-1")
+        leaving = Response(500, "r1", "s", b"", True, leaving_upstream="i-1")
         history = [make_exchange(RequestKind.SAFE, leaving, ended=1.0)]
         for number, sent in ((2, 1.0 + DRAIN_S), (3, 1.5 + DRAIN_S), (4, 9.0)):
             later = make_exchange(RequestKind.SAFE, Response(), sent=sent)
