--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -1,6 +1,7 @@
 """The gateway daemon, composed of the parts that one entry host runs."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from os import urandom
 from time import monotonic
 
@@ -65,6 +66,9 @@
 LOAD_LIFETIME_SWEEPS = 2
 BOOT_ID_BYTES = 6
 
+# Seconds after which a background task that has failed is started again.
+TASK_RESTART_S = 0.5
+
 log = Logger("cherrylane.gateway")
 
 
@@ -83,6 +87,20 @@
         return (self.callers, self.readiness, self.directory, self.peers, self.metrics)
 
 
+async def keep_running(name: str, run: Callable[[], Awaitable[None]]) -> None:
+    """Run a background task until it returns; an error is logged, and it is started again."""
+    while True:
+        try:
+            await run()
+            return
+        except Exception as error:
+            reason = f"{type(error).__name__}: {error}"
+            log.exception(
+                "background task failed, starting it again", extra={"task": name, "reason": reason}
+            )
+            await asyncio.sleep(TASK_RESTART_S)
+
+
 class Gateway:
     """One run of the gateway daemon.
 
@@ -163,13 +181,17 @@
         if sockets.metrics is not None:
             await listeners.metrics.listen(sockets.metrics)
         loop = asyncio.get_running_loop()
-        coroutines = [self._follower_selection.run(), self._registry.run(), self._gossip.run()]
-        coroutines.append(self._run_maintenance())
+        runs: dict[str, Callable[[], Awaitable[None]]] = {
+            "follower selection": self._follower_selection.run,
+            "host registry": self._registry.run,
+            "gossip": self._gossip.run,
+            "maintenance": self._run_maintenance,
+        }
         if self.settings.is_first_start:
             self._peer_sync.has_full_cache_map = True
         else:
-            coroutines.append(self._cache_recovery.run())
-        self._tasks = [loop.create_task(coroutine) for coroutine in coroutines]
+            runs["cache recovery"] = self._cache_recovery.run
+        self._tasks = [loop.create_task(keep_running(name, run)) for name, run in runs.items()]
         ports = {
             name: getattr(self._listeners, name).port
             for name in ("callers", "readiness", "directory")
@@ -191,14 +213,14 @@
         callers.draining = True
         await asyncio.sleep(ADDRESS_LIFETIME_S)
         self._relay.is_closed = True
-        callers.close_idle()
-        while callers.busy and monotonic() < deadline:
-            await asyncio.sleep(DRAIN_POLL_S)
-            callers.close_idle()
-        log.notice("stopped", extra={"cut": callers.busy})
+        await self._drain(deadline)
         self._gossip.send_round(to_all=True)
         for server in self._listeners.all():
             server.stop_accepting()
+        # The connections accepted last may bring requests.
+        await asyncio.sleep(DRAIN_POLL_S)
+        await self._drain(deadline)
+        log.notice("stopped", extra={"cut": callers.unfinished})
         deregistration.cancel()
         for watcher in self._watchers:
             watcher.set_watching(False)
@@ -206,6 +228,14 @@
             task.cancel()
         self._writer.flush()
 
+    async def _drain(self, deadline: float) -> None:
+        """Wait until each request that has begun to arrive is answered, or for the deadline."""
+        callers = self._listeners.callers
+        callers.close_idle()
+        while callers.unfinished and monotonic() < deadline:
+            await asyncio.sleep(DRAIN_POLL_S)
+            callers.close_idle()
+
     def reload(self, settings: GatewaySettings) -> None:
         """Apply changed settings; changed listen addresses take effect at the next start only."""
         if settings == self.settings:
--- a/src/cherrylane/http/inbound.py
+++ b/src/cherrylane/http/inbound.py
@@ -13,6 +13,7 @@
 
 from attrs import define, field
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
+from logbook import Logger
 
 from cherrylane.http.framing import FramingMeter, ReadFailure, find_framing_problem, measure_head
 from cherrylane.http.limits import InboundLimits
@@ -20,6 +21,7 @@
     Header,
     Request,
     RequestHead,
+    Response,
     encode_response_head,
 )
 from cherrylane.http.responder import Responder
@@ -34,6 +36,8 @@
 # Bytes of unsent response above which a handler waits for the caller to read.
 WRITE_BUFFER_BYTES = 64 * 1024
 
+log = Logger("cherrylane.http")
+
 Handler = Callable[[Request, Responder], Awaitable[None]]
 FailureListener = Callable[[ReadFailure], None]
 
@@ -75,6 +79,11 @@
         for connection in list(self.connections):
             connection.abort()
 
+    @property
+    def unfinished(self) -> int:
+        """The number of connections with a request that is read, handled or being answered."""
+        return sum(1 for connection in self.connections if connection.is_unfinished)
+
     @property
     def busy(self) -> int:
         """The number of connections on which a request is being handled."""
@@ -235,6 +244,13 @@
         self._meter = None
         self._notify_request()
 
+    @property
+    def is_unfinished(self) -> bool:
+        """Whether a request is read or handled, or its answer has not left this process."""
+        has_unsent_data = bool(self._transport.get_write_buffer_size())
+        has_request = not self._stopped_reading and (self._reading or bool(self._requests))
+        return self.is_busy or has_request or has_unsent_data
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being read or handled on it."""
         if not self.is_busy and not self._reading and not self._requests:
@@ -288,6 +304,8 @@
         responder = Responder(self, request.head, is_draining=lambda: self._server.draining)
         try:
             await self._server.handle(request, responder)
+        except Exception as error:
+            self._end_failed(responder, error)
         finally:
             self.is_busy = False
         if not responder.keeps_connection:
@@ -295,6 +313,17 @@
             return
         self._restart_timer(self._server.limits.idle_timeout_s)
 
+    def _end_failed(self, responder: Responder, error: Exception) -> None:
+        """End the request of a handler that has failed; others are not affected."""
+        log.exception(
+            "handling a request failed", extra={"reason": f"{type(error).__name__}: {error}"}
+        )
+        if responder.started:
+            responder.abort()
+        else:
+            # The request may have been sent to an upstream, so this promises nothing.
+            responder.send(Response(HTTPStatus.BAD_GATEWAY))
+
     async def _next_request(self) -> Request | ReadFailure:
         while not self._requests:
             self._request_queued = self._loop.create_future()
--- a/src/cherrylane/platform/client.py
+++ b/src/cherrylane/platform/client.py
@@ -18,7 +18,7 @@
     WatchExpiredError,
 )
 from cherrylane.http.messages import Header, encode_request
-from cherrylane.http.outbound import ConnectionPool, OutboundConnection
+from cherrylane.http.outbound import OutboundConnection, open_connection
 from cherrylane.platform.calls import (
     Call,
     ListPage,
@@ -45,13 +45,10 @@
 from cherrylane.platform.versions import StoreVersion
 from cherrylane.settings.schema import Endpoint, PlatformSettings
 
-# Seconds that an idle connection to the store is kept open for reuse.
-MAX_IDLE_S = 5.0
 # Seconds that the response to a watch may take beyond the time that the watch waits.
 WATCH_GRACE_S = 2.0
 # Seconds that the store lets a watch wait at most.
 MAX_WATCH_S = 30.0
-POOL_NAME = "store"
 DEFAULT_PORT = 80
 
 T = TypeVar("T")
@@ -78,7 +75,6 @@
     def __init__(self, settings: PlatformSettings) -> None:
         self._settings = settings
         self._endpoint = parse_url(settings.url)
-        self._pool = ConnectionPool(MAX_IDLE_S, connect_timeout_s=settings.timeout_s)
         self.calls = 0
         self.era: int | None = None
         self.on_new_era: Callable[[int], None] = lambda era: None
@@ -168,15 +164,16 @@
         return response
 
     async def _exchange(self, call: Call) -> StoreResponse:
-        connection = self._pool.take_idle(POOL_NAME) or await self._pool.open(self._endpoint)
+        # Each call has a connection of its own. Responses carry no id, so a second copy of one that
+        # is sent late would be taken for the response to the next call.
+        connection = await open_connection(self._endpoint, self._settings.timeout_s)
         try:
             return await self._send(connection, call)
-        except BaseException:
+        finally:
             connection.close()
-            raise
 
     async def _send(self, connection: OutboundConnection, call: Call) -> StoreResponse:
-        headers: list[Header] = [(b"Host", str(self._endpoint).encode())]
+        headers: list[Header] = [(b"Host", str(self._endpoint).encode()), (b"Connection", b"close")]
         if self._settings.token:
             headers.append((b"Authorization", b"Bearer " + self._settings.token.encode()))
         if call.body is not None:
@@ -189,10 +186,7 @@
             )
         )
         head = await connection.read_head()
-        body = await connection.read_body()
-        if connection.release(head):
-            self._pool.put(POOL_NAME, connection)
-        return StoreResponse(head.status, body, read_era(head))
+        return StoreResponse(head.status, await connection.read_body(), read_era(head))
 
 
 class PlatformClient:
