--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -407,6 +407,8 @@
             self.load_tracker.lifetime_s = max(
                 PEER_LOADS_LIFETIME_S, sweep_s * LOAD_LIFETIME_SWEEPS
             )
+            # A peer's report is between new and a sweep old.
+            self.load_tracker.report_age_s = sweep_s / 2
             self._writer.flush()
 
     def _add_gauges(self) -> None:
--- a/src/cherrylane/placement/choice.py
+++ b/src/cherrylane/placement/choice.py
@@ -31,10 +31,19 @@
 
 @frozen
 class Candidate:
-    """An upstream that may take the request, and its load."""
+    """An upstream that may take the request, and its load.
+
+    ``unseen_requests`` are the requests that it likely has beside those of its known load.
+    """
 
     upstream: Upstream
     load: Load
+    unseen_requests: float = 0.0
+
+    @property
+    def expected_requests(self) -> float:
+        """The requests that are likely at this upstream."""
+        return self.load.requests + self.unseen_requests
 
 
 @frozen
@@ -82,7 +91,8 @@
         # An engine that has only the parts that many chats share gets no preference: it would
         # attract every new chat to the first engine that was used.
         order.sort(key=lambda name: cached[name] < prompt.shared_tokens)
-        name, reason = _find_first_below(order, by_name, limit)
+        holding = {name for name in by_name if cached[name] >= prompt.shared_tokens}
+        name, reason = self._find_below(order, by_name, limit, holding)
         chosen = by_name[name]
         source = self._find_source(prompt, cached[name], holders)
         available_tokens = (
@@ -99,6 +109,24 @@
         chosen = min(candidates, key=self._score)
         return Choice(chosen.upstream, "least loaded", chosen.load, mean)
 
+    def _find_below(
+        self, order: list[str], by_name: dict[str, Candidate], limit: float, holding: set[str]
+    ) -> tuple[str, str]:
+        """Return the first in ``order`` if its load is within ``limit``, else one of the others.
+
+        Those in ``holding``, which have the prompt cached, come first. Two drawn at random are
+        compared (power of two choices): if all hosts took the next in the order, they would fill
+        it before any of them knew.
+        """
+        if by_name[order[0]].expected_requests + 1 <= limit:
+            return order[0], "preferred"
+        free = [name for name in order[1:] if by_name[name].expected_requests + 1 <= limit]
+        if not free:
+            return min(order, key=lambda name: by_name[name].expected_requests), "all loaded"
+        preferred = [name for name in free if name in holding] or free
+        pair = self.random.sample(preferred, min(2, len(preferred)))
+        return min(pair, key=lambda name: by_name[name].expected_requests), "preferred one loaded"
+
     def _find_source(
         self, prompt: Prompt, cached_tokens: int, holders: Sequence[Upstream]
     ) -> Upstream | None:
@@ -115,19 +143,10 @@
 
     def _score(self, candidate: Candidate) -> float:
         upstream = candidate.upstream
-        load = candidate.load.requests / max(1, upstream.slots)
+        load = candidate.expected_requests / max(1, upstream.slots)
         penalty = 0.0 if upstream.zone == self.zone else CROSS_ZONE_PENALTY
         return load + penalty + self.random.random() / max(1, upstream.slots)
 
 
 def _mean_load(candidates: Sequence[Candidate]) -> float:
-    return sum(candidate.load.requests for candidate in candidates) / len(candidates)
-
-
-def _find_first_below(
-    order: list[str], by_name: dict[str, Candidate], limit: float
-) -> tuple[str, str]:
-    for position, name in enumerate(order):
-        if by_name[name].load.requests + 1 <= limit:
-            return name, "preferred" if position == 0 else "preferred one loaded"
-    return min(order, key=lambda name: by_name[name].load.requests), "all loaded"
+    return sum(candidate.expected_requests for candidate in candidates) / len(candidates)
--- a/src/cherrylane/relay/selection.py
+++ b/src/cherrylane/relay/selection.py
@@ -94,7 +94,14 @@
         # When all are avoided, the cause is likely elsewhere.
         chosen = trusted or untried
         loads = self.load_tracker.read([known.upstream.name for known in chosen], now)
-        return [Candidate(known.upstream, loads[known.upstream.name]) for known in chosen]
+        return [
+            Candidate(
+                known.upstream,
+                loads[known.upstream.name],
+                self.load_tracker.estimate_unseen(known.upstream.name, now),
+            )
+            for known in chosen
+        ]
 
     def _can_any_start(self, request: CallerRequest, candidates: list[Candidate]) -> bool:
         """Return whether any candidate is expected to start the request in time."""
