Split what hosts announce and the background tasks off the gateway's runtime

Ruled out: leaving the tuples apart (the ones without RecursionError were faults). Change: gateway/announcements.py, gateway/tasks.py, errors.DECODING_ERRORS. No behaviour but that all decoders catch the same errors.

--- a/src/cherrylane/errors.py
+++ b/src/cherrylane/errors.py
@@ -9,6 +9,17 @@
 
 from attrs import frozen
 
+# What decoding a malformed document raises: wrong types, missing fields, infinite numbers, and
+# nesting that is too deep.
+DECODING_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+
 
 class CherrylaneError(Exception):
     """Base class of the exceptions that cherrylane defines.
--- /dev/null
+++ b/src/cherrylane/gateway/announcements.py
@@ -0,0 +1,78 @@
+"""What a host tells its peers in heartbeats of upstreams and caches, and takes from theirs."""
+
+from attrs import define, field
+
+from cherrylane.gateway.routing_state import RoutingState
+from cherrylane.gossip.messages import Heartbeat, HostState, UpstreamBackoff, UpstreamLeaving
+from cherrylane.gossip.updates import UpdateQueue
+from cherrylane.limits.backoff import BackoffTracker
+from cherrylane.placement.caches import CacheMap
+from cherrylane.placement.loads import LoadTracker
+from cherrylane.platform.client import AsyncPlatformClient
+from cherrylane.platform.versions import NO_VERSION
+from cherrylane.routing.upstreams import Upstream
+from cherrylane.settings.gateway import HostIdentity
+from cherrylane.settings.schema import Endpoint
+
+# Sweeps of heartbeats to all hosts in which an update is sent, such as a newly cached part.
+UPDATE_SWEEPS = 2
+
+
+@define
+class Announcements:
+    """Makes the heartbeats of a host, and takes over what those of its peers announce."""
+
+    identity: HostIdentity
+    boot_id: str
+    store: AsyncPlatformClient
+    routing_state: RoutingState
+    load_tracker: LoadTracker
+    caches: CacheMap
+    backoffs: BackoffTracker
+    _leaving: UpdateQueue[UpstreamLeaving] = field(factory=UpdateQueue)
+
+    def note_leaving(self, upstream: Upstream) -> None:
+        """Send nothing more to an upstream that says that it leaves, and tell the peers."""
+        if self.routing_state.note_leaving(upstream.name, upstream.incarnation, source="answer"):
+            self._leaving.add(UpstreamLeaving(upstream.name, upstream.incarnation))
+
+    def make_heartbeat(
+        self,
+        state: HostState,
+        callers: Endpoint,
+        *,
+        rounds_to_reach_all: int,
+        has_full_cache_map: bool,
+        confirmation_age_ms: int,
+        now: float,
+    ) -> Heartbeat:
+        """Return the next heartbeat, without the list of hosts."""
+        snapshot = self.routing_state.snapshot
+        rounds = rounds_to_reach_all * UPDATE_SWEEPS
+        return Heartbeat(
+            host=self.identity.name,
+            boot_id=self.boot_id,
+            zone=self.identity.zone,
+            state=state,
+            callers=callers,
+            config_version=snapshot.config_version,
+            upstreams_version=snapshot.upstreams_version,
+            loads=tuple(self.load_tracker.own.items()),
+            cached=self.caches.take_updates(rounds),
+            leaving=self._leaving.take(rounds),
+            backing_off=tuple(
+                UpstreamBackoff(name, round(remaining_s * 1000))
+                for name, remaining_s in self.backoffs.list_active(now)
+            ),
+            has_full_cache_map=has_full_cache_map,
+            confirmation_age_ms=confirmation_age_ms,
+        )
+
+    def handle_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
+        """Take over a newer era of the store, and what a peer has heard from upstreams."""
+        if heartbeat.upstreams_version != NO_VERSION:
+            self.store.note_era(heartbeat.upstreams_version.era)
+        for upstream in heartbeat.leaving:
+            self.routing_state.note_leaving(upstream.name, upstream.incarnation, source="peer")
+        for backoff in heartbeat.backing_off:
+            self.backoffs.note_peer(backoff.name, backoff.remaining_ms / 1000, now)
--- a/src/cherrylane/gateway/peer_sync.py
+++ b/src/cherrylane/gateway/peer_sync.py
@@ -9,7 +9,7 @@
 from attrs import define, field
 from logbook import Logger
 
-from cherrylane.errors import UpstreamError
+from cherrylane.errors import DECODING_ERRORS, UpstreamError
 from cherrylane.gateway.calls import call
 from cherrylane.gateway.routing_state import RoutingState
 from cherrylane.gossip.members import Members
@@ -121,7 +121,7 @@
             parts = _decode_cached(loads(body))
             self.reported_engines.update(part.upstream for part in parts)
             self.record_cached_parts(parts)
-        except (ValueError, TypeError, OverflowError, RecursionError) as error:
+        except DECODING_ERRORS as error:
             log.warning("invalid list of cached parts from a peer", extra={"reason": str(error)})
             return 400
         return 204
@@ -158,17 +158,7 @@
             for target in targets:
                 body = await call(endpoint, target, timeout_s=PEER_CALL_TIMEOUT_S)
                 self._apply(target, loads(_decompress(body)))
-        except (
-            UpstreamError,
-            TimeoutError,
-            ValueError,
-            KeyError,
-            TypeError,
-            AttributeError,
-            OverflowError,
-            RecursionError,
-            zlib.error,
-        ) as error:
+        except (UpstreamError, TimeoutError, zlib.error, *DECODING_ERRORS) as error:
             reason = f"{type(error).__name__}: {error}"
             log.warning(
                 "cannot fetch state from peer", extra={"peer": str(endpoint), "reason": reason}
--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -8,6 +8,7 @@
 from attrs import frozen
 from logbook import Logger
 
+from cherrylane.gateway.announcements import Announcements
 from cherrylane.gateway.endpoints import ADDRESS_LIFETIME_S, Endpoints
 from cherrylane.gateway.follower_selection import FollowerSelection
 from cherrylane.gateway.peer_sync import PeerSync
@@ -15,10 +16,10 @@
 from cherrylane.gateway.registry import HostRegistry
 from cherrylane.gateway.routing_state import REMOVAL_GRACE_S, RoutingState
 from cherrylane.gateway.sockets import ListeningSockets
+from cherrylane.gateway.tasks import keep_running
 from cherrylane.gossip.members import Members
-from cherrylane.gossip.messages import Heartbeat, HostState, UpstreamBackoff, UpstreamLeaving
+from cherrylane.gossip.messages import Heartbeat, HostState
 from cherrylane.gossip.node import HEARTBEAT_INTERVAL_S, GossipNode
-from cherrylane.gossip.updates import UpdateQueue
 from cherrylane.http.inbound import InboundServer
 from cherrylane.http.limits import InboundLimits
 from cherrylane.http.messages import Request
@@ -34,13 +35,11 @@
 from cherrylane.platform.async_watcher import AsyncWatcher
 from cherrylane.platform.client import AsyncPlatformClient
 from cherrylane.platform.objects import Kind
-from cherrylane.platform.versions import NO_VERSION
 from cherrylane.relay.attempts import AttemptRunner
 from cherrylane.relay.exchange import ExchangeClient
 from cherrylane.relay.selection import UpstreamSelector
 from cherrylane.relay.service import RelayService
 from cherrylane.routing.snapshot import Snapshot
-from cherrylane.routing.upstreams import Upstream
 from cherrylane.settings.gateway import GatewaySettings
 from cherrylane.settings.schema import Endpoint, PlatformSettings
 from cherrylane.telemetry.counters import Telemetry
@@ -60,14 +59,10 @@
 GRACE_MARGIN_S = 0.7
 # Polling interval while a stopping daemon has requests in progress, in seconds.
 DRAIN_POLL_S = 0.05
-# Sweeps of heartbeats to all hosts in which an update is sent, such as a newly cached part.
-UPDATE_SWEEPS = 2
 # Sweeps of heartbeats to all hosts for which a peer's last loads count, so that one may be lost.
 LOAD_LIFETIME_SWEEPS = 2
 BOOT_ID_BYTES = 6
 
-# Seconds after which a background task that has failed is started again.
-TASK_RESTART_S = 0.5
 
 log = Logger("cherrylane.gateway")
 
@@ -87,20 +82,6 @@
         return (self.callers, self.readiness, self.directory, self.peers, self.metrics)
 
 
-async def keep_running(name: str, run: Callable[[], Awaitable[None]]) -> None:
-    """Run a background task until it returns; an error is logged, and it is started again."""
-    while True:
-        try:
-            await run()
-            return
-        except Exception as error:
-            reason = f"{type(error).__name__}: {error}"
-            log.exception(
-                "background task failed, starting it again", extra={"task": name, "reason": reason}
-            )
-            await asyncio.sleep(TASK_RESTART_S)
-
-
 class Gateway:
     """One run of the gateway daemon.
 
@@ -140,8 +121,16 @@
         self._follower_selection = FollowerSelection(self.members, self._watchers)
         self._registry = HostRegistry(self.store, settings.identity, self._boot_id, self.members)
         self.store.on_new_era = self._handle_new_era
-        self._leaving_updates: UpdateQueue[UpstreamLeaving] = UpdateQueue()
         self.backoffs = BackoffTracker()
+        self._announcements = Announcements(
+            settings.identity,
+            self._boot_id,
+            self.store,
+            self.routing_state,
+            self.load_tracker,
+            self.caches,
+            self.backoffs,
+        )
         self._peer_sync = PeerSync(
             self.routing_state,
             self.load_tracker,
@@ -276,7 +265,7 @@
             self.load_tracker,
             lambda: self.routing_state.snapshot,
             self._find_retry_budget,
-            self._handle_leaving_upstream,
+            self._announcements.note_leaving,
         )
         return RelayService(attempt_runner, lambda: self.routing_state.snapshot, self.telemetry)
 
@@ -311,45 +300,22 @@
         return sorted(ready, key=str)
 
     def _make_heartbeat(self) -> Heartbeat:
-        snapshot = self.routing_state.snapshot
         now = asyncio.get_running_loop().time()
-        rounds_to_reach_all = self._gossip.rounds_to_reach_all
         state = HostState.READY if self._has_routing_data else HostState.STARTING
-        return Heartbeat(
-            host=self.settings.identity.name,
-            boot_id=self._boot_id,
-            zone=self.settings.identity.zone,
-            state=HostState.LEAVING if self._is_stopping else state,
-            callers=self._own_address,
-            config_version=snapshot.config_version,
-            upstreams_version=snapshot.upstreams_version,
-            loads=tuple(self.load_tracker.own.items()),
-            cached=self.caches.take_updates(rounds_to_reach_all * UPDATE_SWEEPS),
-            leaving=self._leaving_updates.take(rounds_to_reach_all * UPDATE_SWEEPS),
-            backing_off=tuple(
-                UpstreamBackoff(name, round(remaining_s * 1000))
-                for name, remaining_s in self.backoffs.list_active(now)
-            ),
+        return self._announcements.make_heartbeat(
+            HostState.LEAVING if self._is_stopping else state,
+            self._own_address,
+            rounds_to_reach_all=self._gossip.rounds_to_reach_all,
             has_full_cache_map=self._peer_sync.has_full_cache_map,
             confirmation_age_ms=self._follower_selection.get_state_age_ms(now),
+            now=now,
         )
 
     def _handle_heartbeat(self, address: str, heartbeat: Heartbeat, is_new: bool) -> None:
-        now = asyncio.get_running_loop().time()
-        if heartbeat.upstreams_version != NO_VERSION:
-            self.store.note_era(heartbeat.upstreams_version.era)
-        for upstream in heartbeat.leaving:
-            self.routing_state.note_leaving(upstream.name, upstream.incarnation, source="peer")
-        for backoff in heartbeat.backing_off:
-            self.backoffs.note_peer(backoff.name, backoff.remaining_ms / 1000, now)
+        self._announcements.handle_heartbeat(heartbeat, asyncio.get_running_loop().time())
         self._follower_selection.handle_heartbeat(heartbeat)
         self._peer_sync.handle_heartbeat(address, heartbeat, is_new)
 
-    def _handle_leaving_upstream(self, upstream: Upstream) -> None:
-        """Send nothing more to an upstream that leaves, and tell the peers."""
-        if self.routing_state.note_leaving(upstream.name, upstream.incarnation, source="answer"):
-            self._leaving_updates.add(UpstreamLeaving(upstream.name, upstream.incarnation))
-
     def _handle_new_era(self, era: int) -> None:
         """Write again what this host has written to a store that came back from an older copy."""
         log.warning(
--- a/src/cherrylane/gossip/messages.py
+++ b/src/cherrylane/gossip/messages.py
@@ -7,7 +7,7 @@
 
 from attrs import evolve, frozen
 
-from cherrylane.errors import PeerMessageError
+from cherrylane.errors import DECODING_ERRORS, PeerMessageError
 from cherrylane.placement.caches import CachedPart
 from cherrylane.placement.loads import Load
 from cherrylane.platform.versions import NO_VERSION, StoreVersion
@@ -156,14 +156,7 @@
                 for name, remaining in fields.get("w", ())
             ),
         )
-    except (
-        ValueError,
-        KeyError,
-        TypeError,
-        AttributeError,
-        OverflowError,
-        RecursionError,
-    ) as error:
+    except DECODING_ERRORS as error:
         raise PeerMessageError(
             f"invalid heartbeat datagram ({type(error).__name__}: {error})",
             remedy="run the same release on all hosts",
--- a/src/cherrylane/platform/caches.py
+++ b/src/cherrylane/platform/caches.py
@@ -2,7 +2,7 @@
 
 from json import loads
 
-from cherrylane.errors import UpstreamError
+from cherrylane.errors import DECODING_ERRORS, UpstreamError
 from cherrylane.relay.request import PromptPart
 
 CACHE_LIST_PATH = b"/kv-list"
@@ -15,7 +15,7 @@
     """
     try:
         return tuple(PromptPart(str(key), int(tokens)) for _, key, tokens, _ in loads(body)["held"])
-    except (ValueError, KeyError, TypeError, OverflowError, RecursionError) as error:
+    except DECODING_ERRORS as error:
         raise UpstreamError(
             f"malformed list of cached prompt parts ({type(error).__name__}: {error})",
             remedy="none needed; cached parts are recorded from requests instead",
--- a/src/cherrylane/platform/calls.py
+++ b/src/cherrylane/platform/calls.py
@@ -7,6 +7,7 @@
 from attrs import frozen
 
 from cherrylane.errors import (
+    DECODING_ERRORS,
     ConflictError,
     ObjectNotFoundError,
     PlatformBusyError,
@@ -217,7 +218,7 @@
 def _decode(body: bytes) -> dict[str, Any]:
     try:
         wire = loads(body)
-    except (ValueError, RecursionError) as error:
+    except DECODING_ERRORS as error:
         _raise_malformed(f"{type(error).__name__}: {error}")
     if not isinstance(wire, dict):
         _raise_malformed("not a JSON object")
--- a/src/cherrylane/platform/configuration.py
+++ b/src/cherrylane/platform/configuration.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from cherrylane.errors import SettingsError
+from cherrylane.errors import DECODING_ERRORS, SettingsError
 from cherrylane.http.limits import InboundLimits
 from cherrylane.routing.routes import (
     Account,
@@ -35,7 +35,7 @@
             limits=_decode_limits(document["limits"]),
             accounts=tuple(_decode_account(item) for item in document.get("tenants") or ()),
         )
-    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
+    except DECODING_ERRORS as error:
         raise SettingsError(
             f"invalid configuration ({type(error).__name__}: {error})", remedy=REMEDY
         ) from error
--- a/src/cherrylane/platform/upstreams.py
+++ b/src/cherrylane/platform/upstreams.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from cherrylane.errors import SettingsError
+from cherrylane.errors import DECODING_ERRORS, SettingsError
 from cherrylane.routing.upstreams import Upstream, UpstreamState
 from cherrylane.settings.schema import Endpoint
 
@@ -26,7 +26,7 @@
             incarnation=_read_count(entry.get("born", 0)),
             slow_start_s=_read_count(entry.get("cold_remaining_ms", 0)) / 1000,
         )
-    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
+    except DECODING_ERRORS as error:
         raise SettingsError(
             f"invalid entry of upstream {name} ({type(error).__name__}: {error})",
             remedy=REMEDY,
--- a/tests/test_operators_faults.py
+++ b/tests/test_operators_faults.py
@@ -10,9 +10,9 @@
 from testtools import TestCase
 from testtools.matchers import Contains, StartsWith
 
-from cherrylane.gateway import runtime
+from cherrylane.gateway import tasks
 from cherrylane.gateway.endpoints import ADDRESS_LIFETIME_S
-from cherrylane.gateway.runtime import keep_running
+from cherrylane.gateway.tasks import keep_running
 from cherrylane.http.inbound import InboundServer
 from cherrylane.http.limits import InboundLimits
 from cherrylane.http.messages import Request
@@ -201,7 +201,7 @@
             await keep_running("test", fail_twice)
             return runs
 
-        self.patch(runtime, "TASK_RESTART_S", 0.01)
+        self.patch(tasks, "TASK_RESTART_S", 0.01)
         self.assertEqual(3, run(work()))
 
     def test_a_watch_goes_on_after_an_error_of_its_listener(self) -> None:
--- a/tests/test_relay_upstream_state.py
+++ b/tests/test_relay_upstream_state.py
@@ -47,6 +47,15 @@
     call.end_events()
 
 
+async def send_a_byte_now_and_then(call: Call) -> None:
+    call.start_events()
+    call.write_event(1)
+    while not call.writer.is_closing():
+        call.writer.write(b"1\r\n:\r\n")
+        await call.writer.drain()
+        await asyncio.sleep(0.2)
+
+
 async def fetch_repeatedly(
     route: Route, *scripts: Script, times: int, slack: float = 100.0
 ) -> tuple[list[bytes], list[int], list[str]]:
@@ -132,14 +141,6 @@
     def test_a_stalled_stream_that_sends_a_byte_now_and_then_goes_elsewhere(self) -> None:
         """Each byte postponed its timeout, so that it lasted until the deadline."""
 
-        async def send_a_byte_now_and_then(call: Call) -> None:
-            call.start_events()
-            call.write_event(1)
-            while not call.writer.is_closing():
-                call.writer.write(b"1\r\n:\r\n")
-                await call.writer.drain()
-                await asyncio.sleep(0.2)
-
         answers, calls, _ = run(
             fetch_repeatedly(RESUMABLE, send_a_byte_now_and_then, stream(2, 3), times=1)
         )
@@ -147,14 +148,6 @@
         self.assertEqual([1, 1], calls)
 
     def test_a_stalled_stream_that_cannot_go_elsewhere_ends_at_its_deadline(self) -> None:
-        async def send_a_byte_now_and_then(call: Call) -> None:
-            call.start_events()
-            call.write_event(1)
-            while not call.writer.is_closing():
-                call.writer.write(b"1\r\n:\r\n")
-                await call.writer.drain()
-                await asyncio.sleep(0.2)
-
         async def work() -> bytes:
             fixture = await RelayFixture(
                 (send_a_byte_now_and_then,), make_configuration(RESUMABLE)
