--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -31,6 +31,7 @@
 from cherrylane.limits.retries import HostRetryBudget
 from cherrylane.placement.caches import CacheMap
 from cherrylane.placement.choice import Chooser
+from cherrylane.placement.heat import ChatHeat
 from cherrylane.placement.loads import PEER_LOADS_LIFETIME_S, LoadTracker
 from cherrylane.platform.async_watcher import AsyncWatcher
 from cherrylane.platform.client import AsyncPlatformClient
@@ -122,6 +123,7 @@
         self._registry = HostRegistry(self.store, settings.identity, self._boot_id, self.members)
         self.store.on_new_era = self._handle_new_era
         self.backoffs = BackoffTracker()
+        self.chat_heat = ChatHeat()
         self._announcements = Announcements(
             settings.identity,
             self._boot_id,
@@ -260,7 +262,9 @@
             self.settings.identity.zone, self.settings.bounds.load_multiple, self.caches
         )
         attempt_runner = AttemptRunner(
-            UpstreamSelector(chooser, self.load_tracker, self.outliers, self.backoffs),
+            UpstreamSelector(
+                chooser, self.load_tracker, self.outliers, self.backoffs, self.chat_heat
+            ),
             ExchangeClient(self.pool),
             self.load_tracker,
             lambda: self.routing_state.snapshot,
@@ -373,8 +377,9 @@
             self.load_tracker.lifetime_s = max(
                 PEER_LOADS_LIFETIME_S, sweep_s * LOAD_LIFETIME_SWEEPS
             )
-            # A peer's report is between new and a sweep old.
-            self.load_tracker.report_age_s = sweep_s / 2
+            self.chat_heat.window_s = sweep_s
+            self.chat_heat.peers = len(self.members)
+            self.chat_heat.forget_old(asyncio.get_running_loop().time())
             self._writer.flush()
 
     def _add_gauges(self) -> None:
--- a/src/cherrylane/placement/choice.py
+++ b/src/cherrylane/placement/choice.py
@@ -2,12 +2,15 @@
 
 A chat goes to an engine that has all shared parts of its prompt cached, unless that engine's load
 exceeds a multiple of the mean. Any other chat goes to the first engine in its rendezvous order
-whose load is within that limit. Prompt parts that the chosen engine lacks and another engine has
-are fetched from there. Other requests go to the least loaded upstream, with preference for the
-host's own failure domain.
+whose load is within that limit. A chat that very many callers ask for at once is spread over as
+many engines as it needs. Prompt parts that the chosen engine lacks and another engine has are
+fetched from there. Other requests go to the least loaded upstream, with preference for the host's
+own failure domain.
 """
 
 from collections.abc import Sequence
+from itertools import islice
+from math import ceil
 from random import Random
 
 from attrs import field, frozen
@@ -31,19 +34,10 @@
 
 @frozen
 class Candidate:
-    """An upstream that may take the request, and its load.
-
-    ``unseen_requests`` are the requests that it likely has beside those of its known load.
-    """
+    """An upstream that may take the request, and its load."""
 
     upstream: Upstream
     load: Load
-    unseen_requests: float = 0.0
-
-    @property
-    def expected_requests(self) -> float:
-        """The requests that are likely at this upstream."""
-        return self.load.requests + self.unseen_requests
 
 
 @frozen
@@ -76,11 +70,17 @@
     random: Random = field(factory=Random)
 
     def choose_for_chat(
-        self, prompt: Prompt, candidates: Sequence[Candidate], holders: Sequence[Upstream]
+        self,
+        prompt: Prompt,
+        candidates: Sequence[Candidate],
+        holders: Sequence[Upstream],
+        *,
+        heat: int = 0,
     ) -> Choice:
         """Choose for a chat; ``holders`` are all engines that its prompt may be fetched from.
 
-        Holders include running engines that take no new requests.
+        Holders include running engines that take no new requests. ``heat`` is how many requests of
+        the chat other hosts send before their loads are known here.
         """
         by_name = {candidate.upstream.name: candidate for candidate in candidates}
         mean = _mean_load(candidates)
@@ -91,8 +91,9 @@
         # An engine that has only the parts that many chats share gets no preference: it would
         # attract every new chat to the first engine that was used.
         order.sort(key=lambda name: cached[name] < prompt.shared_tokens)
-        holding = {name for name in by_name if cached[name] >= prompt.shared_tokens}
-        name, reason = self._find_below(order, by_name, limit, holding)
+        # What engines at the mean load can take of a chat that is asked for everywhere at once.
+        width = 1 + ceil(heat / max(1.0, limit - mean))
+        name, reason = self._find_below(order, by_name, limit, width)
         chosen = by_name[name]
         source = self._find_source(prompt, cached[name], holders)
         available_tokens = (
@@ -110,22 +111,20 @@
         return Choice(chosen.upstream, "least loaded", chosen.load, mean)
 
     def _find_below(
-        self, order: list[str], by_name: dict[str, Candidate], limit: float, holding: set[str]
+        self, order: list[str], by_name: dict[str, Candidate], limit: float, width: int
     ) -> tuple[str, str]:
-        """Return the first in ``order`` if its load is within ``limit``, else one of the others.
+        """Return the less loaded of two of the first ``width`` engines whose load is within limit.
 
-        Those in ``holding``, which have the prompt cached, come first. Two drawn at random are
-        compared (power of two choices): if all hosts took the next in the order, they would fill
-        it before any of them knew.
+        These two are drawn at random (power of two choices), since the other hosts choose at the
+        same time without knowing of each other.
         """
-        if by_name[order[0]].expected_requests + 1 <= limit:
-            return order[0], "preferred"
-        free = [name for name in order[1:] if by_name[name].expected_requests + 1 <= limit]
-        if not free:
-            return min(order, key=lambda name: by_name[name].expected_requests), "all loaded"
-        preferred = [name for name in free if name in holding] or free
-        pair = self.random.sample(preferred, min(2, len(preferred)))
-        return min(pair, key=lambda name: by_name[name].expected_requests), "preferred one loaded"
+        below = (name for name in order if by_name[name].load.requests + 1 <= limit)
+        pool = list(islice(below, width))
+        if not pool:
+            return min(order, key=lambda name: by_name[name].load.requests), "all loaded"
+        pair = self.random.sample(pool, 2) if len(pool) > 1 else pool
+        name = min(pair, key=lambda name: by_name[name].load.requests)
+        return name, "preferred" if name == order[0] else "preferred one loaded"
 
     def _find_source(
         self, prompt: Prompt, cached_tokens: int, holders: Sequence[Upstream]
@@ -143,10 +142,10 @@
 
     def _score(self, candidate: Candidate) -> float:
         upstream = candidate.upstream
-        load = candidate.expected_requests / max(1, upstream.slots)
+        load = candidate.load.requests / max(1, upstream.slots)
         penalty = 0.0 if upstream.zone == self.zone else CROSS_ZONE_PENALTY
         return load + penalty + self.random.random() / max(1, upstream.slots)
 
 
 def _mean_load(candidates: Sequence[Candidate]) -> float:
-    return sum(candidate.expected_requests for candidate in candidates) / len(candidates)
+    return sum(candidate.load.requests for candidate in candidates) / len(candidates)
--- a/src/cherrylane/placement/loads.py
+++ b/src/cherrylane/placement/loads.py
@@ -4,8 +4,6 @@
 
 from attrs import define, field, frozen
 
-from cherrylane.placement.sampling import DispatchSample
-
 # Minimum seconds after which a peer's reported loads expire.
 PEER_LOADS_LIFETIME_S = 1.5
 
@@ -62,7 +60,6 @@
     """The known load of each upstream.
 
     A peer's report expires after ``lifetime_s`` seconds; in a large fleet reports come less often.
-    ``report_age_s`` is the mean age of the reports.
 
     Example::
 
@@ -74,18 +71,12 @@
     """
 
     lifetime_s: float = PEER_LOADS_LIFETIME_S
-    report_age_s: float = 0.0
     own: dict[str, Load] = field(factory=dict)
     _peers: dict[str, PeerLoads] = field(factory=dict)
-    _sample: DispatchSample = field(factory=DispatchSample)
 
-    def begin(
-        self, upstream: str, load: Load = ONE_REQUEST, *, now: float | None = None
-    ) -> InFlightRequest:
+    def begin(self, upstream: str, load: Load = ONE_REQUEST) -> InFlightRequest:
         """Record that a request is sent which adds ``load``."""
         self.change(upstream, load)
-        if now is not None:
-            self._sample.note(upstream, now)
         return InFlightRequest(self, upstream, load)
 
     def change(self, upstream: str, difference: Load) -> None:
@@ -100,13 +91,6 @@
         """Replace the loads reported by a peer."""
         self._peers[peer] = PeerLoads(loads, now)
 
-    def estimate_unseen(self, upstream: str, now: float) -> int:
-        """Return how many requests of peers are likely at an upstream and not reported yet."""
-        peers = sum(1 for peer in self._peers.values() if now - peer.received_at <= self.lifetime_s)
-        return self._sample.estimate_unseen(
-            upstream, report_age_s=self.report_age_s, peers=peers, now=now
-        )
-
     def read(self, upstreams: Iterable[str], now: float) -> dict[str, Load]:
         """Return the known load of each of ``upstreams``."""
         totals = {name: self.own.get(name, NO_LOAD) for name in upstreams}
--- a/src/cherrylane/relay/attempts.py
+++ b/src/cherrylane/relay/attempts.py
@@ -162,7 +162,7 @@
         started_at = loop.time()
         name = choice.upstream.name
         state.tried.add(name)
-        in_flight = self.load_tracker.begin(name, Load(1, choice.unread_tokens), now=started_at)
+        in_flight = self.load_tracker.begin(name, Load(1, choice.unread_tokens))
         try:
             async with asyncio.timeout_at(state.request.deadline) as timeout:
                 move_timer = MoveTimer(timeout, lambda: self._can_move(state))
--- a/src/cherrylane/relay/selection.py
+++ b/src/cherrylane/relay/selection.py
@@ -6,6 +6,7 @@
 from cherrylane.limits.outliers import OutlierDetector
 from cherrylane.limits.overload import RequestUrgency, Throughput, can_start_in_time
 from cherrylane.placement.choice import Candidate, Choice, Chooser
+from cherrylane.placement.heat import ChatHeat
 from cherrylane.placement.loads import LoadTracker
 from cherrylane.relay.request import CallerRequest
 from cherrylane.routing.snapshot import KnownUpstream, Snapshot
@@ -35,6 +36,7 @@
     load_tracker: LoadTracker
     outliers: OutlierDetector
     backoffs: BackoffTracker = field(factory=BackoffTracker)
+    chat_heat: ChatHeat = field(factory=ChatHeat)
     _throughputs: dict[str, Throughput] = field(factory=dict)
 
     def throughput_of(self, service: str) -> Throughput:
@@ -67,7 +69,8 @@
             for known in listed
             if not self.outliers.is_avoided(known.upstream.name, now)
         ]
-        return self.chooser.choose_for_chat(request.prompt, candidates, holders)
+        heat = 0 if tried else self.chat_heat.note(request.prompt.chat_key, now)
+        return self.chooser.choose_for_chat(request.prompt, candidates, holders, heat=heat)
 
     def has_another(self, service: str, snapshot: Snapshot, tried: set[str], now: float) -> bool:
         """Return whether an upstream is left to which a request could be sent next."""
@@ -94,14 +97,7 @@
         # When all are avoided, the cause is likely elsewhere.
         chosen = trusted or untried
         loads = self.load_tracker.read([known.upstream.name for known in chosen], now)
-        return [
-            Candidate(
-                known.upstream,
-                loads[known.upstream.name],
-                self.load_tracker.estimate_unseen(known.upstream.name, now),
-            )
-            for known in chosen
-        ]
+        return [Candidate(known.upstream, loads[known.upstream.name]) for known in chosen]
 
     def _can_any_start(self, request: CallerRequest, candidates: list[Candidate]) -> bool:
         """Return whether any candidate is expected to start the request in time."""
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -59,33 +59,39 @@
         self.assertEqual((elsewhere, ""), self.choose("chat", dict.fromkeys(NAMES, 5)))
 
     def test_a_hot_chat_overflows_to_another_engine_that_fetches_its_cache(self) -> None:
-        """One chat gets a quarter of the traffic, so its first engine fills before the others.
-
-        Hosts draw the other engine at random; if all took the same one, they would fill it at once.
-        """
-        first = rank_names("hot", NAMES)[0]
+        """One chat gets a quarter of the traffic, so its first engine fills before the others."""
+        first, second, *_ = rank_names("hot", NAMES)
         self.choose("hot", dict.fromkeys(NAMES, 10))
         loads = dict.fromkeys(NAMES, 10) | {first: 40}
-        drawn = {
-            Chooser("a", 2.0, self.caches, Random(seed))
-            .choose_for_chat(make_prompt("hot"), make_candidates(loads), self.holders)
-            .upstream.name
-            for seed in range(50)
-        }
-        self.assertEqual(set(NAMES) - {first}, drawn)
-        other, source = self.choose("hot", loads)
-        self.assertNotEqual(first, other)
-        self.assertEqual(first, source)
-        for _ in range(5):
-            self.assertEqual((other, ""), self.choose("hot", loads))
-
-    def test_the_less_loaded_of_two_engines_takes_the_overflow(self) -> None:
-        first = rank_names("hot", NAMES)[0]
-        others = [name for name in NAMES if name != first]
-        loads = dict.fromkeys(others, 5) | {first: 40, others[0]: 14}
+        self.assertEqual((second, first), self.choose("hot", loads))
+        self.assertEqual((second, ""), self.choose("hot", loads))
+
+    def test_a_chat_that_all_hosts_get_at_once_is_spread_over_the_engines_it_needs(self) -> None:
+        """An engine at the mean can take 10 more within the bound; 25 come from other hosts."""
+        expected = set(rank_names("hot", NAMES)[:4])
+        for heat, engines in ((0, 1), (25, 4)):
+            drawn = {
+                Chooser("a", 2.0, CacheMap(), Random(seed))
+                .choose_for_chat(
+                    make_prompt("hot"),
+                    make_candidates(dict.fromkeys(NAMES, 10)),
+                    self.holders,
+                    heat=heat,
+                )
+                .upstream.name
+                for seed in range(50)
+            }
+            self.assertEqual(engines, len(drawn))
+            self.assertTrue(drawn <= expected, str(drawn))
+
+    def test_the_less_loaded_of_two_engines_takes_a_hot_chat(self) -> None:
+        first, second, third, *_ = rank_names("hot", NAMES)
+        loads = dict.fromkeys(NAMES, 10) | {first: 12, second: 5}
         for seed in range(50):
-            self.chooser = Chooser("a", 2.0, CacheMap(), Random(seed))
-            self.assertNotIn(self.choose("hot", loads)[0], (first, others[0]))
+            chooser = Chooser("a", 2.0, CacheMap(), Random(seed))
+            candidates = make_candidates(loads)
+            choice = chooser.choose_for_chat(make_prompt("hot"), candidates, self.holders, heat=15)
+            self.assertIn(choice.upstream.name, (second, third))
 
     def test_chats_of_a_draining_engine_fetch_their_cache_from_it(self) -> None:
         first, second, *_ = rank_names("chat", NAMES)
--- a/tests/test_sampling.py
+++ b/tests/test_heat.py
@@ -3,8 +3,8 @@
 from testtools import TestCase
 
 from cherrylane.placement.choice import Candidate, Chooser
+from cherrylane.placement.heat import ChatHeat
 from cherrylane.placement.loads import Load, LoadTracker
-from cherrylane.placement.sampling import DispatchSample
 from cherrylane.relay.request import Prompt, PromptPart
 from cherrylane.routing.upstreams import Upstream, UpstreamState
 from cherrylane.settings.schema import Endpoint
@@ -22,19 +22,23 @@
 LOAD_MULTIPLE = 2.0
 # Requests above the multiple of the mean that are no excess.
 FREE_REQUESTS = 3
+# Share of the requests that may go to engines above the bound.
+MAX_SHARE = 0.03
 
 
-class DispatchSampleTest(TestCase):
-    def test_what_is_sent_within_the_age_of_the_reports_is_scaled_up(self) -> None:
-        sample = DispatchSample()
-        for now in (0.0, 1.0, 1.2, 1.4):
-            sample.note("a", now)
-        sample.note("b", 1.4)
-        estimates = [
-            sample.estimate_unseen(name, report_age_s=0.8, peers=72, now=1.5) for name in "abc"
-        ]
-        self.assertEqual([2 * 72, 0, 0], estimates)
-        self.assertEqual(0, sample.estimate_unseen("a", report_age_s=0.8, peers=72, now=3.0))
+class ChatHeatTest(TestCase):
+    def test_requests_within_the_window_are_scaled_up_beside_the_first(self) -> None:
+        heat = ChatHeat(window_s=1.0, peers=72)
+        self.assertEqual([0, 72, 144], [heat.note("a", now) for now in (0.0, 0.5, 0.9)])
+        self.assertEqual(0, heat.note("b", 0.9))
+        self.assertEqual(72, heat.note("a", 1.8))
+        self.assertEqual(0, heat.note("a", 5.0))
+
+    def test_chats_without_requests_are_forgotten(self) -> None:
+        heat = ChatHeat(window_s=1.0, peers=72)
+        heat.note("a", 0.0)
+        heat.forget_old(1.5)
+        self.assertEqual({}, heat._asked_at)
 
 
 class HotChatTest(TestCase):
@@ -44,7 +48,7 @@
     requests at an engine that had 46 to 68.
     """
 
-    def play(self, *, report_age_s: float) -> float:
+    def play(self, *, knows_heat: bool) -> float:
         """Return the share of requests that went to an engine above the bound."""
         random = Random(7)
         endpoint = Endpoint("10.0.0.1", 80)
@@ -54,8 +58,7 @@
         ]
         trackers = [LoadTracker(lifetime_s=2 * SWEEP_S) for _ in range(HOSTS)]
         choosers = [Chooser("a", LOAD_MULTIPLE, random=random) for _ in range(HOSTS)]
-        for tracker in trackers:
-            tracker.report_age_s = report_age_s
+        heats = [ChatHeat(SWEEP_S if knows_heat else 0.0, HOSTS - 1) for _ in range(HOSTS)]
         running: list[tuple[float, int, str]] = []
         true_loads = {upstream.name: 0 for upstream in upstreams}
         above = asked = 0
@@ -78,24 +81,20 @@
                 chat = "hot" if is_hot else f"chat-{random.randrange(500)}"
                 parts = (PromptPart(chat, 100), PromptPart("own", 10))
                 loads = trackers[host].read(true_loads, now)
-                candidates = [
-                    Candidate(
-                        upstream,
-                        loads[upstream.name],
-                        trackers[host].estimate_unseen(upstream.name, now),
-                    )
-                    for upstream in upstreams
-                ]
-                choice = choosers[host].choose_for_chat(Prompt("m", parts), candidates, upstreams)
+                candidates = [Candidate(one, loads[one.name]) for one in upstreams]
+                prompt = Prompt("m", parts)
+                choice = choosers[host].choose_for_chat(
+                    prompt, candidates, upstreams, heat=heats[host].note(chat, now)
+                )
                 name = choice.upstream.name
                 mean = sum(true_loads.values()) / ENGINES
                 asked += 1
                 above += true_loads[name] > LOAD_MULTIPLE * mean + FREE_REQUESTS
-                trackers[host].begin(name, now=now)
+                trackers[host].begin(name)
                 true_loads[name] += 1
                 running.append((now + REQUEST_S * random.uniform(0.5, 1.5), host, name))
         return above / asked
 
     def test_fewer_requests_go_to_engines_above_the_bound(self) -> None:
-        known_alone, extrapolated = self.play(report_age_s=0.0), self.play(report_age_s=SWEEP_S / 2)
-        self.assertTrue(extrapolated <= 0.03, f"{known_alone:.3f} -> {extrapolated:.3f}")
+        by_loads_alone, with_heat = self.play(knows_heat=False), self.play(knows_heat=True)
+        self.assertTrue(with_heat <= MAX_SHARE, f"{by_loads_alone:.3f} -> {with_heat:.3f}")
