Watch the store anew after an outage that a pending watch did not show

Shorter watches were not taken: each costs a full call, at 2 s about 8 a second on a small site. Change: StoreProbe, a stale read of the own registry entry each second (a tenth of a call) on hosts that watch; after a failure the next success lists and watches anew, with the grace of a recovery.

--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -16,6 +16,7 @@
 from cherrylane.gateway.registry import HostRegistry
 from cherrylane.gateway.routing_state import REMOVAL_GRACE_S, RoutingState
 from cherrylane.gateway.sockets import ListeningSockets
+from cherrylane.gateway.store_probe import StoreProbe
 from cherrylane.gateway.tasks import keep_running
 from cherrylane.gossip.members import Members
 from cherrylane.gossip.messages import Heartbeat, HostState
@@ -120,6 +121,7 @@
         )
         self._watchers = self._make_watchers()
         self._follower_selection = FollowerSelection(self.members, self._watchers)
+        self._store_probe = StoreProbe(self.store, settings.identity.name, self._watchers)
         self._registry = HostRegistry(self.store, settings.identity, self._boot_id, self.members)
         self.store.on_new_era = self._handle_new_era
         self.backoffs = BackoffTracker()
@@ -175,6 +177,7 @@
         runs: dict[str, Callable[[], Awaitable[None]]] = {
             "follower selection": self._follower_selection.run,
             "host registry": self._registry.run,
+            "store probe": self._store_probe.run,
             "gossip": self._gossip.run,
             "maintenance": self._run_maintenance,
         }
--- a/src/cherrylane/platform/async_watcher.py
+++ b/src/cherrylane/platform/async_watcher.py
@@ -69,11 +69,27 @@
         else:
             self._task = asyncio.get_running_loop().create_task(self._run())
 
+    @property
+    def is_watching(self) -> bool:
+        """Whether this host is watching the store."""
+        return self._task is not None
+
     def note_era(self, era: int) -> None:
         """List again at once if the store was restored; a pending watch may learn of it late."""
-        if self._task is not None and self._version is not None and self._version.era < era:
-            self._task.cancel()
-            self._task = asyncio.get_running_loop().create_task(self._run())
+        if self._version is not None and self._version.era < era:
+            self.restart()
+
+    def restart(self) -> None:
+        """List again at once, since the pending watch may never be answered.
+
+        Entries that lapsed in an outage return as they do after one that calls have noticed.
+        """
+        if self._task is None:
+            return
+        self._task.cancel()
+        loop = asyncio.get_running_loop()
+        self.recovered_at = loop.time()
+        self._task = loop.create_task(self._run())
 
     async def _run(self) -> None:
         """List, then watch; list again if the store no longer has the changes to go on from.
--- a/src/cherrylane/platform/calls.py
+++ b/src/cherrylane/platform/calls.py
@@ -58,9 +58,12 @@
     has_more: bool
 
 
-def make_get(kind: Kind, name: str) -> Call:
-    """Build the request that reads one object."""
-    return Call("GET", _path(kind, name))
+def make_get(kind: Kind, name: str, *, stale: bool = False) -> Call:
+    """Build the request that reads one object.
+
+    A ``stale`` read is cheaper, but its data may be seconds old.
+    """
+    return Call("GET", _path(kind, name) + ("?serializable=1" if stale else ""))
 
 
 def make_list(kind: Kind, *, after: str = "", stale: bool = False) -> Call:
--- a/src/cherrylane/platform/client.py
+++ b/src/cherrylane/platform/client.py
@@ -87,9 +87,12 @@
         if previous is not None:
             self.on_new_era(era)
 
-    async def get(self, kind: Kind, name: str) -> PlatformObject:
-        """Read one object; raises :class:`ObjectNotFoundError` when there is none."""
-        return read_object(kind, await self._call(make_get(kind, name)))
+    async def get(self, kind: Kind, name: str, *, stale: bool = False) -> PlatformObject:
+        """Read one object; raises :class:`ObjectNotFoundError` when there is none.
+
+        A ``stale`` read is cheaper, but its data may be seconds old.
+        """
+        return read_object(kind, await self._call(make_get(kind, name, stale=stale)))
 
     async def list(self, kind: Kind, *, stale: bool = False) -> ObjectList:
         """Read all objects of ``kind``; a ``stale`` list is cheaper, but may be seconds old."""
--- a/tests/test_async_watcher.py
+++ b/tests/test_async_watcher.py
@@ -2,6 +2,8 @@
 
 from testtools import TestCase
 
+from cherrylane.errors import ObjectNotFoundError, PlatformUnavailableError
+from cherrylane.gateway.store_probe import StoreProbe
 from cherrylane.platform import async_watcher
 from cherrylane.platform.async_watcher import AsyncWatcher
 from cherrylane.platform.client import AsyncPlatformClient
@@ -66,3 +68,49 @@
         received, watches = run(work())
         self.assertEqual([str(number) for number in range(2, CHANGES + 2)], received)
         self.assertEqual(2, watches)
+
+
+class SilentStore(FakeStore):
+    """Its watches are never answered; ``is_away`` lets all other calls fail."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_away = False
+        self.lists = 0
+
+    async def list(self, kind: Kind, *, stale: bool = False) -> ObjectList:
+        self.lists += 1
+        return await super().list(kind, stale=stale)
+
+    async def watch(self, kind: Kind, version: StoreVersion, *, wait_s: float) -> WatchEvents:
+        await asyncio.Event().wait()
+        raise AssertionError("unreachable")
+
+    async def get(self, kind: Kind, name: str, *, stale: bool = False) -> PlatformObject:
+        if self.is_away:
+            raise PlatformUnavailableError("no response", remedy="none")
+        raise ObjectNotFoundError("object not found", remedy="none")
+
+
+class StoreProbeTest(TestCase):
+    def test_an_outage_that_a_pending_watch_did_not_show_leads_to_a_new_list(self) -> None:
+        """After 4.4 s of silence the watches of all hosts hung on, and an upstream that had left
+        got requests. Found by leaving-upstreams, seed 645807135849, on grievance-desk.
+        """
+
+        async def work() -> tuple[list[int], bool]:
+            store = SilentStore()
+            watcher = AsyncWatcher(store, Kind.UPSTREAMS, lambda listed: None, lambda changes: None)
+            probe = StoreProbe(store, "host-a", [watcher])
+            watcher.set_watching(True)
+            await wait_for(lambda: store.lists == 1)
+            lists = []
+            for is_away in (False, True, True, False, False):
+                store.is_away = is_away
+                await probe.probe()
+                await asyncio.sleep(0.01)
+                lists.append(store.lists)
+            watcher.set_watching(False)
+            return lists, watcher.recovered_at > 0
+
+        self.assertEqual(([1, 1, 1, 2, 2], True), run(work()))
