Log how the answer of an upstream was framed, and streams that end inside an event

The request line now has the framing of the last answer, and an answer that ended inside an event has a line of its own. No logic is changed.

--- a/src/cherrylane/http/messages.py
+++ b/src/cherrylane/http/messages.py
@@ -95,6 +95,13 @@
     keep_alive: bool = True
     has_length: bool = True
 
+    @property
+    def framing(self) -> str:
+        """What tells the end of the body: ``close``, ``chunked`` or ``length``."""
+        if not self.has_length:
+            return "close"
+        return "length" if self.find(b"transfer-encoding") is None else "chunked"
+
 
 @frozen
 class Response:
--- a/src/cherrylane/relay/attempts.py
+++ b/src/cherrylane/relay/attempts.py
@@ -66,7 +66,7 @@
 
 @define
 class RequestState:
-    """The state of one request over all its attempts."""
+    """The state of one request over all its attempts; ``framing`` is that of the last answer."""
 
     request: CallerRequest
     progress: StreamProgress
@@ -76,6 +76,7 @@
     unreachable: int = 0
     may_have_run: bool = False
     failure: Failed | None = None
+    framing: str = ""
 
     def note(self, outcome: Outcome) -> None:
         """Record the outcome of an attempt that was sent but did not answer the request."""
@@ -204,6 +205,7 @@
         answer = await self.client.begin(request, upstream, self._make_dispatch(state, choice))
         if not isinstance(answer, OpenAnswer):
             return answer
+        state.framing = answer.head.framing
         self._note_upstream_state(upstream, answer.head)
         if not is_stream(request) or not is_success(answer.head):
             return await self.client.finish(request, upstream, answer)
--- a/src/cherrylane/relay/service.py
+++ b/src/cherrylane/relay/service.py
@@ -164,6 +164,7 @@
                 "account": request.account.name if request.account else "",
                 "outcome": outcome,
                 "status": status,
+                "framing": state.framing,
                 "attempts": [
                     [attempt.upstream, attempt.outcome, round(attempt.seconds * 1000, 1)]
                     for attempt in state.attempts
--- a/src/cherrylane/relay/streams.py
+++ b/src/cherrylane/relay/streams.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from attrs import define
+from logbook import Logger
 
 from cherrylane.errors import IncompleteResponseError
 from cherrylane.http.messages import ResponseHead
@@ -18,6 +19,8 @@
 # another upstream.
 EVENT_GAPS_TOLERATED = 4.0
 
+log = Logger("cherrylane.relay")
+
 
 @define
 class StreamProgress:
@@ -58,6 +61,7 @@
                     await self._forward(answer.head, events)
                     self.progress.last_id = splitter.last_id
             if splitter.remainder:
+                self._log_unfinished_event(answer.head, splitter)
                 await self._forward(answer.head, splitter.remainder)
         except IncompleteResponseError as error:
             connection.close()
@@ -80,3 +84,14 @@
             move_timer.stop()
         else:
             move_timer.restart(event_gap_s * EVENT_GAPS_TOLERATED)
+
+    def _log_unfinished_event(self, head: ResponseHead, splitter: EventSplitter) -> None:
+        log.info(
+            "answer ended inside an event",
+            extra={
+                "request": self.request.id,
+                "framing": head.framing,
+                "last_event_id": splitter.last_id,
+                "unfinished_bytes": len(splitter.remainder),
+            },
+        )
