--- a/tests/test_outbound.py
+++ b/tests/test_outbound.py
@@ -68,6 +68,15 @@
         with ExpectedException(IncompleteResponseError):
             run(exchange(make_raw_script(head, close=True)))
 
+    def test_an_interim_head_does_not_change_what_ends_the_body(self) -> None:
+        interim = b"HTTP/1.1 103 Early Hints\r\n\r\n"
+        for head in (
+            b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+            b"Content-Length: 5\r\n\r\nab",
+        ):
+            with ExpectedException(IncompleteResponseError):
+                run(exchange(make_raw_script(interim, b"HTTP/1.1 200 OK\r\n" + head, close=True)))
+
     def test_malformed_responses_are_an_error(self) -> None:
         with ExpectedException(IncompleteResponseError):
             run(exchange(make_raw_script(b"garbage\r\n\r\n")))
--- a/tests/test_relay_streams.py
+++ b/tests/test_relay_streams.py
@@ -3,6 +3,7 @@
 from testtools import TestCase
 from testtools.matchers import StartsWith
 
+from cherrylane.http.messages import LAST_CHUNK, encode_chunk
 from tests.relay_fixture import (
     RESUMABLE,
     STREAM,
@@ -14,12 +15,50 @@
 from tests.wire import (
     LOOPBACK,
     Call,
+    Script,
     make_configuration,
     run,
     wait_for,
 )
 
 
+def end_inside_an_event(*, chunked: bool) -> Script:
+    """Return a script of a signed stream whose body ends regularly within its second event."""
+
+    async def script(call: Call) -> None:
+        framing = "Transfer-Encoding: chunked\r\n" if chunked else ""
+        call.writer.write(
+            f"HTTP/1.1 200 OK\r\nAttempt-Id: {call.header('Attempt-Id')}\r\n"
+            f"Server-Seal: s\r\nContent-Type: text/event-stream\r\n{framing}\r\n".encode()
+        )
+        body = b"id: 1\ndata: 1\n\nid: 2\nda"
+        call.writer.write(encode_chunk(body) + LAST_CHUNK if chunked else body)
+        await call.writer.drain()
+        call.writer.close()
+
+    return script
+
+
+class BrokenOffTest(TestCase):
+    # Guards against a stream that ended inside an event reaching its caller as complete (inc1).
+    def test_a_stream_that_ends_inside_an_event_does_not_look_complete(self) -> None:
+        for chunked in (False, True):
+            script = end_inside_an_event(chunked=chunked)
+            answer, calls = fetch(STREAM, script, stream(1, 3), method="POST")
+            self.assertEqual(([1], [1, 0]), (events(answer), calls))
+            self.assertFalse(answer.endswith(LAST_CHUNK))
+
+    # Guards against such a stream not being resumed, and its event being relayed twice (inc1).
+    def test_a_resumable_stream_that_ends_inside_an_event_is_resumed_after_the_last_whole_one(
+        self,
+    ) -> None:
+        for chunked in (False, True):
+            script = end_inside_an_event(chunked=chunked)
+            answer, calls = fetch(RESUMABLE, script, stream(2, 3), method="POST")
+            self.assertEqual(([1, 2, 3], [1, 1]), (events(answer), calls))
+            self.assertTrue(answer.endswith(LAST_CHUNK))
+
+
 class StreamsTest(TestCase):
     def test_a_stream_without_a_signature_is_no_success(self) -> None:
         async def unsigned_stream(call: Call) -> None:
