Find the end of an event whose lines end with CRLF

Callers of a stream with CRLF lines got nothing before its end: only two LF in a row ended an event. The test fails before (0 of its events are returned early) and passes now; LF streams are split as before (test_events).

--- a/src/cherrylane/relay/events.py
+++ b/src/cherrylane/relay/events.py
@@ -1,12 +1,12 @@
 """Incremental splitting of a stream of server-sent events.
 
-Events end with an empty line (HTML standard, section 9.2). Only complete events are relayed, so a
-stream that breaks off can be resumed after the last one.
+Events end with an empty line (HTML standard, section 9.2); lines end with LF or CRLF. Only complete
+events are relayed, so a stream that breaks off can be resumed after the last one.
 """
 
 from attrs import define
 
-EVENT_END = b"\n\n"
+EVENT_ENDS = (b"\n\n", b"\n\r\n")
 ID_FIELD = b"id:"
 # Largest event that is buffered; an upstream that sends a longer one is in trouble.
 MAX_EVENT_BYTES = 1024 * 1024
@@ -29,12 +29,8 @@
     def feed(self, data: bytes) -> bytes:
         """Append ``data`` and return the bytes of all events that are now complete."""
         buffered = self._buffer + data
-        end = buffered.rfind(EVENT_END)
-        if end < 0:
-            self._buffer = buffered
-            return b""
-        complete = buffered[: end + len(EVENT_END)]
-        self._buffer = buffered[end + len(EVENT_END) :]
+        end = _find_last_event_end(buffered)
+        complete, self._buffer = buffered[:end], buffered[end:]
         self.last_id = _find_last_id(complete) or self.last_id
         return complete
 
@@ -49,6 +45,12 @@
         return self._buffer
 
 
+def _find_last_event_end(data: bytes) -> int:
+    """Return the position after the last complete event, 0 if there is none."""
+    positions = ((data.rfind(ending), len(ending)) for ending in EVENT_ENDS)
+    return max((start + length for start, length in positions if start >= 0), default=0)
+
+
 def _find_last_id(events: bytes) -> str:
     start = events.rfind(b"\n" + ID_FIELD)
     if start >= 0:
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -23,6 +23,21 @@
         last = received.count(b"\n\n")
         self.assertEqual(str(last) if last else "", splitter.last_id)
 
+    # Guards against a stream of CRLF lines being held back until its end.
+    @settings(derandomize=True, deadline=None)
+    @given(lists(integers(min_value=1, max_value=40), max_size=60))
+    def test_lines_may_end_with_crlf(self, sizes: list[int]) -> None:
+        text = STREAM.replace(b"\n", b"\r\n")
+        splitter = EventSplitter()
+        received, position = b"", 0
+        for size in sizes:
+            received += splitter.feed(text[position : position + size])
+            position += size
+        whole_events = text[:position].count(b"\r\n\r\n")
+        self.assertEqual(whole_events, received.count(b"\r\n\r\n"))
+        self.assertEqual(text[:position], received + splitter.remainder)
+        self.assertEqual(str(whole_events) if whole_events else "", splitter.last_id)
+
     def test_the_id_need_not_be_the_first_field(self) -> None:
         splitter = EventSplitter()
         splitter.feed(b"weight-versions: 3\nid: 12\ndata: id: 99\n\n")
