Treat a stream whose answer ends inside an event as broken off

Cause: when an upstream's answer ended by its framing, the relay forwarded the bytes of the unfinished event and ended the caller's answer. An answer without a length or chunks ends with its connection, so a crash of its upstream looks like an orderly end. Class: the end of the transport is taken for the end of the content. Why this works: the end of the body is an end of the stream only between two events; otherwise the attempt is Broken, so the stream is resumed where its route allows it, and else the caller's connection is reset.

--- a/src/cherrylane/relay/events.py
+++ b/src/cherrylane/relay/events.py
@@ -8,6 +8,7 @@
 
 EVENT_ENDS = (b"\n\n", b"\n\r\n")
 ID_FIELD = b"id:"
+COMMENT = b":"
 # Largest event that is buffered; an upstream that sends a longer one is in trouble.
 MAX_EVENT_BYTES = 1024 * 1024
 
@@ -41,9 +42,17 @@
 
     @property
     def remainder(self) -> bytes:
-        """The buffered bytes of an incomplete event."""
+        """The buffered bytes after the last complete event."""
         return self._buffer
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether more than empty lines and complete comments follow the last complete event."""
+        *lines, unfinished_line = self._buffer.split(b"\n")
+        return bool(unfinished_line) or any(
+            line.strip() and not line.startswith(COMMENT) for line in lines
+        )
+
 
 def _find_last_event_end(data: bytes) -> int:
     """Return the position after the last complete event, 0 if there is none."""
--- a/src/cherrylane/relay/streams.py
+++ b/src/cherrylane/relay/streams.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 
 from attrs import define
-from logbook import Logger
 
 from cherrylane.errors import IncompleteResponseError
 from cherrylane.http.messages import ResponseHead
@@ -19,8 +18,6 @@
 # another upstream.
 EVENT_GAPS_TOLERATED = 4.0
 
-log = Logger("cherrylane.relay")
-
 
 @define
 class StreamProgress:
@@ -60,8 +57,10 @@
                         self.note_first_event()
                     await self._forward(answer.head, events)
                     self.progress.last_id = splitter.last_id
+            if splitter.is_inside_event:
+                connection.close()
+                return Broken(_describe_unfinished_event(answer.head, splitter))
             if splitter.remainder:
-                self._log_unfinished_event(answer.head, splitter)
                 await self._forward(answer.head, splitter.remainder)
         except IncompleteResponseError as error:
             connection.close()
@@ -85,13 +84,9 @@
         else:
             move_timer.restart(event_gap_s * EVENT_GAPS_TOLERATED)
 
-    def _log_unfinished_event(self, head: ResponseHead, splitter: EventSplitter) -> None:
-        log.info(
-            "answer ended inside an event",
-            extra={
-                "request": self.request.id,
-                "framing": head.framing,
-                "last_event_id": splitter.last_id,
-                "unfinished_bytes": len(splitter.remainder),
-            },
-        )
+
+def _describe_unfinished_event(head: ResponseHead, splitter: EventSplitter) -> str:
+    return (
+        f"the answer (framing: {head.framing}) ended inside an event, "
+        f"{len(splitter.remainder)} bytes after event {splitter.last_id or 'none'}"
+    )
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -42,3 +42,16 @@
         splitter = EventSplitter()
         splitter.feed(b"weight-versions: 3\nid: 12\ndata: id: 99\n\n")
         self.assertEqual("12", splitter.last_id)
+
+    # Guards against an unfinished event being taken for the end of a stream (inc1).
+    def test_only_empty_lines_and_comments_may_follow_the_last_event(self) -> None:
+        for rest in (b"", b"\n", b"\r\n", b": ping\n", b": ping\r\n\n"):
+            self.assertFalse(make_splitter(rest).is_inside_event, rest)
+        for rest in (b"d", b"data: 2", b"data: 2\n", b"id: 2\r\n", b": pi", b": ping\nid"):
+            self.assertTrue(make_splitter(rest).is_inside_event, rest)
+
+
+def make_splitter(rest: bytes) -> EventSplitter:
+    splitter = EventSplitter()
+    splitter.feed(b"id: 1\ndata: 1\n\n" + rest)
+    return splitter
