Treat an answer that its connection ends before the first event as broken off

Callers saw: an empty 200 when an upstream closed right after the head of a stream without a length or chunks. The new test fails before (200, not resumed) and passes now. Nothing may be left of a stream that is resumed, so such an answer may be empty: test.

--- a/src/cherrylane/relay/streams.py
+++ b/src/cherrylane/relay/streams.py
@@ -66,6 +66,9 @@
             connection.close()
             return Broken(error.problem)
         if not self.responder.started:
+            if not (answer.head.has_length or self.progress.last_id):
+                connection.close()
+                return Broken("the connection was closed before the first event")
             self.responder.start(answer.head.status, answer.head.end_to_end(), b"")
         self.responder.finish()
         return Completed()
--- a/tests/test_relay_streams.py
+++ b/tests/test_relay_streams.py
@@ -21,9 +21,11 @@
     wait_for,
 )
 
+INSIDE_SECOND_EVENT = b"id: 1\ndata: 1\n\nid: 2\nda"
 
-def end_inside_an_event(*, chunked: bool) -> Script:
-    """Return a script of a signed stream whose body ends regularly within its second event."""
+
+def end_regularly(body: bytes, *, chunked: bool) -> Script:
+    """Return a script of a signed stream whose body ends as its framing says."""
 
     async def script(call: Call) -> None:
         framing = "Transfer-Encoding: chunked\r\n" if chunked else ""
@@ -31,7 +33,6 @@
             f"HTTP/1.1 200 OK\r\nAttempt-Id: {call.header('Attempt-Id')}\r\n"
             f"Server-Seal: s\r\nContent-Type: text/event-stream\r\n{framing}\r\n".encode()
         )
-        body = b"id: 1\ndata: 1\n\nid: 2\nda"
         call.writer.write(encode_chunk(body) + LAST_CHUNK if chunked else body)
         await call.writer.drain()
         call.writer.close()
@@ -43,7 +44,7 @@
     # Guards against a stream that ended inside an event reaching its caller as complete (inc1).
     def test_a_stream_that_ends_inside_an_event_does_not_look_complete(self) -> None:
         for chunked in (False, True):
-            script = end_inside_an_event(chunked=chunked)
+            script = end_regularly(INSIDE_SECOND_EVENT, chunked=chunked)
             answer, calls = fetch(STREAM, script, stream(1, 3), method="POST")
             self.assertEqual(([1], [1, 0]), (events(answer), calls))
             self.assertFalse(answer.endswith(LAST_CHUNK))
@@ -53,11 +54,30 @@
         self,
     ) -> None:
         for chunked in (False, True):
-            script = end_inside_an_event(chunked=chunked)
+            script = end_regularly(INSIDE_SECOND_EVENT, chunked=chunked)
             answer, calls = fetch(RESUMABLE, script, stream(2, 3), method="POST")
             self.assertEqual(([1, 2, 3], [1, 1]), (events(answer), calls))
             self.assertTrue(answer.endswith(LAST_CHUNK))
 
+    # Guards against a crash right after the head of an answer reaching callers as an empty success.
+    def test_an_answer_that_its_connection_ends_before_the_first_event_is_no_success(self) -> None:
+        empty = end_regularly(b"", chunked=False)
+        answer, calls = fetch(STREAM, empty, stream(1, 3), method="POST")
+        self.assertThat(answer, StartsWith(b"HTTP/1.1 502 "))
+        self.assertEqual([1, 0], calls)
+        answer, calls = fetch(RESUMABLE, empty, stream(1, 3), method="POST")
+        self.assertEqual(([1, 2, 3], [1, 1]), (events(answer), calls))
+
+    def test_an_answer_to_a_stream_that_was_relayed_completely_may_be_empty(self) -> None:
+        for chunked in (False, True):
+            empty = end_regularly(b"", chunked=chunked)
+            answer, calls = fetch(
+                RESUMABLE, empty, stream(1, 3), method="POST", extra="Last-Event-Id: 7\r\n"
+            )
+            self.assertThat(answer, StartsWith(b"HTTP/1.1 200 "))
+            self.assertTrue(answer.endswith(LAST_CHUNK))
+            self.assertEqual([1, 0], calls)
+
 
 class StreamsTest(TestCase):
     def test_a_stream_without_a_signature_is_no_success(self) -> None:
