Relay whole events only in the thread daemon

The new test fails before (no JSON after the last whole event) and passes now; the relay uses the gateway's EventSplitter, with its bound on an event's size.

--- a/src/cherrylane/delivery/relay.py
+++ b/src/cherrylane/delivery/relay.py
@@ -4,7 +4,7 @@
 from socket import socket
 from time import perf_counter
 
-from attrs import define
+from attrs import define, field
 from httptools import HttpParserError, HttpResponseParser
 from logbook import Logger
 
@@ -13,10 +13,10 @@
 from cherrylane.delivery.responses import render_error_event
 from cherrylane.delivery.streams import Stream, StreamLoop, StreamTask, WakeReason
 from cherrylane.errors import Execution, Refusal
+from cherrylane.relay.events import MAX_EVENT_BYTES, EventSplitter
 from cherrylane.telemetry.metrics import Metrics
 
 DONE_EVENT = b"data: [DONE]"
-EVENT_END = b"\n\n"
 TAIL_BYTES = 1024
 READ_BYTES = 64 * 1024
 CHUNKS_PER_GAP_SAMPLE = 8
@@ -96,6 +96,7 @@
     stream: Stream
     decoder: _BodyDecoder
     chunked: bool
+    splitter: EventSplitter = field(factory=EventSplitter)
     tail: bytes = b""
     unsent: bytes = b""
     chunks_read: int = 0
@@ -158,15 +159,17 @@
         self._send(self._decode(data))
         if self.decoder.broken:
             raise ConnectionResetError("the engine sent invalid HTTP framing")
+        if self.splitter.is_oversized:
+            raise ConnectionResetError(f"an event of more than {MAX_EVENT_BYTES} bytes")
 
     def _decode(self, data: bytes) -> bytes:
-        body = self.decoder.decode(data)
-        if body:
-            if EVENT_END in self.tail[-1:] + body:
-                self.stream.note_progress()
-            self.tail = body if len(body) >= TAIL_BYTES else (self.tail + body)[-TAIL_BYTES:]
+        """Return the events that are now complete."""
+        events = self.splitter.feed(self.decoder.decode(data))
+        if events:
+            self.stream.note_progress()
+            self.tail = events if len(events) >= TAIL_BYTES else (self.tail + events)[-TAIL_BYTES:]
             self._record_timing()
-        return body
+        return events
 
     def _record_timing(self) -> None:
         self.chunks_read += 1
@@ -192,9 +195,10 @@
 
     def _finish(self) -> None:
         owner = self.owner
-        if DONE_EVENT not in self.tail:
+        if DONE_EVENT not in self.tail or self.splitter.is_inside_event:
             self._end_early("the stream ended without its final event")
             return
+        self._send(self.splitter.remainder)
         owner.granted.record_usage(self.tail)
         owner.metrics.count("answers", owner.service)
         self._send_end()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -105,6 +105,18 @@
         received = self.read_all(self.begin(send(CHUNKED + make_chunk(EVENT) + LAST_CHUNK)))
         self.assert_cut(received, after=EVENT)
 
+    # Guards against the error event being hidden in an event that had been cut off (like inc1).
+    def test_the_error_event_follows_whole_events_only(self) -> None:
+        unfinished = EVENT + b'data: {"n'
+        for response in (
+            HEAD + b"\r\n" + unfinished,
+            CHUNKED + make_chunk(unfinished) + LAST_CHUNK,
+            CHUNKED + make_chunk(unfinished),
+            HEAD + b"\r\n" + EVENT + b"data: [DONE]",
+        ):
+            received = self.read_all(self.begin(send(response)))
+            self.assert_cut(received, after=EVENT)
+
     def test_a_stalled_stream_ends_with_an_error_event(self) -> None:
         script = send_then_hang(CHUNKED + make_chunk(EVENT))
         received = self.read_all(self.begin(script, silence_timeout_s=0.2))
