Take only the final event itself for the end of a stream in the thread daemon

Callers would have seen a cut stream end as complete if its text mentioned 'data: [DONE]' near the cut. The test fails before and passes now; lines may end with CRLF, empty lines may follow.

--- a/src/cherrylane/delivery/relay.py
+++ b/src/cherrylane/delivery/relay.py
@@ -1,5 +1,6 @@
 """Relays an event stream from an upstream to a caller, and checks that it is complete."""
 
+import re
 from collections.abc import Generator
 from socket import socket
 from time import perf_counter
@@ -16,7 +17,7 @@
 from cherrylane.relay.events import MAX_EVENT_BYTES, EventSplitter
 from cherrylane.telemetry.metrics import Metrics
 
-DONE_EVENT = b"data: [DONE]"
+DONE_EVENT_AT_END = re.compile(rb"(?:^|\n)data: ?\[DONE\](?:\r?\n){2,}\Z")
 TAIL_BYTES = 1024
 READ_BYTES = 64 * 1024
 CHUNKS_PER_GAP_SAMPLE = 8
@@ -195,7 +196,7 @@
 
     def _finish(self) -> None:
         owner = self.owner
-        if DONE_EVENT not in self.tail or self.splitter.is_inside_event:
+        if not DONE_EVENT_AT_END.search(self.tail) or self.splitter.is_inside_event:
             self._end_early("the stream ended without its final event")
             return
         self._send(self.splitter.remainder)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -117,6 +117,21 @@
             received = self.read_all(self.begin(send(response)))
             self.assert_cut(received, after=EVENT)
 
+    # Guards against text that mentions the final event making a cut stream look whole (like inc1).
+    def test_text_that_mentions_the_final_event_does_not_end_the_stream(self) -> None:
+        mention = b'data: {"text": "ends with data: [DONE]"}\n\n'
+        for response in (HEAD + b"\r\n" + mention, CHUNKED + make_chunk(mention) + LAST_CHUNK):
+            received = self.read_all(self.begin(send(response)))
+            self.assertIn(b"stream_cut", received)
+            self.assertTrue(self.outcomes[-1].failed)
+
+    def test_the_final_event_may_have_crlf_lines(self) -> None:
+        crlf = (EVENT + FINAL_EVENTS).replace(b"\n", b"\r\n")
+        for response in (crlf, crlf + b"\r\n", crlf.replace(b"data: ", b"data:")):
+            received = self.read_all(self.begin(send(HEAD + b"\r\n" + response)))
+            self.assertEqual(response, received)
+            self.assertFalse(self.outcomes[-1].failed)
+
     def test_a_stalled_stream_ends_with_an_error_event(self) -> None:
         script = send_then_hang(CHUNKED + make_chunk(EVENT))
         received = self.read_all(self.begin(script, silence_timeout_s=0.2))
