--- a/src/cherrylane/placement/loads.py
+++ b/src/cherrylane/placement/loads.py
@@ -41,9 +41,11 @@
     tracker: "LoadTracker"
     upstream: str
     load: Load
+    has_answer_started: bool = False
 
     def note_answer_started(self) -> None:
         """Record that the upstream has started its answer, so it has prefilled the prompt."""
+        self.has_answer_started = True
         self._set_load(Load(requests=1))
 
     def end(self) -> None:
--- a/src/cherrylane/relay/attempts.py
+++ b/src/cherrylane/relay/attempts.py
@@ -179,7 +179,7 @@
             in_flight.end()
         if not isinstance(outcome, NotRun) or outcome.was_sent:
             state.times_sent += 1
-        self._record_attempt(state, choice, outcome, started_at)
+        self._record_attempt(state, choice, outcome, started_at, in_flight.has_answer_started)
         return outcome
 
     async def _exchange(
@@ -295,7 +295,12 @@
         return Rejection(Cause.OVERLOADED, retry_after_s=delay_s)
 
     def _record_attempt(
-        self, state: RequestState, choice: Choice, outcome: Outcome, started_at: float
+        self,
+        state: RequestState,
+        choice: Choice,
+        outcome: Outcome,
+        started_at: float,
+        has_answer_started: bool,
     ) -> None:
         now = asyncio.get_running_loop().time()
         name = choice.upstream.name
@@ -319,6 +324,7 @@
                     "upstream": name,
                     "outcome": type(outcome).__name__,
                     "reason": getattr(outcome, "reason", ""),
+                    "has_started": has_answer_started,
                     "ms": round((now - started_at) * 1000, 1),
                 },
             )
@@ -346,6 +352,7 @@
                 "mean_load": round(choice.mean_load, 1),
                 "cached_tokens": choice.cached_tokens,
                 "shared_tokens": state.request.prompt.shared_tokens,
+                "parts": [part.key for part in state.request.prompt.shared_parts],
                 "cache_source": choice.cache_source.name if choice.cache_source else "",
                 "config": snapshot.config_version,
                 "upstreams": str(snapshot.upstreams_version),
