--- a/tests/wire.py
+++ b/tests/wire.py
@@ -120,6 +120,14 @@
     closed_connections: int = 0
     port: int = 0
     _server: asyncio.Server | None = None
+    _writers: set[asyncio.StreamWriter] = field(factory=set)
+
+    def crash(self) -> None:
+        """Stop listening and reset all connections."""
+        assert self._server is not None
+        self._server.close()
+        for writer in self._writers:
+            reset_connection(writer)
 
     async def start(self) -> "ScriptedUpstream":
         """Start listening and return self."""
@@ -129,6 +137,7 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
+        self._writers.add(writer)
         try:
             while (call := await read_call(reader, writer)) is not None:
                 self.calls.append(call)
@@ -138,6 +147,7 @@
         except asyncio.CancelledError:
             return  # The test has ended.
         self.closed_connections += 1
+        self._writers.discard(writer)
         writer.close()
 
     def make_entry(self, service: str, **fields: object) -> dict[str, object]:
