Pass on whole answers on a stream's route that are no streams of events

Callers saw 502, or a connection that was reset, for a whole 200 that is no stream of events. Now a body of the announced length is whole whatever it contains, and one of another media type is read as a plain answer. The new test fails before and passes now.

--- a/src/cherrylane/delivery/chats.py
+++ b/src/cherrylane/delivery/chats.py
@@ -19,9 +19,10 @@
 )
 from cherrylane.delivery.exchange import UpstreamRequest
 from cherrylane.delivery.relay import StreamRelay
-from cherrylane.delivery.responses import EVENT_STREAM_TYPE, JSON_TYPE, CallerResponse
+from cherrylane.delivery.responses import JSON_TYPE, CallerResponse
 from cherrylane.delivery.streams import StreamLoop
 from cherrylane.errors import Refusal, UpstreamError
+from cherrylane.http.messages import EVENT_STREAM_TYPE
 from cherrylane.limits.work import AdmissionRequest
 from cherrylane.routing.chat import ChatCall, read_chat_call
 from cherrylane.routing.hint import Hint, RecentHints, read_hint, sign_hint
--- a/src/cherrylane/delivery/responses.py
+++ b/src/cherrylane/delivery/responses.py
@@ -11,7 +11,6 @@
 from cherrylane.errors import Refusal
 
 JSON_TYPE = "application/json"
-EVENT_STREAM_TYPE = "text/event-stream"
 
 ERROR_TYPES = {
     400: "invalid_request_error",
--- a/src/cherrylane/http/messages.py
+++ b/src/cherrylane/http/messages.py
@@ -22,6 +22,7 @@
 )
 FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding", b"expect"})
 _REASON_PHRASES = {status.value: status.phrase for status in HTTPStatus}
+EVENT_STREAM_TYPE = "text/event-stream"
 LAST_CHUNK = b"0\r\n\r\n"
 
 
--- a/src/cherrylane/relay/attempts.py
+++ b/src/cherrylane/relay/attempts.py
@@ -19,7 +19,7 @@
 from cherrylane.placement.loads import InFlightRequest, Load, LoadTracker
 from cherrylane.platform.headers import Dispatch, is_leaving, read_backoff
 from cherrylane.relay.admission import is_stream
-from cherrylane.relay.exchange import ExchangeClient, OpenAnswer, is_success
+from cherrylane.relay.exchange import ExchangeClient, OpenAnswer, is_success, may_be_events
 from cherrylane.relay.outcomes import (
     Answered,
     Broken,
@@ -207,7 +207,7 @@
             return answer
         state.framing = answer.head.framing
         self._note_upstream_state(upstream, answer.head)
-        if not is_stream(request) or not is_success(answer.head):
+        if not (is_stream(request) and is_success(answer.head) and may_be_events(answer.head)):
             return await self.client.finish(request, upstream, answer)
         self._record_cached(state, upstream.name)
         relay = StreamRelay(request, responder, state.progress, note_first_event)
--- a/src/cherrylane/relay/exchange.py
+++ b/src/cherrylane/relay/exchange.py
@@ -3,7 +3,7 @@
 from attrs import define, frozen
 
 from cherrylane.errors import ConnectError, IncompleteResponseError
-from cherrylane.http.messages import ResponseHead, encode_request
+from cherrylane.http.messages import EVENT_STREAM_TYPE, ResponseHead, encode_request
 from cherrylane.http.outbound import ConnectionPool, OutboundConnection
 from cherrylane.platform.headers import (
     Dispatch,
@@ -98,6 +98,12 @@
     return 200 <= head.status < 300 and bool(read_signature(head))
 
 
+def may_be_events(head: ResponseHead) -> bool:
+    """Return whether an answer is a stream of events, as far as its head says."""
+    media_type = head.find_text(b"content-type").partition(";")[0].strip().lower()
+    return media_type in ("", EVENT_STREAM_TYPE)
+
+
 def classify_answer(head: ResponseHead, body: bytes) -> Outcome:
     """Return the outcome that a complete answer stands for."""
     if is_not_executed(head):
--- a/src/cherrylane/relay/streams.py
+++ b/src/cherrylane/relay/streams.py
@@ -57,7 +57,8 @@
                         self.note_first_event()
                     await self._forward(answer.head, events)
                     self.progress.last_id = splitter.last_id
-            if splitter.is_inside_event:
+            # A body of the announced length is whole, whatever it contains.
+            if splitter.is_inside_event and answer.head.framing != "length":
                 connection.close()
                 return Broken(_describe_unfinished_event(answer.head, splitter))
             if splitter.remainder:
--- a/tests/test_relay_streams.py
+++ b/tests/test_relay_streams.py
@@ -1,7 +1,7 @@
 import asyncio
 
 from testtools import TestCase
-from testtools.matchers import StartsWith
+from testtools.matchers import EndsWith, StartsWith
 
 from cherrylane.http.messages import LAST_CHUNK, encode_chunk
 from tests.relay_fixture import (
@@ -11,6 +11,7 @@
     events,
     fetch,
     stream,
+    succeed,
 )
 from tests.wire import (
     LOOPBACK,
@@ -59,6 +60,22 @@
             self.assertEqual(([1, 2, 3], [1, 1]), (events(answer), calls))
             self.assertTrue(answer.endswith(LAST_CHUNK))
 
+    # Guards against whole answers of another kind being taken for streams that broke off.
+    def test_a_whole_answer_that_is_no_stream_of_events_is_passed_on(self) -> None:
+        async def answer_object(call: Call) -> None:
+            head = call.header("Attempt-Id")
+            call.writer.write(
+                f"HTTP/1.1 200 OK\r\nAttempt-Id: {head}\r\nServer-Seal: s\r\n"
+                f"Content-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n".encode()
+            )
+            call.writer.write(encode_chunk(b'{"text": "1"}') + LAST_CHUNK)
+
+        answer, _ = fetch(STREAM, answer_object, method="POST")
+        self.assertThat(answer, EndsWith(b'\r\n\r\n{"text": "1"}'))
+        answer, _ = fetch(STREAM, succeed, method="POST")
+        self.assertThat(answer, StartsWith(b"HTTP/1.1 200 "))
+        self.assertIn(b"done", answer)
+
     # Guards against a crash right after the head of an answer reaching callers as an empty success.
     def test_an_answer_that_its_connection_ends_before_the_first_event_is_no_success(self) -> None:
         empty = end_regularly(b"", chunked=False)
