Quarantine a part of a prompt that crashes one engine after the other

Cause: no host remembered what a crashed engine had been about to answer, so each new request with the part, and each retry of the hosts' own, was sent to the next engine. Class: a request that is repeated or accepted without regard to what it did to the upstream before (poison pill). Why it works: docs/design/013; three successive crashes, counted over all hosts, condemn the deepest part that explains them, before the fifth; a completed answer or a rare trial lifts it.

--- a/src/cherrylane/errors.py
+++ b/src/cherrylane/errors.py
@@ -81,7 +81,14 @@
 
 
 class ConnectError(UpstreamError):
-    """The connection to the upstream could not be opened, so nothing was sent."""
+    """The connection to the upstream could not be opened, so nothing was sent.
+
+    ``was_refused`` is set if the host answered that nothing listens there.
+    """
+
+    def __init__(self, problem: str, *, remedy: str, was_refused: bool = False) -> None:
+        super().__init__(problem, remedy=remedy, sent=False)
+        self.was_refused = was_refused
 
 
 class IncompleteResponseError(UpstreamError):
--- a/src/cherrylane/gateway/announcements.py
+++ b/src/cherrylane/gateway/announcements.py
@@ -1,11 +1,21 @@
 """What a host tells its peers in heartbeats of upstreams and caches, and takes from theirs."""
 
-from attrs import define, field
+import asyncio
+
+from attrs import define, evolve, field, frozen
 
 from cherrylane.gateway.routing_state import RoutingState
-from cherrylane.gossip.messages import Heartbeat, HostState, UpstreamBackoff, UpstreamLeaving
+from cherrylane.gossip.messages import (
+    CrashReport,
+    Heartbeat,
+    HostState,
+    PartVerdict,
+    UpstreamBackoff,
+    UpstreamLeaving,
+)
 from cherrylane.gossip.updates import UpdateQueue
 from cherrylane.limits.backoff import BackoffTracker
+from cherrylane.limits.quarantine import PromptQuarantine, Suspect, UpstreamCrash, Verdict
 from cherrylane.placement.caches import CacheMap
 from cherrylane.placement.loads import LoadTracker
 from cherrylane.platform.client import AsyncPlatformClient
@@ -16,6 +26,16 @@
 
 # Sweeps of heartbeats to all hosts in which an update is sent, such as a newly cached part.
 UPDATE_SWEEPS = 2
+# Crashes in one heartbeat, suspects of one crash, and verdicts in one heartbeat.
+MAX_CRASHES = 2
+MAX_SUSPECTS = 8
+MAX_VERDICTS = 6
+
+
+@frozen
+class _NotedCrash:
+    crash: UpstreamCrash
+    noted_at: float
 
 
 @define
@@ -29,13 +49,25 @@
     load_tracker: LoadTracker
     caches: CacheMap
     backoffs: BackoffTracker
+    quarantine: PromptQuarantine
     _leaving: UpdateQueue[UpstreamLeaving] = field(factory=UpdateQueue)
+    _crashes: UpdateQueue[_NotedCrash] = field(factory=UpdateQueue)
 
     def note_leaving(self, upstream: Upstream) -> None:
         """Send nothing more to an upstream that says that it leaves, and tell the peers."""
         if self.routing_state.note_leaving(upstream.name, upstream.incarnation, source="answer"):
             self._leaving.add(UpstreamLeaving(upstream.name, upstream.incarnation))
 
+    def note_crash(self, crash: UpstreamCrash) -> None:
+        """Tell the peers of a crash, with the parts that were at most other crashes."""
+        suspects = sorted(
+            crash.suspects,
+            key=lambda suspect: (self.quarantine.count_crashes(suspect.part), suspect.depth),
+            reverse=True,
+        )
+        reported = evolve(crash, suspects=tuple(suspects[:MAX_SUSPECTS]))
+        self._crashes.add(_NotedCrash(reported, asyncio.get_running_loop().time()))
+
     def make_heartbeat(
         self,
         state: HostState,
@@ -64,6 +96,15 @@
                 UpstreamBackoff(name, round(remaining_s * 1000))
                 for name, remaining_s in self.backoffs.list_active(now)
             ),
+            crashes=tuple(
+                _report_crash(noted, now) for noted in self._crashes.take(rounds, MAX_CRASHES)
+            ),
+            verdicts=tuple(
+                PartVerdict(
+                    verdict.part, verdict.generation, verdict.is_lifted, round(verdict.age_s * 1000)
+                )
+                for verdict in self.quarantine.list_verdicts(now)[:MAX_VERDICTS]
+            ),
             has_full_cache_map=has_full_cache_map,
             confirmation_age_ms=confirmation_age_ms,
         )
@@ -76,3 +117,28 @@
             self.routing_state.note_leaving(upstream.name, upstream.incarnation, source="peer")
         for backoff in heartbeat.backing_off:
             self.backoffs.note_peer(backoff.name, backoff.remaining_ms / 1000, now)
+        for report in heartbeat.crashes:
+            self.quarantine.note_crash(_read_report(report), now)
+        for told in heartbeat.verdicts:
+            verdict = Verdict(told.part, told.generation, told.is_lifted, told.age_ms / 1000)
+            self.quarantine.apply_verdict(verdict, now)
+
+
+def _report_crash(noted: _NotedCrash, now: float) -> CrashReport:
+    crash = noted.crash
+    return CrashReport(
+        upstream=crash.upstream,
+        incarnation=crash.incarnation,
+        age_ms=round((crash.age_s + now - noted.noted_at) * 1000),
+        suspects=tuple(
+            (suspect.part, suspect.depth, round(suspect.lead_s * 1000))
+            for suspect in crash.suspects
+        ),
+    )
+
+
+def _read_report(report: CrashReport) -> UpstreamCrash:
+    suspects = tuple(
+        Suspect(part, depth, lead_ms / 1000) for part, depth, lead_ms in report.suspects
+    )
+    return UpstreamCrash(report.upstream, report.incarnation, report.age_ms / 1000, suspects)
--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -29,15 +29,18 @@
 from cherrylane.limits.backoff import BackoffTracker
 from cherrylane.limits.connections import share_idle_connections
 from cherrylane.limits.outliers import OutlierDetector
+from cherrylane.limits.quarantine import PromptQuarantine, UpstreamCrash
 from cherrylane.limits.retries import HostRetryBudget
 from cherrylane.placement.caches import CacheMap
 from cherrylane.placement.choice import Chooser
 from cherrylane.placement.heat import ChatHeat
 from cherrylane.placement.loads import PEER_LOADS_LIFETIME_S, LoadTracker
+from cherrylane.placement.ranking import rank_names
 from cherrylane.platform.async_watcher import AsyncWatcher
 from cherrylane.platform.client import AsyncPlatformClient
 from cherrylane.platform.objects import Kind
 from cherrylane.relay.attempts import AttemptRunner
+from cherrylane.relay.crashes import CrashGuard
 from cherrylane.relay.exchange import ExchangeClient
 from cherrylane.relay.selection import UpstreamSelector
 from cherrylane.relay.service import RelayService
@@ -63,6 +66,9 @@
 DRAIN_POLL_S = 0.05
 # Sweeps of heartbeats to all hosts for which a peer's last loads count, so that one may be lost.
 LOAD_LIFETIME_SWEEPS = 2
+# Sweeps in which the crashes that peers have seen arrive, and the most seconds to wait for them.
+SETTLE_SWEEPS = 3
+MAX_SETTLE_S = 1.5
 BOOT_ID_BYTES = 6
 
 
@@ -126,6 +132,7 @@
         self.store.on_new_era = self._handle_new_era
         self.backoffs = BackoffTracker()
         self.chat_heat = ChatHeat()
+        self.quarantine = PromptQuarantine(is_trial_host=self._is_trial_host)
         self._announcements = Announcements(
             settings.identity,
             self._boot_id,
@@ -134,6 +141,7 @@
             self.load_tracker,
             self.caches,
             self.backoffs,
+            self.quarantine,
         )
         self._peer_sync = PeerSync(
             self.routing_state,
@@ -272,6 +280,7 @@
             self.load_tracker,
             lambda: self.routing_state.snapshot,
             self._find_retry_budget,
+            CrashGuard(self.quarantine, self._announce_crash),
             self._announcements.note_leaving,
         )
         return RelayService(attempt_runner, lambda: self.routing_state.snapshot, self.telemetry)
@@ -364,6 +373,17 @@
         budget.hosts = hosts
         return budget
 
+    def _announce_crash(self, crash: UpstreamCrash) -> None:
+        self._announcements.note_crash(crash)
+        self._gossip.send_round()
+
+    def _is_trial_host(self, part: str) -> bool:
+        """Return whether this host is the one of all live ones that tries a quarantined part."""
+        now = asyncio.get_running_loop().time()
+        own_address = self.members.own_address
+        addresses = [own_address, *(member.address for member in self.members.live(now))]
+        return rank_names(part, addresses)[0] == own_address
+
     def _drop_upstream_state(self, name: str) -> None:
         self.caches.forget(name)
         self.outliers.forget(name)
@@ -381,6 +401,7 @@
                 PEER_LOADS_LIFETIME_S, sweep_s * LOAD_LIFETIME_SWEEPS
             )
             self.chat_heat.window_s = sweep_s
+            self.quarantine.settle_s = min(MAX_SETTLE_S, sweep_s * SETTLE_SWEEPS)
             self.chat_heat.peers = len(self.members)
             self.chat_heat.forget_old(asyncio.get_running_loop().time())
             self._writer.flush()
@@ -394,6 +415,7 @@
         )
         telemetry.add_gauge("store_era", lambda: self.store.era or 0)
         telemetry.add_gauge("knowledge_age_seconds", self._get_state_age_s)
+        telemetry.add_gauge("quarantined_parts", self.quarantine.count_in_force)
         telemetry.add_gauge("caller_connections", lambda: len(callers.connections))
         telemetry.add_gauge("requests_in_work", lambda: callers.busy)
         telemetry.add_gauge("store_calls", lambda: self.store.calls)
--- a/src/cherrylane/gossip/messages.py
+++ b/src/cherrylane/gossip/messages.py
@@ -5,7 +5,7 @@
 from json import dumps, loads
 from typing import Any
 
-from attrs import evolve, frozen
+from attrs import astuple, evolve, frozen
 
 from cherrylane.errors import DECODING_ERRORS, PeerMessageError
 from cherrylane.placement.caches import CachedPart
@@ -52,6 +52,30 @@
     remaining_ms: int
 
 
+@frozen
+class CrashReport:
+    """A crash of an upstream ``age_ms`` milliseconds ago, as the sender saw it.
+
+    ``suspects`` are parts of prompts, their depths, and how many milliseconds before the crash a
+    request with them was sent.
+    """
+
+    upstream: str
+    incarnation: int
+    age_ms: int
+    suspects: tuple[tuple[str, int, int], ...]
+
+
+@frozen
+class PartVerdict:
+    """What the sender knows of a part of prompts; see ``limits.quarantine.Verdict``."""
+
+    part: str
+    generation: int
+    is_lifted: bool
+    age_ms: int
+
+
 @frozen
 class Heartbeat:
     """The state that a host announces to its peers several times a second.
@@ -62,7 +86,8 @@
     was cached before it started. ``hosts`` are some of the other live hosts.
     ``confirmation_age_ms`` is how long ago a host that follows the store last confirmed that the
     state of this host is current. ``leaving`` are upstreams that have lately said in an answer that
-    they leave, and ``backing_off`` those that want nothing from this host for a while.
+    they leave, and ``backing_off`` those that want nothing from this host for a while. ``crashes``
+    are upstreams that have just crashed, and ``verdicts`` parts of prompts that crash upstreams.
     """
 
     host: str
@@ -79,12 +104,14 @@
     has_full_cache_map: bool = False
     leaving: tuple[UpstreamLeaving, ...] = ()
     backing_off: tuple[UpstreamBackoff, ...] = ()
+    crashes: tuple[CrashReport, ...] = ()
+    verdicts: tuple[PartVerdict, ...] = ()
 
     def encode(self) -> bytes:
         """Return the datagram.
 
         Above ``MAX_DATAGRAM_BYTES``, the least important parts are dropped first: cached parts,
-        then hosts, then backoffs, then loads.
+        then hosts, then backoffs, then loads, then crashes.
         """
         data = self._to_json()
         if len(data) <= MAX_DATAGRAM_BYTES:
@@ -92,13 +119,15 @@
         return self._shrink().encode()
 
     def _shrink(self) -> "Heartbeat":
-        """Return a copy without half of its cached parts, else hosts, else the smallest loads."""
+        """Return a copy without half of what matters least of all that it has."""
         if self.cached:
             return evolve(self, cached=self.cached[: len(self.cached) // 2])
         if self.hosts:
             return evolve(self, hosts=self.hosts[: len(self.hosts) // 2])
         if self.backing_off:
             return evolve(self, backing_off=self.backing_off[: len(self.backing_off) // 2])
+        if not self.loads:
+            return evolve(self, crashes=self.crashes[: len(self.crashes) // 2])
         largest = sorted(self.loads, key=lambda item: item[1].requests, reverse=True)
         return evolve(self, loads=tuple(largest[: len(largest) // 2]))
 
@@ -124,6 +153,10 @@
             fields["d"] = [(upstream.name, upstream.incarnation) for upstream in self.leaving]
         if self.backing_off:
             fields["w"] = [(upstream.name, upstream.remaining_ms) for upstream in self.backing_off]
+        if self.crashes:
+            fields["x"] = [astuple(crash) for crash in self.crashes]
+        if self.verdicts:
+            fields["q"] = [astuple(verdict) for verdict in self.verdicts]
         return dumps(fields, separators=(",", ":")).encode()
 
 
@@ -155,6 +188,11 @@
                 UpstreamBackoff(str(name), int(remaining))
                 for name, remaining in fields.get("w", ())
             ),
+            crashes=tuple(_decode_crash(*crash) for crash in fields.get("x", ())),
+            verdicts=tuple(
+                PartVerdict(str(part), int(generation), bool(is_lifted), int(age))
+                for part, generation, is_lifted, age in fields.get("q", ())
+            ),
         )
     except DECODING_ERRORS as error:
         raise PeerMessageError(
@@ -163,6 +201,15 @@
         ) from error
 
 
+def _decode_crash(upstream: str, incarnation: int, age: int, suspects: list[Any]) -> CrashReport:
+    return CrashReport(
+        upstream=str(upstream),
+        incarnation=int(incarnation),
+        age_ms=int(age),
+        suspects=tuple((str(part), int(depth), int(lead)) for part, depth, lead in suspects),
+    )
+
+
 def _decode_loads(fields: dict[str, Any]) -> Iterator[tuple[str, Load]]:
     unread_tokens = fields.get("t", {})
     for name, count in fields.get("l", {}).items():
--- a/src/cherrylane/gossip/updates.py
+++ b/src/cherrylane/gossip/updates.py
@@ -37,9 +37,12 @@
         self._pending.append(_PendingUpdate(update))
         del self._pending[:-MAX_PENDING]
 
-    def take(self, rounds: int = MIN_GOSSIP_ROUNDS) -> tuple[T, ...]:
-        """Return the updates for the next heartbeat; each is sent in at least ``rounds`` rounds."""
-        batch = self._pending[:MAX_UPDATES]
+    def take(self, rounds: int = MIN_GOSSIP_ROUNDS, most: int = MAX_UPDATES) -> tuple[T, ...]:
+        """Return the updates for the next heartbeat, ``most`` at most.
+
+        Each is sent in at least ``rounds`` rounds.
+        """
+        batch = self._pending[:most]
         for pending in batch:
             pending.rounds += 1
         self._pending = [
--- a/src/cherrylane/http/outbound.py
+++ b/src/cherrylane/http/outbound.py
@@ -271,7 +271,9 @@
             f"timed out after {timeout_s:g} s" if isinstance(error, TimeoutError) else str(error)
         )
         raise ConnectError(
-            f"cannot connect to {endpoint} ({reason})", remedy="try another upstream", sent=False
+            f"cannot connect to {endpoint} ({reason})",
+            remedy="try another upstream",
+            was_refused=isinstance(error, ConnectionRefusedError),
         ) from error
     return connection
 
--- /dev/null
+++ b/src/cherrylane/limits/quarantine.py
@@ -0,0 +1,318 @@
+"""Quarantine of parts of prompts that crash each upstream which begins to answer them.
+
+Other requests are in progress at an upstream that crashes, so one crash says little about a part.
+A part is quarantined after several successive crashes: each of a request that was sent after the
+crash before. Upstreams that end together, for a reason of their own, count once. A completed answer
+that began after a crash clears the parts of its prompt. The deepest part of a prompt that explains
+the crashes is taken, since the parts before it are shared with sound requests.
+"""
+
+from collections.abc import Callable, Iterable, Sequence
+
+from attrs import define, field, frozen
+from logbook import Logger
+
+# Successive crashes after which a part is quarantined.
+MIN_CRASHES = 3
+# Seconds until the first trial of a quarantined part; they double with each trial that fails.
+FIRST_TRIAL_S = 20.0
+MAX_TRIAL_INTERVAL_S = 3600.0
+# Seconds that a trial may take before another one is allowed.
+TRIAL_TIMEOUT_S = 10.0
+# Largest difference in seconds between the times at which hosts date one crash.
+DATING_ERROR_S = 0.05
+# Seconds for which a crash counts, and for which a verdict is kept after the last crash.
+EVIDENCE_LIFETIME_S = 600.0
+VERDICT_LIFETIME_S = 2 * MAX_TRIAL_INTERVAL_S
+# Number of crashes and verdicts that are remembered; the oldest ones are dropped.
+MAX_CRASHES = 64
+MAX_VERDICTS = 64
+
+log = Logger("cherrylane.limits")
+
+
+@frozen
+class Suspect:
+    """A part of a prompt that an upstream was about to answer when it crashed.
+
+    ``depth`` is the position of the part in its prompt, and ``lead_s`` how many seconds before the
+    crash the request was sent.
+    """
+
+    part: str
+    depth: int
+    lead_s: float
+
+
+@frozen
+class UpstreamCrash:
+    """A crash of one incarnation of an upstream, as one host saw it ``age_s`` seconds ago."""
+
+    upstream: str
+    incarnation: int
+    age_s: float
+    suspects: tuple[Suspect, ...]
+
+
+@frozen
+class Verdict:
+    """What the fleet knows of a part; a higher generation replaces a lower one.
+
+    Of one generation, a lifted verdict replaces one in force. ``age_s`` is the time since the last
+    crash that the part caused.
+    """
+
+    part: str
+    generation: int
+    is_lifted: bool
+    age_s: float
+
+    @property
+    def order(self) -> tuple[int, bool]:
+        """The order in which verdicts on one part replace each other."""
+        return self.generation, self.is_lifted
+
+
+@frozen
+class Quarantined:
+    """A part for which a request is refused, and the seconds until its next trial."""
+
+    part: str
+    retry_after_s: float
+
+
+@define
+class _Crash:
+    at: float
+    noted_at: float
+    suspects: dict[str, Suspect] = field(factory=dict)
+
+
+@define
+class _VerdictState:
+    generation: int
+    is_lifted: bool
+    crashed_at: float
+    since: float
+    trial_at: float
+
+
+@define
+class PromptQuarantine:
+    """The crashes that this host knows of, and the parts that it refuses because of them.
+
+    ``settle_s`` is the time in which the crashes that peers have seen arrive; a crash is judged
+    after it. ``is_trial_host`` returns whether this host tries a quarantined part for all.
+    Times are in seconds of the clock that gives ``now``.
+
+    Example::
+
+        quarantine.note_crash(UpstreamCrash("i-7", 1, 0.0, (Suspect("5c1e", 2, 0.3),)), now=10.0)
+        quarantine.find(["91bd", "5c1e"], now=10.0)  # None until the part has crashed three
+    """
+
+    settle_s: float = 0.0
+    is_trial_host: Callable[[str], bool] = lambda part: True
+    _crashes: dict[tuple[str, int], _Crash] = field(factory=dict)
+    _verdicts: dict[str, _VerdictState] = field(factory=dict)
+    _next_judgement: float = float("inf")
+
+    def note_crash(self, crash: UpstreamCrash, now: float) -> None:
+        """Record a crash that this host or a peer has seen; repeated reports change nothing."""
+        known = self._crashes.setdefault(
+            (crash.upstream, crash.incarnation), _Crash(now - crash.age_s, now)
+        )
+        for suspect in crash.suspects:
+            verdict = self._verdicts.get(suspect.part)
+            if verdict is not None and verdict.is_lifted and known.at <= verdict.since:
+                continue
+            # The request sent last is the least likely to be at another crash by chance.
+            other = known.suspects.get(suspect.part)
+            if other is None or suspect.lead_s < other.lead_s:
+                known.suspects[suspect.part] = suspect
+                self._next_judgement = min(self._next_judgement, known.noted_at + self.settle_s)
+            if other is None and verdict is not None and not verdict.is_lifted:
+                self._note_further_crash(suspect, known, verdict, now)
+        while len(self._crashes) > MAX_CRASHES:
+            del self._crashes[next(iter(self._crashes))]
+
+    def note_completed(self, parts: Iterable[str], answered_at: float) -> None:
+        """Record a complete answer that began at ``answered_at`` to a prompt with these parts."""
+        if not self._crashes and not self._verdicts:
+            return
+        for part in parts:
+            for crash in self._crashes.values():
+                if crash.at < answered_at:
+                    crash.suspects.pop(part, None)
+            verdict = self._verdicts.get(part)
+            if verdict is not None and not verdict.is_lifted and verdict.since < answered_at:
+                self._lift(part, verdict, answered_at)
+
+    def find(self, parts: Sequence[str], now: float) -> Quarantined | None:
+        """Return the quarantined part for which a prompt is refused, None if it may be sent."""
+        if now >= self._next_judgement:
+            self._judge(now)
+        if not self._verdicts:
+            return None
+        in_force = [
+            (part, verdict)
+            for part in parts
+            if (verdict := self._verdicts.get(part)) is not None and not verdict.is_lifted
+        ]
+        for part, verdict in in_force:
+            if now < verdict.trial_at or not self.is_trial_host(part):
+                return Quarantined(part, max(verdict.trial_at - now, TRIAL_TIMEOUT_S))
+        for part, verdict in in_force:
+            verdict.trial_at = now + TRIAL_TIMEOUT_S
+            log.notice("trial of a quarantined part", extra={"part": part})
+        return None
+
+    def apply_verdict(self, verdict: Verdict, now: float) -> None:
+        """Take over a peer's verdict if it replaces the known one."""
+        known = self._verdicts.get(verdict.part)
+        if verdict.age_s > VERDICT_LIFETIME_S:
+            return
+        if known is not None and verdict.order <= (known.generation, known.is_lifted):
+            return
+        if verdict.is_lifted:
+            self._clear(verdict.part, now)
+        self._set_verdict(verdict, now)
+        log.notice(
+            "verdict of a peer on a part of prompts",
+            extra={
+                "part": verdict.part,
+                "generation": verdict.generation,
+                "is_lifted": verdict.is_lifted,
+            },
+        )
+
+    def list_verdicts(self, now: float) -> list[Verdict]:
+        """Return the verdicts to tell peers, the newest first; drops those that have expired."""
+        self._verdicts = {
+            part: verdict
+            for part, verdict in self._verdicts.items()
+            if now - verdict.crashed_at <= VERDICT_LIFETIME_S
+        }
+        newest = sorted(self._verdicts.items(), key=lambda item: item[1].since, reverse=True)
+        return [
+            Verdict(part, verdict.generation, verdict.is_lifted, now - verdict.crashed_at)
+            for part, verdict in newest
+        ]
+
+    def count_crashes(self, part: str) -> int:
+        """Return at how many crashes a part is a suspect."""
+        return sum(part in crash.suspects for crash in self._crashes.values())
+
+    def count_in_force(self) -> int:
+        """Return how many parts are quarantined."""
+        return sum(not verdict.is_lifted for verdict in self._verdicts.values())
+
+    def _judge(self, now: float) -> None:
+        self._crashes = {
+            key: crash
+            for key, crash in self._crashes.items()
+            if now - crash.at <= EVIDENCE_LIFETIME_S
+        }
+        settles_at = [crash.noted_at + self.settle_s for crash in self._crashes.values()]
+        self._next_judgement = min((at for at in settles_at if at > now), default=float("inf"))
+        settled = [
+            crash for crash in self._crashes.values() if crash.noted_at + self.settle_s <= now
+        ]
+        while guilty := self._find_guilty(settled):
+            deepest = max(depth for _, depth in guilty)
+            for part in [part for part, depth in guilty if depth == deepest]:
+                self._condemn(part, settled, now)
+
+    def _find_guilty(self, crashes: list[_Crash]) -> list[tuple[str, int]]:
+        """Return the parts with enough successive crashes that no verdict explains, with depths."""
+        times: dict[str, list[tuple[float, float]]] = {}
+        depths: dict[str, int] = {}
+        for crash in crashes:
+            if any(self._is_in_force(part) for part in crash.suspects):
+                continue
+            for part, suspect in crash.suspects.items():
+                times.setdefault(part, []).append((crash.at - suspect.lead_s, crash.at))
+                depths[part] = max(suspect.depth, depths.get(part, 0))
+        return [
+            (part, depths[part])
+            for part, spans in times.items()
+            if count_successive(spans) >= MIN_CRASHES
+        ]
+
+    def _condemn(self, part: str, crashes: list[_Crash], now: float) -> None:
+        caused = [crash for crash in crashes if part in crash.suspects]
+        known = self._verdicts.get(part)
+        generation = known.generation + 1 if known is not None else 1
+        age_s = now - max(crash.at for crash in caused)
+        self._set_verdict(Verdict(part, generation, is_lifted=False, age_s=age_s), now)
+        log.warning(
+            "part of prompts quarantined: upstreams crash when they begin to answer it",
+            extra={"part": part, "crashes": len(caused), "generation": generation},
+        )
+
+    def _note_further_crash(
+        self, suspect: Suspect, crash: _Crash, verdict: _VerdictState, now: float
+    ) -> None:
+        """Put off the next trial; a request sent since the verdict was a trial that has failed."""
+        if crash.at - suspect.lead_s > verdict.since:
+            age_s = now - crash.at
+            self._set_verdict(Verdict(suspect.part, verdict.generation + 1, False, age_s), now)
+            log.warning(
+                "part of prompts stays quarantined: its trial crashed an upstream",
+                extra={"part": suspect.part, "generation": verdict.generation + 1},
+            )
+        elif crash.at > verdict.crashed_at:
+            verdict.crashed_at = crash.at
+            verdict.trial_at = crash.at + _find_trial_interval(verdict.generation)
+
+    def _set_verdict(self, verdict: Verdict, now: float) -> None:
+        crashed_at = now - verdict.age_s
+        self._verdicts[verdict.part] = _VerdictState(
+            generation=verdict.generation,
+            is_lifted=verdict.is_lifted,
+            crashed_at=crashed_at,
+            since=now,
+            trial_at=crashed_at + _find_trial_interval(verdict.generation),
+        )
+        while len(self._verdicts) > MAX_VERDICTS:
+            del self._verdicts[min(self._verdicts, key=lambda part: self._verdicts[part].since)]
+
+    def _lift(self, part: str, verdict: _VerdictState, answered_at: float) -> None:
+        verdict.is_lifted = True
+        verdict.since = answered_at
+        log.notice(
+            "quarantine of a part of prompts lifted: an upstream has answered it",
+            extra={"part": part, "generation": verdict.generation},
+        )
+
+    def _clear(self, part: str, now: float) -> None:
+        for crash in self._crashes.values():
+            if crash.at <= now:
+                crash.suspects.pop(part, None)
+
+    def _is_in_force(self, part: str) -> bool:
+        verdict = self._verdicts.get(part)
+        return verdict is not None and not verdict.is_lifted
+
+
+def count_successive(spans: Iterable[tuple[float, float]]) -> int:
+    """Return the largest number of time spans (start, end) that follow each other.
+
+    Hosts date one crash differently by up to ``DATING_ERROR_S``, so spans may overlap by that, and
+    ends that are no further apart count as one.
+
+    Example::
+
+        count_successive([(0.0, 1.0), (0.5, 1.0), (1.2, 1.5)])  # 2
+    """
+    count = 0
+    last_end = float("-inf")
+    for start, end in sorted(spans, key=lambda span: span[1]):
+        if start >= last_end - DATING_ERROR_S and end > last_end + DATING_ERROR_S:
+            count += 1
+            last_end = end
+    return count
+
+
+def _find_trial_interval(generation: int) -> float:
+    return min(MAX_TRIAL_INTERVAL_S, FIRST_TRIAL_S * 2.0 ** (generation - 1))
--- a/src/cherrylane/placement/loads.py
+++ b/src/cherrylane/placement/loads.py
@@ -41,11 +41,11 @@
     tracker: "LoadTracker"
     upstream: str
     load: Load
-    has_answer_started: bool = False
+    answered_at: float | None = None
 
-    def note_answer_started(self) -> None:
+    def note_answer_started(self, now: float) -> None:
         """Record that the upstream has started its answer, so it has prefilled the prompt."""
-        self.has_answer_started = True
+        self.answered_at = now
         self._set_load(Load(requests=1))
 
     def end(self) -> None:
@@ -67,7 +67,7 @@
 
         in_flight = tracker.begin("i-7", Load(1, unread_tokens=1200))
         ...
-        in_flight.note_answer_started()
+        in_flight.note_answer_started(now=2.5)
         ...
         in_flight.end()
     """
--- a/src/cherrylane/relay/attempts.py
+++ b/src/cherrylane/relay/attempts.py
@@ -19,6 +19,7 @@
 from cherrylane.placement.loads import InFlightRequest, Load, LoadTracker
 from cherrylane.platform.headers import Dispatch, is_leaving, read_backoff
 from cherrylane.relay.admission import is_stream
+from cherrylane.relay.crashes import BrokenAttempt, CrashGuard
 from cherrylane.relay.exchange import ExchangeClient, OpenAnswer, is_success, may_be_events
 from cherrylane.relay.outcomes import (
     Answered,
@@ -92,7 +93,8 @@
     """Runs the attempts of requests.
 
     ``load_tracker`` counts the requests in progress; ``find_retry_budget`` returns the budget of a
-    service. ``on_leaving`` is called with an upstream that says in an answer that it leaves.
+    service. ``crash_guard`` refuses prompts that crash upstreams. ``on_leaving`` is called with an
+    upstream that says in an answer that it leaves.
     """
 
     selector: UpstreamSelector
@@ -100,6 +102,7 @@
     load_tracker: LoadTracker
     read_snapshot: Callable[[], Snapshot]
     find_retry_budget: Callable[[str], HostRetryBudget]
+    crash_guard: CrashGuard = field(factory=CrashGuard)
     on_leaving: Callable[[Upstream], None] = lambda upstream: None
     retry_delays: RetryDelays = field(factory=RetryDelays)
     random: Random = field(factory=Random)
@@ -110,20 +113,10 @@
         """Return the final outcome; a stream has been relayed by then."""
         request = state.request
         self.find_retry_budget(request.service).deposit()
-        loop = asyncio.get_running_loop()
         while True:
-            if loop.time() >= request.deadline:
-                return self._give_up(state, responder, Cause.TIMED_OUT)
-            snapshot = self.read_snapshot()
-            choice = self.selector.choose(request, snapshot, state.tried, loop.time())
-            if choice is None:
-                return self._give_up(state, responder, Cause.NO_UPSTREAM)
-            if isinstance(choice, Overloaded):
-                return self._refuse(state, choice, snapshot)
-            if isinstance(choice, AllBackingOff):
-                delay_s = choice.first_end_s + self.random.uniform(0.0, BACKOFF_SPREAD_S)
-                return self._give_up(state, responder, Cause.BACKING_OFF, delay_s)
-            self._log_choice(state, choice, snapshot)
+            choice = self._choose_upstream(state, responder)
+            if not isinstance(choice, Choice):
+                return choice
             outcome = await self._attempt(state, choice, responder)
             match outcome:
                 case Answered() | Completed():
@@ -136,6 +129,31 @@
                     state.note(outcome)
                     if not self._may_retry(state, outcome):
                         return self._give_up(state, responder, Cause.NOT_ACCEPTED)
+                    await self.crash_guard.wait_for_probe(choice.upstream)
+
+    def _choose_upstream(
+        self, state: RequestState, responder: Responder
+    ) -> Choice | Failed | Broken | Rejection:
+        """Return the upstream for the next attempt, or the final outcome if there is none."""
+        request = state.request
+        now = asyncio.get_running_loop().time()
+        if now >= request.deadline:
+            return self._give_up(state, responder, Cause.TIMED_OUT)
+        refusal = self.crash_guard.find_refusal(request, now)
+        if refusal is not None:
+            return self._give_up(state, responder, Cause.QUARANTINED, refusal.retry_after_s)
+        snapshot = self.read_snapshot()
+        choice = self.selector.choose(request, snapshot, state.tried, now)
+        match choice:
+            case None:
+                return self._give_up(state, responder, Cause.NO_UPSTREAM)
+            case Overloaded():
+                return self._refuse(state, choice, snapshot)
+            case AllBackingOff(first_end_s=first_end_s):
+                delay_s = first_end_s + self.random.uniform(0.0, BACKOFF_SPREAD_S)
+                return self._give_up(state, responder, Cause.BACKING_OFF, delay_s)
+        self._log_choice(state, choice, snapshot)
+        return choice
 
     def _may_retry(self, state: RequestState, outcome: Outcome) -> bool:
         request = state.request
@@ -179,7 +197,7 @@
             in_flight.end()
         if not isinstance(outcome, NotRun) or outcome.was_sent:
             state.times_sent += 1
-        self._record_attempt(state, choice, outcome, started_at, in_flight.has_answer_started)
+        self._record_attempt(state, choice, outcome, started_at, in_flight.answered_at)
         return outcome
 
     async def _exchange(
@@ -200,7 +218,7 @@
             self.selector.throughput_of(request.service).note_first_event(
                 unread, loop.time() - started_at
             )
-            in_flight.note_answer_started()
+            in_flight.note_answer_started(loop.time())
 
         answer = await self.client.begin(request, upstream, self._make_dispatch(state, choice))
         if not isinstance(answer, OpenAnswer):
@@ -300,7 +318,7 @@
         choice: Choice,
         outcome: Outcome,
         started_at: float,
-        has_answer_started: bool,
+        answered_at: float | None,
     ) -> None:
         now = asyncio.get_running_loop().time()
         name = choice.upstream.name
@@ -311,10 +329,15 @@
             case Answered() | Completed():
                 outliers.note_success(name, now)
                 self.selector.throughput_of(service).note_end(now - started_at)
+                self.crash_guard.note_completed(state.request, answered_at)
             case NotRun(was_sent=False) | NotRun(was_misdirected=True):
                 outliers.note_unreachable(name, now)
             case NotRun() | Failed() | Unknown() | Broken():
                 outliers.note_failure(name, peers, now)
+        if isinstance(outcome, Unknown | Broken):
+            self.crash_guard.note_broken(
+                BrokenAttempt(state.request, choice.upstream, started_at, answered_at)
+            )
         state.attempts.append(AttemptRecord(name, type(outcome).__name__, now - started_at))
         if not isinstance(outcome, Answered | Completed):
             log.info(
@@ -324,7 +347,7 @@
                     "upstream": name,
                     "outcome": type(outcome).__name__,
                     "reason": getattr(outcome, "reason", ""),
-                    "has_started": has_answer_started,
+                    "has_started": answered_at is not None,
                     "ms": round((now - started_at) * 1000, 1),
                 },
             )
--- /dev/null
+++ b/src/cherrylane/relay/crashes.py
@@ -0,0 +1,116 @@
+"""Detection of upstreams that crash, and of the requests that may have caused it.
+
+A broken connection alone is no crash: upstreams in trouble break single answers. One that has
+crashed refuses new connections, so this host opens one to find out.
+"""
+
+import asyncio
+from collections.abc import Callable
+from operator import attrgetter
+
+from attrs import define, field, frozen
+from logbook import Logger
+
+from cherrylane.errors import ConnectError
+from cherrylane.http.outbound import open_connection
+from cherrylane.limits.quarantine import PromptQuarantine, Quarantined, Suspect, UpstreamCrash
+from cherrylane.relay.request import CallerRequest
+from cherrylane.routing.upstreams import Upstream
+
+# Seconds after the first event of an answer in which a crash still counts as one at its beginning.
+BEGINNING_S = 1.0
+# Time limit in seconds for the connection that tells whether an upstream has crashed.
+PROBE_TIMEOUT_S = 0.15
+
+log = Logger("cherrylane.relay")
+
+
+@frozen
+class BrokenAttempt:
+    """An attempt whose connection broke; times are in seconds of the event loop's clock."""
+
+    request: CallerRequest
+    upstream: Upstream
+    sent_at: float
+    answered_at: float | None
+
+
+@define
+class _Probe:
+    task: asyncio.Task[None]
+    suspects: dict[str, Suspect] = field(factory=dict)
+
+
+@define
+class CrashGuard:
+    """Notes crashes of upstreams, and refuses requests whose prompts would cause the next.
+
+    ``on_crash`` is called with each crash that this host has seen, to tell its peers.
+    """
+
+    quarantine: PromptQuarantine = field(factory=PromptQuarantine)
+    on_crash: Callable[[UpstreamCrash], None] = lambda crash: None
+    _probes: dict[tuple[str, int], _Probe] = field(factory=dict)
+
+    def find_refusal(self, request: CallerRequest, now: float) -> Quarantined | None:
+        """Return why a request may not be sent to any upstream, None if it may."""
+        return self.quarantine.find([part.key for part in request.prompt.shared_parts], now)
+
+    def note_completed(self, request: CallerRequest, answered_at: float | None) -> None:
+        """Record a complete answer and when it began."""
+        if answered_at is not None:
+            parts = [part.key for part in request.prompt.shared_parts]
+            self.quarantine.note_completed(parts, answered_at)
+
+    def note_broken(self, attempt: BrokenAttempt) -> None:
+        """Find out in the background whether the upstream of a broken attempt has crashed."""
+        now = asyncio.get_running_loop().time()
+        if attempt.answered_at is not None and now - attempt.answered_at > BEGINNING_S:
+            return
+        parts = attempt.request.prompt.shared_parts
+        if not parts:
+            return
+        key = (attempt.upstream.name, attempt.upstream.incarnation)
+        probe = self._probes.get(key)
+        if probe is None:
+            task = asyncio.get_running_loop().create_task(self._probe(attempt.upstream, now))
+            probe = self._probes[key] = _Probe(task)
+        for depth, part in enumerate(parts):
+            suspect = Suspect(part.key, depth, now - attempt.sent_at)
+            other = probe.suspects.get(part.key, suspect)
+            probe.suspects[part.key] = min(suspect, other, key=attrgetter("lead_s"))
+
+    async def wait_for_probe(self, upstream: Upstream) -> None:
+        """Wait until it is known whether an upstream has crashed, if that is being found out."""
+        probe = self._probes.get((upstream.name, upstream.incarnation))
+        if probe is not None:
+            await asyncio.wait([probe.task])
+
+    async def _probe(self, upstream: Upstream, broke_at: float) -> None:
+        key = (upstream.name, upstream.incarnation)
+        try:
+            connection = await open_connection(upstream.endpoint, PROBE_TIMEOUT_S)
+            connection.close()
+        except ConnectError as error:
+            if error.was_refused:
+                self._note_crash(upstream, broke_at, self._probes[key].suspects)
+        finally:
+            del self._probes[key]
+
+    def _note_crash(
+        self, upstream: Upstream, broke_at: float, suspects: dict[str, Suspect]
+    ) -> None:
+        now = asyncio.get_running_loop().time()
+        crash = UpstreamCrash(
+            upstream.name, upstream.incarnation, now - broke_at, tuple(suspects.values())
+        )
+        log.warning(
+            "upstream crashed",
+            extra={
+                "upstream": upstream.name,
+                "incarnation": upstream.incarnation,
+                "suspects": [suspect.part for suspect in crash.suspects],
+            },
+        )
+        self.quarantine.note_crash(crash, now)
+        self.on_crash(crash)
--- a/src/cherrylane/relay/outcomes.py
+++ b/src/cherrylane/relay/outcomes.py
@@ -67,6 +67,7 @@
     BAD_KEY = "bad_key"
     NO_REQUEST_ID = "no_request_id"
     NO_UPSTREAM = "no_upstream"
+    QUARANTINED = "quarantined"
     OVERLOADED = "overloaded"
     BACKING_OFF = "backing_off"
     STOPPING = "stopping"
@@ -82,6 +83,7 @@
     Cause.BAD_KEY: HTTPStatus.UNAUTHORIZED,
     Cause.NO_REQUEST_ID: HTTPStatus.BAD_REQUEST,
     Cause.NO_UPSTREAM: HTTPStatus.SERVICE_UNAVAILABLE,
+    Cause.QUARANTINED: HTTPStatus.SERVICE_UNAVAILABLE,
     Cause.OVERLOADED: HTTPStatus.SERVICE_UNAVAILABLE,
     Cause.BACKING_OFF: HTTPStatus.SERVICE_UNAVAILABLE,
     Cause.STOPPING: HTTPStatus.SERVICE_UNAVAILABLE,
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,206 @@
+from testtools import TestCase
+
+from cherrylane.limits.quarantine import (
+    EVIDENCE_LIFETIME_S,
+    FIRST_TRIAL_S,
+    MAX_CRASHES,
+    MAX_VERDICTS,
+    TRIAL_TIMEOUT_S,
+    VERDICT_LIFETIME_S,
+    PromptQuarantine,
+    Suspect,
+    UpstreamCrash,
+    Verdict,
+    count_successive,
+)
+
+SYSTEM, ACCOUNT, TAINTED = "5c1e", "91bd", "dead"
+PARTS = (SYSTEM, ACCOUNT, TAINTED)
+
+
+def make_crash(
+    number: int, *parts: str, age_s: float = 0.0, lead_s: float = 0.2, incarnation: int = 1
+) -> UpstreamCrash:
+    suspects = tuple(Suspect(part, depth, lead_s) for depth, part in enumerate(parts))
+    return UpstreamCrash(f"i-{number}", incarnation, age_s, suspects)
+
+
+def crash_often(
+    quarantine: PromptQuarantine, times: int, *parts: str, start: float = 0.0, first: int = 0
+) -> float:
+    """Note successive crashes a second apart; returns the time of the last one."""
+    for number in range(times):
+        quarantine.note_crash(make_crash(first + number, *parts), now=start + number)
+    return start + times - 1
+
+
+class VerdictTest(TestCase):
+    def test_three_successive_crashes_quarantine_the_deepest_common_part_only(self) -> None:
+        quarantine = PromptQuarantine()
+        now = crash_often(quarantine, 2, *PARTS)
+        self.assertIsNone(quarantine.find(PARTS, now))
+        now = crash_often(quarantine, 1, *PARTS, start=2.0, first=2)
+        self.assertEqual(TAINTED, quarantine.find(PARTS, now).part)  # type: ignore[union-attr]
+        self.assertIsNone(quarantine.find((SYSTEM, ACCOUNT), now))
+        self.assertEqual(1, quarantine.count_in_force())
+
+    def test_requests_beside_the_tainted_one_do_not_count_against_what_they_share(self) -> None:
+        quarantine = PromptQuarantine()
+        for number in range(10):
+            now = float(number)
+            quarantine.note_crash(make_crash(number, *PARTS), now)
+            quarantine.note_crash(make_crash(number, SYSTEM, f"chat-{number}"), now)
+            quarantine.find(PARTS, now)
+        self.assertEqual([TAINTED], [verdict.part for verdict in quarantine.list_verdicts(now)])
+
+    def test_a_part_that_every_tainted_prompt_begins_with_is_found(self) -> None:
+        quarantine = PromptQuarantine()
+        for number in range(3):
+            quarantine.note_crash(make_crash(number, TAINTED, f"chat-{number}"), float(number))
+        self.assertIsNotNone(quarantine.find((TAINTED, "chat-9"), 2.0))
+        self.assertIsNone(quarantine.find((SYSTEM, "chat-0"), 2.0))
+
+    # Guards against a failure domain that goes down at once being taken for a tainted part.
+    def test_upstreams_that_end_together_count_once(self) -> None:
+        quarantine = PromptQuarantine()
+        for number in range(30):
+            quarantine.note_crash(make_crash(number, SYSTEM, "chat", lead_s=1.0), number / 100)
+        self.assertIsNone(quarantine.find((SYSTEM, "chat"), 1.0))
+
+    # Guards against a prompt that all share being refused when engines crash for other reasons.
+    def test_a_completed_answer_clears_the_parts_of_its_prompt(self) -> None:
+        quarantine = PromptQuarantine()
+        for number in range(20):
+            quarantine.note_crash(make_crash(number, SYSTEM, f"chat-{number}"), float(number))
+            quarantine.note_completed((SYSTEM, "other"), answered_at=number + 0.5)
+            self.assertIsNone(quarantine.find((SYSTEM, "other"), number + 0.6))
+
+    def test_an_answer_that_began_before_a_crash_clears_nothing(self) -> None:
+        quarantine = PromptQuarantine()
+        now = crash_often(quarantine, 3, *PARTS)
+        quarantine.note_completed(PARTS, answered_at=-1.0)
+        self.assertIsNotNone(quarantine.find(PARTS, now))
+
+    # Guards against a retry being taken for a request sent before the crash that it follows.
+    def test_a_request_sent_at_the_moment_of_a_crash_counts_as_sent_after_it(self) -> None:
+        quarantine = PromptQuarantine()
+        for number, at in enumerate((1.0, 1.5, 2.0)):
+            quarantine.note_crash(make_crash(number, *PARTS, lead_s=0.503), at)
+        self.assertIsNotNone(quarantine.find(PARTS, 2.0))
+
+    def test_repeated_reports_of_one_crash_count_once(self) -> None:
+        quarantine = PromptQuarantine()
+        for age_s in (0.0, 0.2, 5.0):
+            quarantine.note_crash(make_crash(1, *PARTS, age_s=age_s, lead_s=0.0), now=10.0 + age_s)
+        self.assertIsNone(quarantine.find(PARTS, 15.0))
+        for incarnation in (2, 3):
+            now = 20.0 + incarnation
+            quarantine.note_crash(make_crash(1, *PARTS, incarnation=incarnation), now)
+        self.assertIsNotNone(quarantine.find(PARTS, now))
+
+    # Guards against a host judging by its own requests before it has heard of the tainted one.
+    def test_crashes_are_judged_once_the_peers_have_reported_theirs(self) -> None:
+        quarantine = PromptQuarantine(settle_s=1.0)
+        now = crash_often(quarantine, 3, SYSTEM, ACCOUNT)
+        self.assertIsNone(quarantine.find((SYSTEM, ACCOUNT), now + 0.5))
+        for number in range(3):
+            quarantine.note_crash(make_crash(number, *PARTS, age_s=2.4 - number), now + 0.4)
+        self.assertIsNone(quarantine.find((SYSTEM, ACCOUNT), now + 1.1))
+        self.assertIsNotNone(quarantine.find(PARTS, now + 1.1))
+
+    def test_old_crashes_do_not_count_and_memory_is_bounded(self) -> None:
+        quarantine = PromptQuarantine()
+        for number in range(3):
+            now = number * EVIDENCE_LIFETIME_S * 0.6
+            quarantine.note_crash(make_crash(number, *PARTS), now)
+        self.assertIsNone(quarantine.find(PARTS, now))
+        for number in range(MAX_CRASHES * 3):
+            quarantine.note_crash(make_crash(number, f"p{number}"), now)
+        self.assertEqual(MAX_CRASHES, len(quarantine._crashes))
+        for number in range(MAX_VERDICTS * 3):
+            quarantine.apply_verdict(Verdict(f"p{number}", 1, False, 0.0), now + number)
+        self.assertEqual(MAX_VERDICTS, quarantine.count_in_force())
+
+
+class HealingTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.quarantine = PromptQuarantine()
+        self.now = crash_often(self.quarantine, 3, *PARTS)
+        self.assertIsNotNone(self.quarantine.find(PARTS, self.now))
+
+    def test_an_answer_that_began_after_the_verdict_lifts_it(self) -> None:
+        self.quarantine.note_completed(PARTS, answered_at=self.now + 0.1)
+        self.assertIsNone(self.quarantine.find(PARTS, self.now + 0.2))
+        now = crash_often(self.quarantine, 3, *PARTS, start=self.now + 1, first=10)
+        self.assertIsNotNone(self.quarantine.find(PARTS, now))
+        verdicts = self.quarantine.list_verdicts(now)
+        self.assertEqual([2], [verdict.generation for verdict in verdicts])
+
+    def test_one_request_at_a_time_tries_the_part_at_the_chosen_host(self) -> None:
+        due = self.now + FIRST_TRIAL_S
+        refused = self.quarantine.find(PARTS, due - 12.0)
+        self.assertAlmostEqual(12.0, refused.retry_after_s)  # type: ignore[union-attr]
+        self.quarantine.is_trial_host = lambda part: False
+        self.assertIsNotNone(self.quarantine.find(PARTS, due))
+        self.quarantine.is_trial_host = lambda part: True
+        self.assertIsNone(self.quarantine.find(PARTS, due))
+        self.assertIsNotNone(self.quarantine.find(PARTS, due))
+        self.assertIsNone(self.quarantine.find(PARTS, due + TRIAL_TIMEOUT_S))
+
+    # Guards against trials that go on crashing engines at the same pace.
+    def test_trials_that_fail_become_rarer(self) -> None:
+        trials = []
+        for second in range(200):
+            now = self.now + second
+            if self.quarantine.find(PARTS, now) is None:
+                trials.append(second)
+                self.quarantine.note_crash(make_crash(100 + second, *PARTS), now + 0.3)
+        self.assertEqual([20, 61, 142], trials)
+
+    def test_crashes_by_requests_sent_before_the_verdict_put_off_the_trial(self) -> None:
+        self.quarantine.note_crash(make_crash(9, *PARTS, lead_s=8.0), self.now + 5.0)
+        self.assertIsNotNone(self.quarantine.find(PARTS, self.now + FIRST_TRIAL_S + 1))
+        self.assertIsNone(self.quarantine.find(PARTS, self.now + FIRST_TRIAL_S + 5))
+        verdicts = self.quarantine.list_verdicts(self.now)
+        self.assertEqual([1], [verdict.generation for verdict in verdicts])
+
+    def test_a_verdict_is_dropped_long_after_the_last_crash(self) -> None:
+        self.assertEqual([], self.quarantine.list_verdicts(self.now + VERDICT_LIFETIME_S + 1))
+        self.assertIsNone(self.quarantine.find(PARTS, self.now + VERDICT_LIFETIME_S + 1))
+
+
+class PeersTest(TestCase):
+    def test_newer_verdicts_replace_older_ones_in_any_order(self) -> None:
+        verdicts = [
+            Verdict(TAINTED, generation, lifted, 1.0)
+            for generation in (1, 2)
+            for lifted in (False, True)
+        ]
+        for order in (verdicts, verdicts[::-1]):
+            quarantine = PromptQuarantine()
+            for verdict in order:
+                quarantine.apply_verdict(verdict, now=10.0)
+            self.assertEqual(verdicts[-1:], quarantine.list_verdicts(10.0))
+
+    def test_a_lifted_verdict_is_not_renewed_by_the_crashes_before_it(self) -> None:
+        quarantine = PromptQuarantine()
+        now = crash_often(quarantine, 3, *PARTS)
+        quarantine.find(PARTS, now)
+        quarantine.apply_verdict(Verdict(TAINTED, 1, True, 0.5), now + 0.5)
+        for number in range(3):
+            quarantine.note_crash(make_crash(number, *PARTS, age_s=3.0 - number), now + 1.0)
+        self.assertIsNone(quarantine.find(PARTS, now + 1.0))
+
+    def test_an_expired_verdict_is_ignored(self) -> None:
+        quarantine = PromptQuarantine()
+        quarantine.apply_verdict(Verdict(TAINTED, 1, False, VERDICT_LIFETIME_S + 1), now=0.0)
+        self.assertIsNone(quarantine.find(PARTS, 0.0))
+
+
+class SuccessionTest(TestCase):
+    def test_overlapping_spans_count_once(self) -> None:
+        self.assertEqual(0, count_successive([]))
+        self.assertEqual(1, count_successive([(0.0, 5.0), (4.0, 6.0), (1.0, 5.5)]))
+        self.assertEqual(1, count_successive([(0.96, 1.0), (0.98, 1.03), (0.97, 1.01)]))
+        self.assertEqual(3, count_successive([(5.0, 6.0), (0.0, 1.0), (0.5, 6.0), (2.0, 3.0)]))
--- a/tests/test_tainted_prompts.py
+++ b/tests/test_tainted_prompts.py
@@ -1,5 +1,7 @@
 """Prompts with a part that crashes each engine that begins to answer it."""
 
+import asyncio
+
 from testtools import TestCase
 from testtools.matchers import LessThan
 
@@ -9,6 +11,8 @@
 SOUND = "a1:400,b2:120"
 TAINTED = "a1:400,b2:120,dead:60"
 ENGINES = 10
+# Seconds until an engine begins to answer a tainted prompt.
+PREFILL_S = 0.08
 # Crashes by one part after which its requests may reach no further engine.
 MAX_CRASHES = 5
 
@@ -16,6 +20,7 @@
 def crash_on_tainted_prompts(upstreams: dict[int, ScriptedUpstream], index: int) -> Script:
     async def script(call: Call) -> None:
         if "dead:" in call.header("Prompt-Prefix"):
+            await asyncio.sleep(PREFILL_S)
             upstreams[index].crash()
         else:
             await stream(1, 3)(call)
