Test what hosts tell each other of crashes, and bound the keys of parts in heartbeats

Parts' keys come from callers: with keys of thousands of characters a heartbeat could not be made short enough for a datagram. Found by the new tests before any release; long keys are hashed.

--- a/src/cherrylane/gateway/announcements.py
+++ b/src/cherrylane/gateway/announcements.py
@@ -1,7 +1,5 @@
 """What a host tells its peers in heartbeats of upstreams and caches, and takes from theirs."""
 
-import asyncio
-
 from attrs import define, evolve, field, frozen
 
 from cherrylane.gateway.routing_state import RoutingState
@@ -58,7 +56,7 @@
         if self.routing_state.note_leaving(upstream.name, upstream.incarnation, source="answer"):
             self._leaving.add(UpstreamLeaving(upstream.name, upstream.incarnation))
 
-    def note_crash(self, crash: UpstreamCrash) -> None:
+    def note_crash(self, crash: UpstreamCrash, now: float) -> None:
         """Tell the peers of a crash, with the parts that were at most other crashes."""
         suspects = sorted(
             crash.suspects,
@@ -66,7 +64,7 @@
             reverse=True,
         )
         reported = evolve(crash, suspects=tuple(suspects[:MAX_SUSPECTS]))
-        self._crashes.add(_NotedCrash(reported, asyncio.get_running_loop().time()))
+        self._crashes.add(_NotedCrash(reported, now))
 
     def make_heartbeat(
         self,
--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -374,7 +374,7 @@
         return budget
 
     def _announce_crash(self, crash: UpstreamCrash) -> None:
-        self._announcements.note_crash(crash)
+        self._announcements.note_crash(crash, asyncio.get_running_loop().time())
         self._gossip.send_round()
 
     def _is_trial_host(self, part: str) -> bool:
--- a/src/cherrylane/relay/crashes.py
+++ b/src/cherrylane/relay/crashes.py
@@ -10,6 +10,7 @@
 
 from attrs import define, field, frozen
 from logbook import Logger
+from xxhash import xxh3_64_hexdigest
 
 from cherrylane.errors import ConnectError
 from cherrylane.http.outbound import open_connection
@@ -21,6 +22,8 @@
 BEGINNING_S = 1.0
 # Time limit in seconds for the connection that tells whether an upstream has crashed.
 PROBE_TIMEOUT_S = 0.15
+# Longest key of a part that is used as it is; callers choose the keys, and hosts exchange them.
+MAX_KEY_CHARACTERS = 32
 
 log = Logger("cherrylane.relay")
 
@@ -54,20 +57,19 @@
 
     def find_refusal(self, request: CallerRequest, now: float) -> Quarantined | None:
         """Return why a request may not be sent to any upstream, None if it may."""
-        return self.quarantine.find([part.key for part in request.prompt.shared_parts], now)
+        return self.quarantine.find(identify_parts(request), now)
 
     def note_completed(self, request: CallerRequest, answered_at: float | None) -> None:
         """Record a complete answer and when it began."""
         if answered_at is not None:
-            parts = [part.key for part in request.prompt.shared_parts]
-            self.quarantine.note_completed(parts, answered_at)
+            self.quarantine.note_completed(identify_parts(request), answered_at)
 
     def note_broken(self, attempt: BrokenAttempt) -> None:
         """Find out in the background whether the upstream of a broken attempt has crashed."""
         now = asyncio.get_running_loop().time()
         if attempt.answered_at is not None and now - attempt.answered_at > BEGINNING_S:
             return
-        parts = attempt.request.prompt.shared_parts
+        parts = identify_parts(attempt.request)
         if not parts:
             return
         key = (attempt.upstream.name, attempt.upstream.incarnation)
@@ -76,9 +78,9 @@
             task = asyncio.get_running_loop().create_task(self._probe(attempt.upstream, now))
             probe = self._probes[key] = _Probe(task)
         for depth, part in enumerate(parts):
-            suspect = Suspect(part.key, depth, now - attempt.sent_at)
-            other = probe.suspects.get(part.key, suspect)
-            probe.suspects[part.key] = min(suspect, other, key=attrgetter("lead_s"))
+            suspect = Suspect(part, depth, now - attempt.sent_at)
+            other = probe.suspects.get(part, suspect)
+            probe.suspects[part] = min(suspect, other, key=attrgetter("lead_s"))
 
     async def wait_for_probe(self, upstream: Upstream) -> None:
         """Wait until it is known whether an upstream has crashed, if that is being found out."""
@@ -114,3 +116,11 @@
         )
         self.quarantine.note_crash(crash, now)
         self.on_crash(crash)
+
+
+def identify_parts(request: CallerRequest) -> list[str]:
+    """Return the parts of a prompt that others may share, by their keys or a hash of long ones."""
+    return [
+        part.key if len(part.key) <= MAX_KEY_CHARACTERS else xxh3_64_hexdigest(part.key.encode())
+        for part in request.prompt.shared_parts
+    ]
--- /dev/null
+++ b/tests/test_announcements.py
@@ -0,0 +1,102 @@
+from testtools import TestCase
+
+from cherrylane.gateway.announcements import MAX_SUSPECTS, Announcements
+from cherrylane.gateway.routing_state import RoutingState
+from cherrylane.gossip.messages import (
+    MAX_DATAGRAM_BYTES,
+    Heartbeat,
+    HostState,
+    decode_heartbeat,
+)
+from cherrylane.limits.backoff import BackoffTracker
+from cherrylane.limits.quarantine import PromptQuarantine, Suspect, UpstreamCrash
+from cherrylane.placement.caches import CacheMap
+from cherrylane.placement.loads import LoadTracker
+from cherrylane.platform.client import AsyncPlatformClient
+from cherrylane.settings.gateway import HostIdentity
+from cherrylane.settings.schema import Endpoint, PlatformSettings
+from tests.wire import run
+
+HOSTS = 5
+PARTS = ("5c1e", "dead")
+
+
+def make_announcements(name: str) -> Announcements:
+    routing_state = RoutingState(lambda snapshot: None, lambda: 0.0)
+    return Announcements(
+        HostIdentity(name, "10.0.0.1", "a", "r"),
+        "boot",
+        AsyncPlatformClient(PlatformSettings(url="http://10.0.0.9:1", timeout_s=1.0)),
+        routing_state,
+        LoadTracker(),
+        CacheMap(),
+        BackoffTracker(),
+        PromptQuarantine(),
+    )
+
+
+def send_heartbeat(sender: Announcements, now: float) -> Heartbeat:
+    heartbeat = sender.make_heartbeat(
+        HostState.READY,
+        Endpoint("10.0.0.1", 80),
+        rounds_to_reach_all=1,
+        has_full_cache_map=True,
+        confirmation_age_ms=0,
+        now=now,
+    )
+    data = heartbeat.encode()
+    assert len(data) <= MAX_DATAGRAM_BYTES
+    return decode_heartbeat(data)
+
+
+def make_crash(number: int, parts: tuple[str, ...] = PARTS) -> UpstreamCrash:
+    suspects = tuple(Suspect(part, depth, 0.2) for depth, part in enumerate(parts))
+    return UpstreamCrash(f"i-{number}", 1, 0.0, suspects)
+
+
+class CrashesTest(TestCase):
+    # Guards against each host having to see for itself how often a part crashes engines.
+    def test_crashes_that_different_hosts_have_seen_are_counted_by_all(self) -> None:
+        async def scenario() -> list[bool]:
+            hosts = [make_announcements(f"h{number}") for number in range(HOSTS)]
+            for number in range(3):
+                hosts[number].quarantine.note_crash(make_crash(number), float(number))
+                hosts[number].note_crash(make_crash(number), float(number))
+                heartbeat = send_heartbeat(hosts[number], number + 0.1)
+                for host in hosts:
+                    host.handle_heartbeat(heartbeat, number + 0.1)
+            return [host.quarantine.find(PARTS, 3.0) is not None for host in hosts]
+
+        self.assertEqual([True] * HOSTS, run(scenario()))
+
+    # Guards against a host that has just started sending what its peers refuse.
+    def test_a_host_that_starts_hears_of_the_verdicts_in_force(self) -> None:
+        async def scenario() -> tuple[bool, bool, bool]:
+            old, new = make_announcements("old"), make_announcements("new")
+            for number in range(3):
+                old.quarantine.note_crash(make_crash(number), float(number))
+            old.quarantine.find(PARTS, 2.0)
+            new.quarantine.is_trial_host = lambda part: False
+            new.handle_heartbeat(send_heartbeat(old, 300.0), 300.0)
+            is_refused = new.quarantine.find(("dead",), 300.0) is not None
+            new.quarantine.is_trial_host = lambda part: True
+            is_tried = new.quarantine.find(("dead",), 300.0) is None
+            new.quarantine.note_completed(("dead",), answered_at=301.0)
+            old.handle_heartbeat(send_heartbeat(new, 302.0), 302.0)
+            return is_refused, is_tried, old.quarantine.find(("dead",), 302.0) is None
+
+        self.assertEqual((True, True, True), run(scenario()))
+
+    def test_the_parts_that_were_at_most_crashes_are_told_first(self) -> None:
+        async def scenario() -> set[str]:
+            host = make_announcements("h")
+            others = tuple(f"chat-{number}" for number in range(3 * MAX_SUSPECTS))
+            for number in range(2):
+                crash = make_crash(number, (*PARTS, *others) if number else PARTS)
+                host.quarantine.note_crash(crash, float(number))
+            host.note_crash(crash, 1.0)
+            (report,) = send_heartbeat(host, 1.0).crashes
+            self.assertEqual(MAX_SUSPECTS, len(report.suspects))
+            return {part for part, _, _ in report.suspects}
+
+        self.assertTrue(run(scenario()).issuperset(PARTS))
--- /dev/null
+++ b/tests/test_crashes.py
@@ -0,0 +1,95 @@
+import asyncio
+
+from testtools import TestCase
+
+from cherrylane.limits.quarantine import PromptQuarantine, UpstreamCrash
+from cherrylane.relay.crashes import (
+    BEGINNING_S,
+    BrokenAttempt,
+    CrashGuard,
+    identify_parts,
+)
+from cherrylane.relay.request import Prompt, PromptPart
+from cherrylane.routing.upstreams import Upstream, UpstreamState
+from cherrylane.settings.schema import Endpoint
+from tests.relay_fixture import STREAM
+from tests.relay_fixture import succeed as answer
+from tests.wire import ScriptedUpstream, make_request, run
+
+
+def make_attempt(
+    upstream: Upstream,
+    *parts: str,
+    sent_at: float = 0.0,
+    answered_at: float | None = None,
+) -> BrokenAttempt:
+    prompt = Prompt("m", tuple(PromptPart(key, 10) for key in (*parts, "own")))
+    return BrokenAttempt(make_request(STREAM, 0.0, prompt=prompt), upstream, sent_at, answered_at)
+
+
+async def detect(*attempts: BrokenAttempt) -> list[UpstreamCrash]:
+    """Return the crashes that are noted after these attempts broke."""
+    crashes: list[UpstreamCrash] = []
+    guard = CrashGuard(PromptQuarantine(), crashes.append)
+    for attempt in attempts:
+        guard.note_broken(attempt)
+    for attempt in attempts:
+        await guard.wait_for_probe(attempt.upstream)
+    assert not guard._probes
+    return crashes
+
+
+class CrashGuardTest(TestCase):
+    def test_an_upstream_that_refuses_connections_has_crashed(self) -> None:
+        async def scenario() -> list[UpstreamCrash]:
+            upstream = await ScriptedUpstream(answer).start()
+            upstream.crash()
+            known = upstream.to_upstream("i-1")
+            return await detect(make_attempt(known, "a", "b"), make_attempt(known, "a", "c"))
+
+        (crash,) = run(scenario())
+        self.assertEqual("i-1", crash.upstream)
+        self.assertEqual(
+            [("a", 0), ("b", 1), ("c", 1)],
+            [(suspect.part, suspect.depth) for suspect in crash.suspects],
+        )
+
+    # Guards against parts being refused because an upstream breaks single answers.
+    def test_an_upstream_that_accepts_connections_has_not_crashed(self) -> None:
+        async def scenario() -> list[UpstreamCrash]:
+            upstream = await ScriptedUpstream(answer).start()
+            return await detect(make_attempt(upstream.to_upstream("i-1"), "a", "b"))
+
+        self.assertEqual([], run(scenario()))
+
+    def test_requests_that_were_long_being_answered_or_share_no_part_are_no_suspects(self) -> None:
+        async def scenario() -> list[UpstreamCrash]:
+            upstream = await ScriptedUpstream(answer).start()
+            upstream.crash()
+            known = upstream.to_upstream("i-1")
+            now = asyncio.get_running_loop().time()
+            return await detect(
+                make_attempt(known, "a", answered_at=now - BEGINNING_S - 0.1), make_attempt(known)
+            )
+
+        self.assertEqual([], run(scenario()))
+
+    # Guards against heartbeats that callers make too long for a datagram.
+    def test_long_keys_of_parts_are_hashed(self) -> None:
+        upstream = Upstream("i", "s", Endpoint("10.0.0.1", 80), "a", 4, UpstreamState.READY)
+        request = make_attempt(upstream, "a" * 32, "b" * 16_000, "b" * 16_001).request
+        first, second, third = identify_parts(request)
+        self.assertEqual(("a" * 32, 16, 16), (first, len(second), len(third)))
+        self.assertNotEqual(second, third)
+
+    def test_the_request_of_a_part_that_was_sent_last_counts(self) -> None:
+        async def scenario() -> list[UpstreamCrash]:
+            upstream = await ScriptedUpstream(answer).start()
+            upstream.crash()
+            known = upstream.to_upstream("i-1")
+            now = asyncio.get_running_loop().time()
+            attempts = [make_attempt(known, "a", sent_at=now - age) for age in (9.0, 2.0, 5.0)]
+            return await detect(*attempts)
+
+        (crash,) = run(scenario())
+        self.assertAlmostEqual(2.0, crash.suspects[0].lead_s, places=1)
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -8,8 +8,10 @@
 from cherrylane.gossip.members import DORMANT_AFTER_S, HEARTBEAT_TIMEOUT_S, Members
 from cherrylane.gossip.messages import (
     MAX_DATAGRAM_BYTES,
+    CrashReport,
     Heartbeat,
     HostState,
+    PartVerdict,
     PeerLiveness,
     UpstreamBackoff,
     UpstreamLeaving,
@@ -51,9 +53,21 @@
             cached=(CachedPart("i", "5c1e", 90),),
             leaving=(UpstreamLeaving("i", 1_700_000_000_000),),
             backing_off=(UpstreamBackoff("i", 1500),),
+            crashes=(CrashReport("i", 3, 20, (("5c1e", 0, 310), ("dead", 2, 90))),),
+            verdicts=(PartVerdict("dead", 2, False, 4000),),
         )
         self.assertEqual(sent, decode_heartbeat(sent.encode()))
 
+    # Guards against a heartbeat that cannot be made short enough.
+    def test_a_heartbeat_that_is_full_of_crashes_fits_a_datagram(self) -> None:
+        suspects = tuple((f"{number:016x}", number, 60_000) for number in range(60))
+        crashes = (CrashReport("i-0", 1, 0, suspects), CrashReport("i-1", 1, 0, suspects))
+        loads = tuple((f"i-{number:08x}", Load(number)) for number in range(200))
+        sent = make_heartbeat(crashes=crashes, loads=loads)
+        data = sent.encode()
+        self.assertTrue(len(data) <= MAX_DATAGRAM_BYTES)
+        self.assertEqual([], list(decode_heartbeat(data).crashes))
+
     def test_oversized_heartbeat_keeps_the_largest_loads(self) -> None:
         loads = tuple((f"i-{number:08x}", Load(number)) for number in range(200))
         data = make_heartbeat(loads=loads, confirmation_age_ms=120).encode()
