Require more crashes of parts that were answered before, and tell peers of answers

Two engines crashed at 5.0 s for another reason, so the shared parts were at three crashes when the tainted one was at two, and no answer that had begun since was complete at the hosts that judged. Now an answer clears its parts 0.25 s after its first event rather than at its end, is told to the peers, and a part that was answered before needs five crashes.

--- a/src/cherrylane/gateway/announcements.py
+++ b/src/cherrylane/gateway/announcements.py
@@ -7,6 +7,7 @@
     CrashReport,
     Heartbeat,
     HostState,
+    PartAnswered,
     PartVerdict,
     UpstreamBackoff,
     UpstreamLeaving,
@@ -24,9 +25,10 @@
 
 # Sweeps of heartbeats to all hosts in which an update is sent, such as a newly cached part.
 UPDATE_SWEEPS = 2
-# Crashes in one heartbeat, suspects of one crash, and verdicts in one heartbeat.
+# Crashes in one heartbeat, suspects of one crash, answered parts and verdicts in one heartbeat.
 MAX_CRASHES = 2
 MAX_SUSPECTS = 8
+MAX_ANSWERED = 8
 MAX_VERDICTS = 6
 
 
@@ -50,6 +52,7 @@
     quarantine: PromptQuarantine
     _leaving: UpdateQueue[UpstreamLeaving] = field(factory=UpdateQueue)
     _crashes: UpdateQueue[_NotedCrash] = field(factory=UpdateQueue)
+    _answered: UpdateQueue[tuple[str, float]] = field(factory=UpdateQueue)
 
     def note_leaving(self, upstream: Upstream) -> None:
         """Send nothing more to an upstream that says that it leaves, and tell the peers."""
@@ -66,6 +69,10 @@
         reported = evolve(crash, suspects=tuple(suspects[:MAX_SUSPECTS]))
         self._crashes.add(_NotedCrash(reported, now))
 
+    def note_answered(self, part: str, answered_at: float) -> None:
+        """Tell the peers that a part that was suspected of a crash has been answered since."""
+        self._answered.add((part, answered_at))
+
     def make_heartbeat(
         self,
         state: HostState,
@@ -97,6 +104,10 @@
             crashes=tuple(
                 _report_crash(noted, now) for noted in self._crashes.take(rounds, MAX_CRASHES)
             ),
+            answered=tuple(
+                PartAnswered(part, round((now - answered_at) * 1000))
+                for part, answered_at in self._answered.take(rounds, MAX_ANSWERED)
+            ),
             verdicts=tuple(
                 PartVerdict(
                     verdict.part, verdict.generation, verdict.is_lifted, round(verdict.age_s * 1000)
@@ -117,6 +128,8 @@
             self.backoffs.note_peer(backoff.name, backoff.remaining_ms / 1000, now)
         for report in heartbeat.crashes:
             self.quarantine.note_crash(_read_report(report), now)
+        for answered in heartbeat.answered:
+            self.quarantine.note_answered(answered.part, now - answered.age_ms / 1000)
         for told in heartbeat.verdicts:
             verdict = Verdict(told.part, told.generation, told.is_lifted, told.age_ms / 1000)
             self.quarantine.apply_verdict(verdict, now)
--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -280,7 +280,7 @@
             self.load_tracker,
             lambda: self.routing_state.snapshot,
             self._find_retry_budget,
-            CrashGuard(self.quarantine, self._announce_crash),
+            CrashGuard(self.quarantine, self._announce_crash, self._announcements.note_answered),
             self._announcements.note_leaving,
         )
         return RelayService(attempt_runner, lambda: self.routing_state.snapshot, self.telemetry)
--- a/src/cherrylane/gossip/messages.py
+++ b/src/cherrylane/gossip/messages.py
@@ -66,6 +66,14 @@
     suspects: tuple[tuple[str, int, int], ...]
 
 
+@frozen
+class PartAnswered:
+    """A part of prompts that an upstream began to answer ``age_ms`` milliseconds ago."""
+
+    part: str
+    age_ms: int
+
+
 @frozen
 class PartVerdict:
     """What the sender knows of a part of prompts; see ``limits.quarantine.Verdict``."""
@@ -87,7 +95,8 @@
     ``confirmation_age_ms`` is how long ago a host that follows the store last confirmed that the
     state of this host is current. ``leaving`` are upstreams that have lately said in an answer that
     they leave, and ``backing_off`` those that want nothing from this host for a while. ``crashes``
-    are upstreams that have just crashed, and ``verdicts`` parts of prompts that crash upstreams.
+    are upstreams that have just crashed, ``answered`` parts of prompts that were suspected of it
+    and answered since, and ``verdicts`` parts of prompts that crash upstreams.
     """
 
     host: str
@@ -105,6 +114,7 @@
     leaving: tuple[UpstreamLeaving, ...] = ()
     backing_off: tuple[UpstreamBackoff, ...] = ()
     crashes: tuple[CrashReport, ...] = ()
+    answered: tuple[PartAnswered, ...] = ()
     verdicts: tuple[PartVerdict, ...] = ()
 
     def encode(self) -> bytes:
@@ -127,7 +137,8 @@
         if self.backing_off:
             return evolve(self, backing_off=self.backing_off[: len(self.backing_off) // 2])
         if not self.loads:
-            return evolve(self, crashes=self.crashes[: len(self.crashes) // 2])
+            answered = self.answered[: len(self.answered) // 2]
+            return evolve(self, crashes=self.crashes[: len(self.crashes) // 2], answered=answered)
         largest = sorted(self.loads, key=lambda item: item[1].requests, reverse=True)
         return evolve(self, loads=tuple(largest[: len(largest) // 2]))
 
@@ -155,6 +166,8 @@
             fields["w"] = [(upstream.name, upstream.remaining_ms) for upstream in self.backing_off]
         if self.crashes:
             fields["x"] = [astuple(crash) for crash in self.crashes]
+        if self.answered:
+            fields["o"] = [astuple(part) for part in self.answered]
         if self.verdicts:
             fields["q"] = [astuple(verdict) for verdict in self.verdicts]
         return dumps(fields, separators=(",", ":")).encode()
@@ -189,6 +202,7 @@
                 for name, remaining in fields.get("w", ())
             ),
             crashes=tuple(_decode_crash(*crash) for crash in fields.get("x", ())),
+            answered=tuple(PartAnswered(str(part), int(age)) for part, age in fields.get("o", ())),
             verdicts=tuple(
                 PartVerdict(str(part), int(generation), bool(is_lifted), int(age))
                 for part, generation, is_lifted, age in fields.get("q", ())
--- a/src/cherrylane/limits/quarantine.py
+++ b/src/cherrylane/limits/quarantine.py
@@ -2,9 +2,9 @@
 
 Other requests are in progress at an upstream that crashes, so one crash says little about a part.
 A part is quarantined after several successive crashes: each of a request that was sent after the
-crash before. Upstreams that end together, for a reason of their own, count once. A completed answer
-that began after a crash clears the parts of its prompt. The deepest part of a prompt that explains
-the crashes is taken, since the parts before it are shared with sound requests.
+crash before. Upstreams that end together, for a reason of their own, count once. An answer that
+began after a crash and went on clears the parts of its prompt. The deepest part of a prompt that
+explains the crashes is taken, since the parts before it are shared with sound requests.
 """
 
 from collections.abc import Callable, Iterable, Sequence
@@ -12,10 +12,11 @@
 from attrs import define, field, frozen
 from logbook import Logger
 
-# Successive crashes after which a part is quarantined.
+# Successive crashes after which a part is quarantined, and one that has been answered before.
 MIN_CRASHES = 3
+MIN_CRASHES_ANSWERED_BEFORE = 5
 # Seconds until the first trial of a quarantined part; they double with each trial that fails.
-FIRST_TRIAL_S = 20.0
+FIRST_TRIAL_S = 30.0
 MAX_TRIAL_INTERVAL_S = 3600.0
 # Seconds that a trial may take before another one is allowed.
 TRIAL_TIMEOUT_S = 10.0
@@ -27,6 +28,8 @@
 # Number of crashes and verdicts that are remembered; the oldest ones are dropped.
 MAX_CRASHES = 64
 MAX_VERDICTS = 64
+# Number of parts of which it is remembered that they have been answered.
+MAX_ANSWERED = 4096
 
 log = Logger("cherrylane.limits")
 
@@ -115,6 +118,7 @@
     is_trial_host: Callable[[str], bool] = lambda part: True
     _crashes: dict[tuple[str, int], _Crash] = field(factory=dict)
     _verdicts: dict[str, _VerdictState] = field(factory=dict)
+    _answered: dict[str, None] = field(factory=dict)
     _next_judgement: float = float("inf")
 
     def note_crash(self, crash: UpstreamCrash, now: float) -> None:
@@ -136,17 +140,19 @@
         while len(self._crashes) > MAX_CRASHES:
             del self._crashes[next(iter(self._crashes))]
 
-    def note_completed(self, parts: Iterable[str], answered_at: float) -> None:
-        """Record a complete answer that began at ``answered_at`` to a prompt with these parts."""
-        if not self._crashes and not self._verdicts:
-            return
-        for part in parts:
-            for crash in self._crashes.values():
-                if crash.at < answered_at:
-                    crash.suspects.pop(part, None)
-            verdict = self._verdicts.get(part)
-            if verdict is not None and not verdict.is_lifted and verdict.since < answered_at:
-                self._lift(part, verdict, answered_at)
+    def note_answered(self, part: str, answered_at: float) -> bool:
+        """Record that a prompt with this part was answered, from ``answered_at`` on.
+
+        Returns whether it was a suspect of a crash before.
+        """
+        self._answered.pop(part, None)
+        self._answered[part] = None
+        if len(self._answered) > MAX_ANSWERED:
+            del self._answered[next(iter(self._answered))]
+        verdict = self._verdicts.get(part)
+        if verdict is not None and not verdict.is_lifted and verdict.since < answered_at:
+            self._lift(part, verdict, answered_at)
+        return self._clear(part, answered_at)
 
     def find(self, parts: Sequence[str], now: float) -> Quarantined | None:
         """Return the quarantined part for which a prompt is refused, None if it may be sent."""
@@ -236,9 +242,12 @@
         return [
             (part, depths[part])
             for part, spans in times.items()
-            if count_successive(spans) >= MIN_CRASHES
+            if count_successive(spans) >= self._find_min_crashes(part)
         ]
 
+    def _find_min_crashes(self, part: str) -> int:
+        return MIN_CRASHES_ANSWERED_BEFORE if part in self._answered else MIN_CRASHES
+
     def _condemn(self, part: str, crashes: list[_Crash], now: float) -> None:
         caused = [crash for crash in crashes if part in crash.suspects]
         known = self._verdicts.get(part)
@@ -285,10 +294,14 @@
             extra={"part": part, "generation": verdict.generation},
         )
 
-    def _clear(self, part: str, now: float) -> None:
-        for crash in self._crashes.values():
-            if crash.at <= now:
-                crash.suspects.pop(part, None)
+    def _clear(self, part: str, until: float) -> bool:
+        """Drop a part from the suspects of earlier crashes; returns whether it was one."""
+        suspected = [
+            crash for crash in self._crashes.values() if part in crash.suspects and crash.at < until
+        ]
+        for crash in suspected:
+            del crash.suspects[part]
+        return bool(suspected)
 
     def _is_in_force(self, part: str) -> bool:
         verdict = self._verdicts.get(part)
--- a/src/cherrylane/relay/attempts.py
+++ b/src/cherrylane/relay/attempts.py
@@ -228,7 +228,13 @@
         if not (is_stream(request) and is_success(answer.head) and may_be_events(answer.head)):
             return await self.client.finish(request, upstream, answer)
         self._record_cached(state, upstream.name)
-        relay = StreamRelay(request, responder, state.progress, note_first_event)
+        relay = StreamRelay(
+            request,
+            responder,
+            state.progress,
+            note_first_event,
+            lambda answered_at: self.crash_guard.note_answered(request, answered_at),
+        )
         try:
             outcome = await relay.relay(answer, move_timer)
         except BaseException:
@@ -329,7 +335,8 @@
             case Answered() | Completed():
                 outliers.note_success(name, now)
                 self.selector.throughput_of(service).note_end(now - started_at)
-                self.crash_guard.note_completed(state.request, answered_at)
+                if answered_at is not None:
+                    self.crash_guard.note_answered(state.request, answered_at)
             case NotRun(was_sent=False) | NotRun(was_misdirected=True):
                 outliers.note_unreachable(name, now)
             case NotRun() | Failed() | Unknown() | Broken():
--- a/src/cherrylane/relay/crashes.py
+++ b/src/cherrylane/relay/crashes.py
@@ -48,21 +48,24 @@
 class CrashGuard:
     """Notes crashes of upstreams, and refuses requests whose prompts would cause the next.
 
-    ``on_crash`` is called with each crash that this host has seen, to tell its peers.
+    ``on_crash`` is called with each crash that this host has seen, and ``on_cleared`` with a part
+    that was suspected of one and the time from which it was answered since, to tell the peers.
     """
 
     quarantine: PromptQuarantine = field(factory=PromptQuarantine)
     on_crash: Callable[[UpstreamCrash], None] = lambda crash: None
+    on_cleared: Callable[[str, float], None] = lambda part, answered_at: None
     _probes: dict[tuple[str, int], _Probe] = field(factory=dict)
 
     def find_refusal(self, request: CallerRequest, now: float) -> Quarantined | None:
         """Return why a request may not be sent to any upstream, None if it may."""
         return self.quarantine.find(identify_parts(request), now)
 
-    def note_completed(self, request: CallerRequest, answered_at: float | None) -> None:
-        """Record a complete answer and when it began."""
-        if answered_at is not None:
-            self.quarantine.note_completed(identify_parts(request), answered_at)
+    def note_answered(self, request: CallerRequest, answered_at: float) -> None:
+        """Record that an answer which began at ``answered_at`` has gone on or is complete."""
+        for part in identify_parts(request):
+            if self.quarantine.note_answered(part, answered_at):
+                self.on_cleared(part, answered_at)
 
     def note_broken(self, attempt: BrokenAttempt) -> None:
         """Find out in the background whether the upstream of a broken attempt has crashed."""
--- a/src/cherrylane/relay/streams.py
+++ b/src/cherrylane/relay/streams.py
@@ -17,6 +17,8 @@
 # Multiple of its target gap between events after which a silent resumable stream is retried at
 # another upstream.
 EVENT_GAPS_TOLERATED = 4.0
+# Seconds after its first event in which an upstream that its prompt crashes would have ended.
+UNDER_WAY_S = 0.25
 
 
 @define
@@ -29,21 +31,24 @@
 
 @define
 class StreamRelay:
-    """Relays one caller's stream; a broken stream is resumed after its last complete event.
+    """Relays one answer of a caller's stream; a broken one is resumed after its last whole event.
 
-    ``note_first_event`` is called when the first complete event has arrived from the upstream.
+    ``note_first_event`` is called when the first complete event has arrived from the upstream, and
+    ``note_under_way`` with the time of that when later ones have come for ``UNDER_WAY_S``.
     """
 
     request: CallerRequest
     responder: Responder
     progress: StreamProgress
     note_first_event: Callable[[], None] = lambda: None
+    note_under_way: Callable[[float], None] = lambda answered_at: None
+    _started_at: float | None = None
+    _is_under_way: bool = False
 
     async def relay(self, answer: OpenAnswer, move_timer: MoveTimer) -> Outcome:
         """Relay events until the answer ends; ``move_timer`` is restarted with complete events."""
         splitter = EventSplitter(last_id=self.progress.last_id)
         connection = answer.connection
-        has_started = False
         try:
             while (part := await connection.read_part()) is not None:
                 events = splitter.feed(part)
@@ -52,9 +57,6 @@
                     return Broken(f"an event of more than {MAX_EVENT_BYTES} bytes")
                 if events:
                     self._note_progress(move_timer)
-                    if not has_started:
-                        has_started = True
-                        self.note_first_event()
                     await self._forward(answer.head, events)
                     self.progress.last_id = splitter.last_id
             # A body of the announced length is whole, whatever it contains.
@@ -82,6 +84,13 @@
         await self.responder.write(data)
 
     def _note_progress(self, move_timer: MoveTimer) -> None:
+        now = asyncio.get_running_loop().time()
+        if self._started_at is None:
+            self._started_at = now
+            self.note_first_event()
+        elif not self._is_under_way and now - self._started_at >= UNDER_WAY_S:
+            self._is_under_way = True
+            self.note_under_way(self._started_at)
         event_gap_s = self.request.route.target_event_gap_s
         if event_gap_s is None:
             move_timer.stop()
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -11,6 +11,7 @@
     CrashReport,
     Heartbeat,
     HostState,
+    PartAnswered,
     PartVerdict,
     PeerLiveness,
     UpstreamBackoff,
@@ -54,6 +55,7 @@
             leaving=(UpstreamLeaving("i", 1_700_000_000_000),),
             backing_off=(UpstreamBackoff("i", 1500),),
             crashes=(CrashReport("i", 3, 20, (("5c1e", 0, 310), ("dead", 2, 90))),),
+            answered=(PartAnswered("5c1e", 120),),
             verdicts=(PartVerdict("dead", 2, False, 4000),),
         )
         self.assertEqual(sent, decode_heartbeat(sent.encode()))
