--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -28,7 +28,8 @@
     ``DECLINE`` refuses without execution, ``LOSE_RESPONSE`` resets the connection after execution,
     ``CUT_STREAM`` resets a stream within an event, ``TRUNCATE`` does so too and ends other bodies
     early, and ``SURPLUS`` sends a second response that belongs to no request. ``BACK_OFF`` refuses
-    and asks for a pause, the endless ones send until the connection is closed.
+    and asks for a pause, the endless ones send until the connection is closed. ``UNFRAMED`` sends
+    streams that end with their connection, half of them within an event.
     """
 
     NORMAL = "well"
@@ -42,6 +43,7 @@
     BACK_OFF = "back off"
     ENDLESS_HEAD = "endless head"
     ENDLESS_BODY = "endless body"
+    UNFRAMED = "unframed"
 
 
 async def _send_without_end(call: Call, behaviour: Behaviour) -> None:
@@ -115,8 +117,7 @@
             case Behaviour.ENDLESS_HEAD | Behaviour.ENDLESS_BODY:
                 await _send_without_end(call, behaviour)
             case _ if " /stream/" in call.lines[0]:
-                cut = behaviour in (Behaviour.CUT_STREAM, Behaviour.TRUNCATE)
-                await self._stream(call, cut=cut)
+                await self._stream(call, behaviour)
             case Behaviour.TRUNCATE:
                 call.start_answer(len(make_response_body(request_id)))
                 call.writer.write(make_response_body(request_id)[:20])
@@ -138,8 +139,11 @@
         leaving = "Server-Leaving: 1\r\n" if self.is_leaving else ""
         return f"{leaving}Soak-Upstream: {self.name}\r\n"
 
-    async def _stream(self, call: Call, *, cut: bool) -> None:
-        call.start_events(self._make_headers())
+    async def _stream(self, call: Call, behaviour: Behaviour) -> None:
+        cut = behaviour in (Behaviour.CUT_STREAM, Behaviour.TRUNCATE)
+        chunked = behaviour is not Behaviour.UNFRAMED
+        ends_early = not chunked and self.random.random() < 0.5
+        call.start_events(self._make_headers(), chunked=chunked)
         first = int(call.header("Last-Event-Id") or 0) + 1
         for number in range(first, EVENT_COUNT + 1):
             await asyncio.sleep(EVENT_INTERVAL_S)
@@ -147,5 +151,12 @@
                 call.write_event(number, missing_bytes=3)
                 call.reset()
                 return
-            call.write_event(number)
-        call.end_events()
+            if ends_early and number == first + 2:
+                call.write_event(number, missing_bytes=3, chunked=False)
+                break
+            call.write_event(number, chunked=chunked)
+        if chunked:
+            call.end_events()
+        else:
+            await call.writer.drain()
+            call.writer.close()
--- a/tests/test_relay_streams.py
+++ b/tests/test_relay_streams.py
@@ -29,11 +29,7 @@
     """Return a script of a signed stream whose body ends as its framing says."""
 
     async def script(call: Call) -> None:
-        framing = "Transfer-Encoding: chunked\r\n" if chunked else ""
-        call.writer.write(
-            f"HTTP/1.1 200 OK\r\nAttempt-Id: {call.header('Attempt-Id')}\r\n"
-            f"Server-Seal: s\r\nContent-Type: text/event-stream\r\n{framing}\r\n".encode()
-        )
+        call.start_events(chunked=chunked)
         call.writer.write(encode_chunk(body) + LAST_CHUNK if chunked else body)
         await call.writer.drain()
         call.writer.close()
--- a/tests/wire.py
+++ b/tests/wire.py
@@ -9,6 +9,7 @@
 
 from cherrylane.http.inbound import RESET_ON_CLOSE
 from cherrylane.http.limits import InboundLimits
+from cherrylane.http.messages import encode_chunk
 from cherrylane.platform.versions import StoreVersion
 from cherrylane.relay.request import CallerRequest, Prompt
 from cherrylane.routing.routes import (
@@ -88,18 +89,19 @@
             f"Server-Seal: s\r\n{extra}Content-Length: {length}\r\n\r\n".encode()
         )
 
-    def start_events(self, extra: str = "") -> None:
-        """Write the head of an event stream."""
+    def start_events(self, extra: str = "", *, chunked: bool = True) -> None:
+        """Write the head of an event stream, which ends with the connection if not ``chunked``."""
+        framing = "Transfer-Encoding: chunked\r\n" if chunked else ""
         self.writer.write(
             f"HTTP/1.1 200 OK\r\nAttempt-Id: {self.header('Attempt-Id')}\r\nServer-Seal: s\r\n"
-            f"Content-Type: text/event-stream\r\n{extra}Transfer-Encoding: chunked\r\n\r\n".encode()
+            f"Content-Type: text/event-stream\r\n{extra}{framing}\r\n".encode()
         )
 
-    def write_event(self, number: int, *, missing_bytes: int = 0) -> None:
+    def write_event(self, number: int, *, missing_bytes: int = 0, chunked: bool = True) -> None:
         """Write one event without its last ``missing_bytes`` bytes."""
         text = f"id: {number}\ndata: {number}\n\n".encode()
         data = text[: len(text) - missing_bytes]
-        self.writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+        self.writer.write(encode_chunk(data) if chunked else data)
 
     def end_events(self) -> None:
         """Write the end of the stream."""
