--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -7,6 +7,13 @@
 from bench.figures import Figure
 from cherrylane.gossip.messages import Heartbeat, HostState, PeerLiveness, decode_heartbeat
 from cherrylane.http.limits import InboundLimits
+from cherrylane.limits.quarantine import (
+    MAX_ANSWERED,
+    MAX_CRASHES,
+    PromptQuarantine,
+    Suspect,
+    UpstreamCrash,
+)
 from cherrylane.placement.caches import CachedPart, CacheMap
 from cherrylane.placement.choice import Candidate, Chooser
 from cherrylane.placement.loads import Load
@@ -31,16 +38,19 @@
 ROUTES = (120, 5_000)
 ACCOUNTS = 47_000
 CHATS = 10_000
+# Suspects of a crash, as on a day on which one engine after the other crashes.
+SUSPECTS = 30
 EVENT = b"id: 12\ndata: " + b"x" * 65 + b"\n\n"
 
 
 def measure_gateway() -> list[Figure]:
-    """Measure upstream choice, route lookup, heartbeats, event splitting and memory."""
+    """Measure upstream choice, routes, heartbeats, event splitting, quarantine and memory."""
     return [
         *(_measure_choice(count) for count in ENGINES),
         *(_measure_route(count) for count in ROUTES),
         *_measure_heartbeat(),
         _measure_event(),
+        *(_measure_quarantine(crashes) for crashes in (0, MAX_CRASHES)),
         *_measure_memory(),
     ]
 
@@ -107,6 +117,38 @@
     )
 
 
+def _measure_quarantine(crashes: int) -> Figure:
+    """Measure what a request costs after ``crashes`` crashes, against the choice of its engine."""
+    quarantine = _make_quarantine(crashes)
+    parts = ["5c1e07a2", "91bd3f06"]
+    prompt = Prompt("m", tuple(PromptPart(part, 500) for part in (*parts, "own")))
+    upstreams = [
+        Upstream(f"i-{n:08x}", "s", Endpoint("10.0.0.1", 80), "a", 64, UpstreamState.READY)
+        for n in range(ENGINES[0])
+    ]
+    candidates = [Candidate(upstream, Load(5)) for upstream in upstreams]
+    chooser = Chooser("a", 2.0, CacheMap())
+
+    def check_request() -> None:
+        quarantine.find(parts, now=1.0)
+        for part in parts:
+            quarantine.note_answered(part, 0.5)
+
+    check = _time_call(check_request, 5_000)
+    choice = _time_call(lambda: chooser.choose_for_chat(prompt, candidates, upstreams), 5_000)
+    return Figure(f"gateway: quarantine, {crashes} crashes", check, "us", "choice", choice)
+
+
+def _make_quarantine(crashes: int) -> PromptQuarantine:
+    quarantine = PromptQuarantine()
+    for number in range(crashes):
+        suspects = tuple(Suspect(f"{number:04x}{n:04x}", 1, 0.1) for n in range(SUSPECTS))
+        quarantine.note_crash(UpstreamCrash(f"i-{number}", 1, 0.0, suspects), now=0.0)
+    for number in range(MAX_ANSWERED):
+        quarantine.note_answered(f"{number:016x}", -1.0)
+    return quarantine
+
+
 def _measure_memory() -> list[Figure]:
     def make_accounts() -> object:
         return RouteTable(_make_configuration(1, ACCOUNTS))
@@ -132,6 +174,11 @@
         Figure(
             "gateway memory: a cached part", _measure_retained_bytes(make_caches) / CHATS, "bytes"
         ),
+        Figure(
+            "gateway memory: a full quarantine",
+            _measure_retained_bytes(lambda: _make_quarantine(MAX_CRASHES)),
+            "bytes",
+        ),
     ]
 
 
--- a/src/cherrylane/relay/attempts.py
+++ b/src/cherrylane/relay/attempts.py
@@ -19,7 +19,7 @@
 from cherrylane.placement.loads import InFlightRequest, Load, LoadTracker
 from cherrylane.platform.headers import Dispatch, is_leaving, read_backoff
 from cherrylane.relay.admission import is_stream
-from cherrylane.relay.crashes import BrokenAttempt, CrashGuard
+from cherrylane.relay.crashes import BrokenAttempt, CrashGuard, identify_parts
 from cherrylane.relay.exchange import ExchangeClient, OpenAnswer, is_success, may_be_events
 from cherrylane.relay.outcomes import (
     Answered,
@@ -382,7 +382,7 @@
                 "mean_load": round(choice.mean_load, 1),
                 "cached_tokens": choice.cached_tokens,
                 "shared_tokens": state.request.prompt.shared_tokens,
-                "parts": [part.key for part in state.request.prompt.shared_parts],
+                "parts": identify_parts(state.request),
                 "cache_source": choice.cache_source.name if choice.cache_source else "",
                 "config": snapshot.config_version,
                 "upstreams": str(snapshot.upstreams_version),
--- a/src/cherrylane/relay/crashes.py
+++ b/src/cherrylane/relay/crashes.py
@@ -22,8 +22,10 @@
 BEGINNING_S = 1.0
 # Time limit in seconds for the connection that tells whether an upstream has crashed.
 PROBE_TIMEOUT_S = 0.15
-# Longest key of a part that is used as it is; callers choose the keys, and hosts exchange them.
+# Bounds on what callers choose and hosts log and exchange: the longest key of a part that is used
+# as it is, and the number of parts of a prompt that are considered.
 MAX_KEY_CHARACTERS = 32
+MAX_PARTS = 64
 
 log = Logger("cherrylane.relay")
 
@@ -122,8 +124,11 @@
 
 
 def identify_parts(request: CallerRequest) -> list[str]:
-    """Return the parts of a prompt that others may share, by their keys or a hash of long ones."""
+    """Return the parts of a prompt that others may share, by their keys or a hash of long ones.
+
+    Of a prompt with very many parts these are the first ``MAX_PARTS``.
+    """
     return [
         part.key if len(part.key) <= MAX_KEY_CHARACTERS else xxh3_64_hexdigest(part.key.encode())
-        for part in request.prompt.shared_parts
+        for part in request.prompt.shared_parts[:MAX_PARTS]
     ]
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -5,6 +5,7 @@
 from cherrylane.limits.quarantine import PromptQuarantine, UpstreamCrash
 from cherrylane.relay.crashes import (
     BEGINNING_S,
+    MAX_PARTS,
     BrokenAttempt,
     CrashGuard,
     identify_parts,
@@ -75,12 +76,14 @@
         self.assertEqual([], run(scenario()))
 
     # Guards against heartbeats that callers make too long for a datagram.
-    def test_long_keys_of_parts_are_hashed(self) -> None:
+    def test_long_keys_of_parts_are_hashed_and_few_parts_considered(self) -> None:
         upstream = Upstream("i", "s", Endpoint("10.0.0.1", 80), "a", 4, UpstreamState.READY)
         request = make_attempt(upstream, "a" * 32, "b" * 16_000, "b" * 16_001).request
         first, second, third = identify_parts(request)
         self.assertEqual(("a" * 32, 16, 16), (first, len(second), len(third)))
         self.assertNotEqual(second, third)
+        many = make_attempt(upstream, *(f"{number}" for number in range(4000))).request
+        self.assertEqual(MAX_PARTS, len(identify_parts(many)))
 
     def test_the_request_of_a_part_that_was_sent_last_counts(self) -> None:
         async def scenario() -> list[UpstreamCrash]:
