--- /dev/null
+++ b/src/cherrylane/relay/_attempt_log.py
@@ -0,0 +1,90 @@
+"""The log lines of attempts at upstreams; docs/OPERATIONS.md describes their fields."""
+
+import asyncio
+
+from logbook import Logger
+
+from cherrylane.limits.overload import Throughput
+from cherrylane.placement.choice import Choice
+from cherrylane.relay.crashes import identify_parts
+from cherrylane.relay.outcomes import Outcome
+from cherrylane.relay.request import CallerRequest
+from cherrylane.relay.selection import Overloaded
+from cherrylane.routing.snapshot import Snapshot
+
+log = Logger("cherrylane.relay")
+
+
+def log_choice(request: CallerRequest, attempt: int, choice: Choice, snapshot: Snapshot) -> None:
+    """Log the choice of an upstream for the attempt of this number, from 1."""
+    now = asyncio.get_running_loop().time()
+    log.info(
+        "dispatch",
+        extra={
+            "request": request.id,
+            "attempt": attempt,
+            "upstream": choice.upstream.name,
+            "reason": choice.reason,
+            "load": choice.load.requests,
+            "unread_tokens": choice.load.unread_tokens,
+            "mean_load": round(choice.mean_load, 1),
+            "cached_tokens": choice.cached_tokens,
+            "shared_tokens": request.prompt.shared_tokens,
+            "parts": identify_parts(request),
+            "cache_source": choice.cache_source.name if choice.cache_source else "",
+            "config": snapshot.config_version,
+            "upstreams": str(snapshot.upstreams_version),
+            "upstreams_age_s": round(now - snapshot.upstreams_updated_at, 1),
+        },
+    )
+
+
+def log_overload(
+    request: CallerRequest,
+    overload: Overloaded,
+    throughput: Throughput,
+    delay_s: float,
+    snapshot: Snapshot,
+) -> None:
+    """Log that a request is refused for ``delay_s`` seconds, and by what measure."""
+    log.info(
+        "request refused: no upstream is expected to start it in time",
+        extra={
+            "request": request.id,
+            "rank": request.rank,
+            "target_ms": round(request.route.target_s * 1000),
+            "waited_ms": round(request.waited_s * 1000),
+            "upstreams": overload.upstreams,
+            "least_load": overload.least_requests,
+            "least_unread_tokens": overload.least_unread_tokens,
+            "seconds_per_request": round(throughput.seconds_per_request, 3),
+            "tokens_per_s": round(throughput.tokens_per_s),
+            "retry_after_s": round(delay_s, 2),
+            "config": snapshot.config_version,
+            "upstreams_version": str(snapshot.upstreams_version),
+        },
+    )
+
+
+def log_failed_attempt(
+    request: CallerRequest, upstream: str, outcome: Outcome, seconds: float, has_started: bool
+) -> None:
+    """Log an attempt that gave no answer to pass on; ``has_started`` if a first event had come."""
+    log.info(
+        "attempt failed",
+        extra={
+            "request": request.id,
+            "upstream": upstream,
+            "outcome": type(outcome).__name__,
+            "reason": getattr(outcome, "reason", ""),
+            "has_started": has_started,
+            "ms": round(seconds * 1000, 1),
+        },
+    )
+
+
+def log_backoff(upstream: str, seconds: float) -> None:
+    """Log that an upstream wants no request from this host for a while."""
+    log.info(
+        "upstream asks to back off", extra={"upstream": upstream, "seconds": round(seconds, 3)}
+    )
--- a/src/cherrylane/relay/attempts.py
+++ b/src/cherrylane/relay/attempts.py
@@ -9,7 +9,6 @@
 from random import Random
 
 from attrs import define, field
-from logbook import Logger
 
 from cherrylane.http.messages import ResponseHead
 from cherrylane.http.responder import Responder
@@ -18,8 +17,14 @@
 from cherrylane.placement.choice import Choice
 from cherrylane.placement.loads import InFlightRequest, Load, LoadTracker
 from cherrylane.platform.headers import Dispatch, is_leaving, read_backoff
+from cherrylane.relay._attempt_log import (
+    log_backoff,
+    log_choice,
+    log_failed_attempt,
+    log_overload,
+)
 from cherrylane.relay.admission import is_stream
-from cherrylane.relay.crashes import BrokenAttempt, CrashGuard, identify_parts
+from cherrylane.relay.crashes import BrokenAttempt, CrashGuard
 from cherrylane.relay.exchange import ExchangeClient, OpenAnswer, is_success, may_be_events
 from cherrylane.relay.outcomes import (
     Answered,
@@ -53,8 +58,6 @@
 # Seconds over which callers are spread when an upstream accepts requests again.
 BACKOFF_SPREAD_S = 0.25
 
-log = Logger("cherrylane.relay")
-
 
 @define
 class AttemptRecord:
@@ -152,7 +155,7 @@
             case AllBackingOff(first_end_s=first_end_s):
                 delay_s = first_end_s + self.random.uniform(0.0, BACKOFF_SPREAD_S)
                 return self._give_up(state, responder, Cause.BACKING_OFF, delay_s)
-        self._log_choice(state, choice, snapshot)
+        log_choice(request, len(state.attempts) + 1, choice, snapshot)
         return choice
 
     def _may_retry(self, state: RequestState, outcome: Outcome) -> bool:
@@ -255,10 +258,7 @@
             return
         now = asyncio.get_running_loop().time()
         self.selector.backoffs.note(upstream.name, upstream.incarnation, backoff_s, now)
-        log.info(
-            "upstream asks to back off",
-            extra={"upstream": upstream.name, "seconds": round(backoff_s, 3)},
-        )
+        log_backoff(upstream.name, backoff_s)
 
     def _make_dispatch(self, state: RequestState, choice: Choice) -> Dispatch:
         request = state.request
@@ -299,23 +299,7 @@
         now = asyncio.get_running_loop().time()
         delay_s = self.retry_delays.choose_delay(request.deadline - now, now)
         throughput = self.selector.throughput_of(request.service)
-        log.info(
-            "request refused: no upstream is expected to start it in time",
-            extra={
-                "request": request.id,
-                "rank": request.rank,
-                "target_ms": round(request.route.target_s * 1000),
-                "waited_ms": round(request.waited_s * 1000),
-                "upstreams": overload.upstreams,
-                "least_load": overload.least_requests,
-                "least_unread_tokens": overload.least_unread_tokens,
-                "seconds_per_request": round(throughput.seconds_per_request, 3),
-                "tokens_per_s": round(throughput.tokens_per_s),
-                "retry_after_s": round(delay_s, 2),
-                "config": snapshot.config_version,
-                "upstreams_version": str(snapshot.upstreams_version),
-            },
-        )
+        log_overload(request, overload, throughput, delay_s, snapshot)
         return Rejection(Cause.OVERLOADED, retry_after_s=delay_s)
 
     def _record_attempt(
@@ -347,17 +331,8 @@
             )
         state.attempts.append(AttemptRecord(name, type(outcome).__name__, now - started_at))
         if not isinstance(outcome, Answered | Completed):
-            log.info(
-                "attempt failed",
-                extra={
-                    "request": state.request.id,
-                    "upstream": name,
-                    "outcome": type(outcome).__name__,
-                    "reason": getattr(outcome, "reason", ""),
-                    "has_started": answered_at is not None,
-                    "ms": round((now - started_at) * 1000, 1),
-                },
-            )
+            seconds = now - started_at
+            log_failed_attempt(state.request, name, outcome, seconds, answered_at is not None)
 
     def _record_cached(self, state: RequestState, upstream: str) -> None:
         snapshot = self.read_snapshot()
@@ -368,28 +343,6 @@
             parts = state.request.prompt.shared_parts
             self.selector.chooser.caches.note_run(upstream, parts, service.engine.kv_cache_tokens)
 
-    def _log_choice(self, state: RequestState, choice: Choice, snapshot: Snapshot) -> None:
-        now = asyncio.get_running_loop().time()
-        log.info(
-            "dispatch",
-            extra={
-                "request": state.request.id,
-                "attempt": len(state.attempts) + 1,
-                "upstream": choice.upstream.name,
-                "reason": choice.reason,
-                "load": choice.load.requests,
-                "unread_tokens": choice.load.unread_tokens,
-                "mean_load": round(choice.mean_load, 1),
-                "cached_tokens": choice.cached_tokens,
-                "shared_tokens": state.request.prompt.shared_tokens,
-                "parts": identify_parts(state.request),
-                "cache_source": choice.cache_source.name if choice.cache_source else "",
-                "config": snapshot.config_version,
-                "upstreams": str(snapshot.upstreams_version),
-                "upstreams_age_s": round(now - snapshot.upstreams_updated_at, 1),
-            },
-        )
-
 
 def _find_patience(request: CallerRequest) -> float:
     """Return how many seconds an upstream gets to start its answer, if others are left."""
