Let answers stand against repeated reports of crashes, and against verdicts of peers

Found in the last reading of the quarantine: reports of a crash are sent in several heartbeats, and one that came after an answer made a part that it had cleared a suspect again; a verdict of a peer was taken over though an answer since its last crash contradicts it; heartbeats named the newest verdicts only, lifted ones among them.

--- a/src/cherrylane/limits/quarantine.py
+++ b/src/cherrylane/limits/quarantine.py
@@ -28,8 +28,10 @@
 # Number of crashes and verdicts that are remembered; the oldest ones are dropped.
 MAX_CRASHES = 64
 MAX_VERDICTS = 64
-# Number of parts of which it is remembered that they have been answered.
+# Number of parts of which it is remembered when they were answered.
 MAX_ANSWERED = 4096
+# Seconds in which all hosts hear of a new verdict.
+NEWS_S = 30.0
 
 log = Logger("cherrylane.limits")
 
@@ -118,7 +120,8 @@
     is_trial_host: Callable[[str], bool] = lambda part: True
     _crashes: dict[tuple[str, int], _Crash] = field(factory=dict)
     _verdicts: dict[str, _VerdictState] = field(factory=dict)
-    _answered: dict[str, None] = field(factory=dict)
+    # The begin of the last known answer to each part, the part answered last at the end.
+    _answered: dict[str, float] = field(factory=dict)
     _next_judgement: float = float("inf")
 
     def note_crash(self, crash: UpstreamCrash, now: float) -> None:
@@ -128,6 +131,8 @@
         )
         for suspect in crash.suspects:
             verdict = self._verdicts.get(suspect.part)
+            if self._was_answered_since(suspect.part, known.at):
+                continue
             if verdict is not None and verdict.is_lifted and known.at <= verdict.since:
                 continue
             # The request sent last is the least likely to be at another crash by chance.
@@ -145,8 +150,7 @@
 
         Returns whether it was a suspect of a crash before.
         """
-        self._answered.pop(part, None)
-        self._answered[part] = None
+        self._answered[part] = max(answered_at, self._answered.pop(part, answered_at))
         if len(self._answered) > MAX_ANSWERED:
             del self._answered[next(iter(self._answered))]
         verdict = self._verdicts.get(part)
@@ -183,6 +187,8 @@
         if verdict.is_lifted:
             self._clear(verdict.part, now)
         self._set_verdict(verdict, now)
+        if not verdict.is_lifted and self._was_answered_since(verdict.part, now - verdict.age_s):
+            self._lift(verdict.part, self._verdicts[verdict.part], now)
         log.notice(
             "verdict of a peer on a part of prompts",
             extra={
@@ -193,16 +199,23 @@
         )
 
     def list_verdicts(self, now: float) -> list[Verdict]:
-        """Return the verdicts to tell peers, the newest first; drops those that have expired."""
+        """Return the verdicts to tell peers, and drop those that have expired.
+
+        Those of the last ``NEWS_S`` come first, then those in force.
+        """
         self._verdicts = {
             part: verdict
             for part, verdict in self._verdicts.items()
             if now - verdict.crashed_at <= VERDICT_LIFETIME_S
         }
-        newest = sorted(self._verdicts.items(), key=lambda item: item[1].since, reverse=True)
+
+        def rank(item: tuple[str, _VerdictState]) -> tuple[bool, bool, float]:
+            _, verdict = item
+            return now - verdict.since > NEWS_S, verdict.is_lifted, -verdict.since
+
         return [
             Verdict(part, verdict.generation, verdict.is_lifted, now - verdict.crashed_at)
-            for part, verdict in newest
+            for part, verdict in sorted(self._verdicts.items(), key=rank)
         ]
 
     def count_crashes(self, part: str) -> int:
@@ -224,13 +237,18 @@
         settled = [
             crash for crash in self._crashes.values() if crash.noted_at + self.settle_s <= now
         ]
-        while guilty := self._find_guilty(settled):
-            deepest = max(depth for _, depth in guilty)
-            for part in [part for part, depth in guilty if depth == deepest]:
+        condemned: set[str] = set()
+        while guilty := self._find_guilty(settled, condemned):
+            deepest = max(guilty.values())
+            for part in [part for part, depth in guilty.items() if depth == deepest]:
                 self._condemn(part, settled, now)
+                condemned.add(part)
+
+    def _find_guilty(self, crashes: list[_Crash], condemned: set[str]) -> dict[str, int]:
+        """Return the parts with enough successive crashes that no verdict explains, with depths.
 
-    def _find_guilty(self, crashes: list[_Crash]) -> list[tuple[str, int]]:
-        """Return the parts with enough successive crashes that no verdict explains, with depths."""
+        Leaves out those that are ``condemned`` already.
+        """
         times: dict[str, list[tuple[float, float]]] = {}
         depths: dict[str, int] = {}
         for crash in crashes:
@@ -239,11 +257,11 @@
             for part, suspect in crash.suspects.items():
                 times.setdefault(part, []).append((crash.at - suspect.lead_s, crash.at))
                 depths[part] = max(suspect.depth, depths.get(part, 0))
-        return [
-            (part, depths[part])
+        return {
+            part: depths[part]
             for part, spans in times.items()
-            if count_successive(spans) >= self._find_min_crashes(part)
-        ]
+            if part not in condemned and count_successive(spans) >= self._find_min_crashes(part)
+        }
 
     def _find_min_crashes(self, part: str) -> int:
         return MIN_CRASHES_ANSWERED_BEFORE if part in self._answered else MIN_CRASHES
@@ -303,6 +321,9 @@
             del crash.suspects[part]
         return bool(suspected)
 
+    def _was_answered_since(self, part: str, at: float) -> bool:
+        return self._answered.get(part, at) > at + DATING_ERROR_S
+
     def _is_in_force(self, part: str) -> bool:
         verdict = self._verdicts.get(part)
         return verdict is not None and not verdict.is_lifted
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -99,6 +99,24 @@
             self.assertIsNone(quarantine.find((SYSTEM, ACCOUNT), now))
         self.assertIsNotNone(quarantine.find(PARTS, now))
 
+    # Guards against a crash that peers report again undoing an answer since then.
+    def test_repeated_reports_do_not_bring_back_a_part_that_was_answered_since(self) -> None:
+        quarantine = PromptQuarantine()
+        crash_often(quarantine, MIN_CRASHES_ANSWERED_BEFORE, SYSTEM)
+        quarantine.note_answered(SYSTEM, 10.0)
+        for number in range(MIN_CRASHES_ANSWERED_BEFORE):
+            quarantine.note_crash(make_crash(number, SYSTEM, age_s=11.0 - number), now=11.0)
+        self.assertIsNone(quarantine.find((SYSTEM,), 11.0))
+
+    def test_more_guilty_parts_than_verdicts_are_judged(self) -> None:
+        quarantine = PromptQuarantine()
+        suspects = tuple(Suspect(f"p{number}", 1, 0.2) for number in range(MAX_VERDICTS + 9))
+        for number in range(3):
+            crash = UpstreamCrash(f"i-{number}", 1, 0.0, suspects)
+            quarantine.note_crash(crash, float(number))
+        quarantine.find(("p0",), 2.0)
+        self.assertEqual(MAX_VERDICTS, quarantine.count_in_force())
+
     def test_memory_of_answered_parts_is_bounded(self) -> None:
         quarantine = PromptQuarantine()
         for number in range(MAX_ANSWERED * 2):
@@ -216,6 +234,25 @@
             quarantine.note_crash(make_crash(number, *PARTS, age_s=3.0 - number), now + 1.0)
         self.assertIsNone(quarantine.find(PARTS, now + 1.0))
 
+    # Guards against a host refusing for all what another one has seen answered.
+    def test_a_verdict_on_a_part_that_was_answered_since_its_last_crash_is_lifted(self) -> None:
+        quarantine = PromptQuarantine()
+        quarantine.note_answered(SYSTEM, 9.0)
+        quarantine.apply_verdict(Verdict(SYSTEM, 1, False, age_s=2.0), now=10.0)
+        self.assertIsNone(quarantine.find((SYSTEM,), 10.0))
+        self.assertEqual([Verdict(SYSTEM, 1, True, 2.0)], quarantine.list_verdicts(10.0))
+        quarantine.apply_verdict(Verdict(SYSTEM, 2, False, age_s=0.5), now=10.0)
+        self.assertIsNotNone(quarantine.find((SYSTEM,), 10.0))
+
+    # Guards against a host that starts not hearing of a verdict because of newer ones on others.
+    def test_verdicts_in_force_are_told_before_those_that_were_lifted_long_ago(self) -> None:
+        quarantine = PromptQuarantine()
+        quarantine.apply_verdict(Verdict("dead", 1, False, 1.0), now=0.0)
+        quarantine.apply_verdict(Verdict("old", 1, True, 1.0), now=1.0)
+        quarantine.apply_verdict(Verdict("new", 1, True, 1.0), now=100.0)
+        told = [verdict.part for verdict in quarantine.list_verdicts(now=101.0)]
+        self.assertEqual(["new", "dead", "old"], told)
+
     def test_an_expired_verdict_is_ignored(self) -> None:
         quarantine = PromptQuarantine()
         quarantine.apply_verdict(Verdict(TAINTED, 1, False, VERDICT_LIFETIME_S + 1), now=0.0)
