Bound the suspects of a crash, and drop lifted verdicts before those in force

Cause: a crash took any number of suspects, so callers with many parts in many prompts could fill a host's memory (64 crashes); and verdicts were dropped by age alone, so that newer lifted ones drove out one in force. Ruled out: expiry by time, which both have. Change: 256 suspects a crash, lifted verdicts go first.

--- a/src/cherrylane/limits/quarantine.py
+++ b/src/cherrylane/limits/quarantine.py
@@ -28,6 +28,8 @@
 # Number of crashes and verdicts that are remembered; the oldest ones are dropped.
 MAX_CRASHES = 64
 MAX_VERDICTS = 64
+# Number of suspects of one crash; callers choose how many parts their prompts have.
+MAX_SUSPECTS = 256
 # Number of parts of which it is remembered when they were answered.
 MAX_ANSWERED = 4096
 # Seconds in which all hosts hear of a new verdict.
@@ -137,6 +139,8 @@
                 continue
             # The request sent last is the least likely to be at another crash by chance.
             other = known.suspects.get(suspect.part)
+            if other is None and len(known.suspects) >= MAX_SUSPECTS:
+                continue
             if other is None or suspect.lead_s < other.lead_s:
                 known.suspects[suspect.part] = suspect
                 self._next_judgement = min(self._next_judgement, known.noted_at + self.settle_s)
@@ -302,7 +306,12 @@
             trial_at=crashed_at + _find_trial_interval(verdict.generation),
         )
         while len(self._verdicts) > MAX_VERDICTS:
-            del self._verdicts[min(self._verdicts, key=lambda part: self._verdicts[part].since)]
+            del self._verdicts[min(self._verdicts, key=self._rank_for_eviction)]
+
+    def _rank_for_eviction(self, part: str) -> tuple[bool, float]:
+        """Order lifted verdicts before those in force, and old ones before new ones."""
+        verdict = self._verdicts[part]
+        return not verdict.is_lifted, verdict.since
 
     def _lift(self, part: str, verdict: _VerdictState, answered_at: float) -> None:
         verdict.is_lifted = True
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -5,6 +5,7 @@
     FIRST_TRIAL_S,
     MAX_ANSWERED,
     MAX_CRASHES,
+    MAX_SUSPECTS,
     MAX_VERDICTS,
     MIN_CRASHES_ANSWERED_BEFORE,
     TRIAL_TIMEOUT_S,
@@ -117,6 +118,21 @@
         quarantine.find(("p0",), 2.0)
         self.assertEqual(MAX_VERDICTS, quarantine.count_in_force())
 
+    # Guards against callers that fill a host's memory with the parts of their prompts.
+    def test_the_suspects_of_a_crash_are_bounded(self) -> None:
+        quarantine = PromptQuarantine()
+        for number in range(MAX_SUSPECTS * 2):
+            quarantine.note_crash(make_crash(1, f"p{number}"), 0.0)
+        self.assertEqual(MAX_SUSPECTS, len(next(iter(quarantine._crashes.values())).suspects))
+
+    # Guards against a part that crashes engines being forgotten because others were lifted.
+    def test_lifted_verdicts_are_dropped_before_those_in_force(self) -> None:
+        quarantine = PromptQuarantine()
+        quarantine.apply_verdict(Verdict("dead", 1, False, 0.0), now=0.0)
+        for number in range(MAX_VERDICTS * 2):
+            quarantine.apply_verdict(Verdict(f"p{number}", 1, True, 0.0), now=1.0 + number)
+        self.assertIsNotNone(quarantine.find(("dead",), 2.0))
+
     def test_memory_of_answered_parts_is_bounded(self) -> None:
         quarantine = PromptQuarantine()
         for number in range(MAX_ANSWERED * 2):
