Tell hosts that start of all verdicts in force, in turn

Cause: a heartbeat names six verdicts, always the same ones, so a host that started heard of no more. Ruled out: longer heartbeats, which must fit a datagram. Change: half of the places go to the others in turn. The test with 30 verdicts: 6 heard before, 30 after, in 30 heartbeats.

--- a/src/cherrylane/gateway/announcements.py
+++ b/src/cherrylane/gateway/announcements.py
@@ -53,6 +53,7 @@
     _leaving: UpdateQueue[UpstreamLeaving] = field(factory=UpdateQueue)
     _crashes: UpdateQueue[_NotedCrash] = field(factory=UpdateQueue)
     _answered: UpdateQueue[tuple[str, float]] = field(factory=UpdateQueue)
+    _turn: int = 0
 
     def note_leaving(self, upstream: Upstream) -> None:
         """Send nothing more to an upstream that says that it leaves, and tell the peers."""
@@ -112,12 +113,19 @@
                 PartVerdict(
                     verdict.part, verdict.generation, verdict.is_lifted, round(verdict.age_s * 1000)
                 )
-                for verdict in self.quarantine.list_verdicts(now)[:MAX_VERDICTS]
+                for verdict in self._take_verdicts(now)
             ),
             has_full_cache_map=has_full_cache_map,
             confirmation_age_ms=confirmation_age_ms,
         )
 
+    def _take_verdicts(self, now: float) -> list[Verdict]:
+        """Return the first verdicts, and in turn the others: a host that starts hears of all."""
+        verdicts = self.quarantine.list_verdicts(now)
+        first, others = verdicts[: MAX_VERDICTS // 2], verdicts[MAX_VERDICTS // 2 :]
+        self._turn = (self._turn + MAX_VERDICTS // 2) % max(1, len(others))
+        return first + (others[self._turn :] + others[: self._turn])[: MAX_VERDICTS // 2]
+
     def handle_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
         """Take over a newer era of the store, and what a peer has heard from upstreams."""
         if heartbeat.upstreams_version != NO_VERSION:
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -1,6 +1,6 @@
 from testtools import TestCase
 
-from cherrylane.gateway.announcements import MAX_SUSPECTS, Announcements
+from cherrylane.gateway.announcements import MAX_SUSPECTS, MAX_VERDICTS, Announcements
 from cherrylane.gateway.routing_state import RoutingState
 from cherrylane.gossip.messages import (
     MAX_DATAGRAM_BYTES,
@@ -9,7 +9,7 @@
     decode_heartbeat,
 )
 from cherrylane.limits.backoff import BackoffTracker
-from cherrylane.limits.quarantine import PromptQuarantine, Suspect, UpstreamCrash
+from cherrylane.limits.quarantine import PromptQuarantine, Suspect, UpstreamCrash, Verdict
 from cherrylane.placement.caches import CacheMap
 from cherrylane.placement.loads import LoadTracker
 from cherrylane.platform.client import AsyncPlatformClient
@@ -103,6 +103,18 @@
 
         self.assertEqual([True] * HOSTS, run(scenario()))
 
+    def test_a_host_that_starts_hears_of_all_verdicts_in_force(self) -> None:
+        async def scenario() -> int:
+            old, new = make_announcements("old"), make_announcements("new")
+            for number in range(5 * MAX_VERDICTS):
+                old.quarantine.apply_verdict(Verdict(f"p{number}", 1, False, 0.0), float(number))
+            for round_number in range(5 * MAX_VERDICTS):
+                now = 100.0 + round_number / 4
+                new.handle_heartbeat(send_heartbeat(old, now), now)
+            return new.quarantine.count_in_force()
+
+        self.assertEqual(5 * MAX_VERDICTS, run(scenario()))
+
     def test_the_parts_that_were_at_most_crashes_are_told_first(self) -> None:
         async def scenario() -> set[str]:
             host = make_announcements("h")
