Take ages that a peer dates in the future for now, and let the members say who acts for a key

Cause: a crash, answer or verdict with a negative age would never expire. Change: ages are at least zero when they are decoded; the test fails before. Beside it, the choice of the host that tries a quarantined part moves from the composition in gateway/runtime.py to gossip/members.py, with a test without a network: exactly one live host acts for a key.

--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -35,7 +35,6 @@
 from cherrylane.placement.choice import Chooser
 from cherrylane.placement.heat import ChatHeat
 from cherrylane.placement.loads import PEER_LOADS_LIFETIME_S, LoadTracker
-from cherrylane.placement.ranking import rank_names
 from cherrylane.platform.async_watcher import AsyncWatcher
 from cherrylane.platform.client import AsyncPlatformClient
 from cherrylane.platform.objects import Kind
@@ -378,11 +377,7 @@
         self._gossip.send_round()
 
     def _is_trial_host(self, part: str) -> bool:
-        """Return whether this host is the one of all live ones that tries a quarantined part."""
-        now = asyncio.get_running_loop().time()
-        own_address = self.members.own_address
-        addresses = [own_address, *(member.address for member in self.members.live(now))]
-        return rank_names(part, addresses)[0] == own_address
+        return self.members.is_first_for(part, asyncio.get_running_loop().time())
 
     def _drop_upstream_state(self, name: str) -> None:
         self.caches.forget(name)
--- a/src/cherrylane/gossip/members.py
+++ b/src/cherrylane/gossip/members.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 
 from cherrylane.gossip.messages import Heartbeat, HostState, PeerLiveness
+from cherrylane.placement.ranking import rank_names
 
 # Largest fleet in which each host does for itself what a few hosts do for all in a larger one.
 SMALL_FLEET_HOSTS = 12
@@ -77,6 +78,11 @@
         """Return the addresses of all known hosts, including silent ones."""
         return list(self._by_address)
 
+    def is_first_for(self, key: str, now: float) -> bool:
+        """Return whether this host is the one of all live ones that acts for ``key``."""
+        addresses = [self.own_address, *(member.address for member in self.live(now))]
+        return rank_names(key, addresses)[0] == self.own_address
+
     def live(self, now: float) -> list[Member]:
         """Return the live hosts."""
         return [member for member in self._by_address.values() if member.is_live(now)]
--- a/src/cherrylane/gossip/messages.py
+++ b/src/cherrylane/gossip/messages.py
@@ -202,9 +202,11 @@
                 for name, remaining in fields.get("w", ())
             ),
             crashes=tuple(_decode_crash(*crash) for crash in fields.get("x", ())),
-            answered=tuple(PartAnswered(str(part), int(age)) for part, age in fields.get("o", ())),
+            answered=tuple(
+                PartAnswered(str(part), _decode_age(age)) for part, age in fields.get("o", ())
+            ),
             verdicts=tuple(
-                PartVerdict(str(part), int(generation), bool(is_lifted), int(age))
+                PartVerdict(str(part), int(generation), bool(is_lifted), _decode_age(age))
                 for part, generation, is_lifted, age in fields.get("q", ())
             ),
         )
@@ -219,11 +221,18 @@
     return CrashReport(
         upstream=str(upstream),
         incarnation=int(incarnation),
-        age_ms=int(age),
-        suspects=tuple((str(part), int(depth), int(lead)) for part, depth, lead in suspects),
+        age_ms=_decode_age(age),
+        suspects=tuple(
+            (str(part), int(depth), _decode_age(lead)) for part, depth, lead in suspects
+        ),
     )
 
 
+def _decode_age(milliseconds: Any) -> int:
+    """Return an age; one in the future would never expire."""
+    return max(0, int(milliseconds))
+
+
 def _decode_loads(fields: dict[str, Any]) -> Iterator[tuple[str, Load]]:
     unread_tokens = fields.get("t", {})
     for name, count in fields.get("l", {}).items():
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -60,6 +60,17 @@
         )
         self.assertEqual(sent, decode_heartbeat(sent.encode()))
 
+    # Guards against what a peer dates in the future never expiring.
+    def test_ages_in_the_future_are_taken_for_now(self) -> None:
+        sent = make_heartbeat(
+            crashes=(CrashReport("i", 3, -50, (("dead", 2, -9),)),),
+            answered=(PartAnswered("5c1e", -1),),
+            verdicts=(PartVerdict("dead", 2, False, -(10**12)),),
+        )
+        received = decode_heartbeat(sent.encode())
+        self.assertEqual((0, 0), (received.crashes[0].age_ms, received.crashes[0].suspects[0][2]))
+        self.assertEqual((0, 0), (received.answered[0].age_ms, received.verdicts[0].age_ms))
+
     # Guards against a heartbeat that cannot be made short enough.
     def test_a_heartbeat_that_is_full_of_crashes_fits_a_datagram(self) -> None:
         suspects = tuple((f"{number:016x}", number, 60_000) for number in range(60))
@@ -144,6 +155,19 @@
         self.assertEqual(["10.0.0.1"], self.members.heartbeat_targets(later, include_dormant=True))
 
 
+class OneForAllTest(TestCase):
+    def test_exactly_one_live_host_acts_for_a_key(self) -> None:
+        addresses = [f"10.0.0.{number}" for number in range(1, 8)]
+        fleet = [Members(address) for address in addresses]
+        for members in fleet:
+            for number, address in enumerate(addresses):
+                members.record_heartbeat(address, make_heartbeat(f"h{number}"), now=1.0)
+        for key in ("dead", "5c1e", "91bd"):
+            self.assertEqual(1, sum(members.is_first_for(key, 1.0) for members in fleet), key)
+        silent = 1.0 + HEARTBEAT_TIMEOUT_S + 0.1
+        self.assertTrue(all(members.is_first_for("dead", silent) for members in fleet))
+
+
 class LargeFleetTest(TestCase):
     """A round reaches only some of seventy hosts, so each gets a heartbeat every few rounds."""
 
