Treat JSON that its connection ends early as truncated in the thread daemon

Callers saw: half a JSON object as a whole 200 when an engine that sends neither a length nor chunks crashed. Ruled out: bodies with a length or chunks, which are checked, and other types, whose content says nothing. Change: such a body has to decode, unless it is encoded. The new test fails before (three half documents read as whole) and passes now; five other bodies are read as before.

--- a/src/cherrylane/delivery/exchange.py
+++ b/src/cherrylane/delivery/exchange.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator, Mapping
 from http.client import HTTPException, IncompleteRead
 from http.client import HTTPResponse as ClientResponse
+from json import loads
 from select import POLLIN, POLLRDHUP, poll
 from socket import MSG_DONTWAIT, MSG_PEEK, socket
 from threading import Lock
@@ -14,7 +15,13 @@
 from urllib3.exceptions import HTTPError
 from urllib3.response import HTTPResponse
 
-from cherrylane.errors import CallerDisconnectedError, TruncatedResponseError, UpstreamError
+from cherrylane.delivery.responses import JSON_TYPE
+from cherrylane.errors import (
+    DECODING_ERRORS,
+    CallerDisconnectedError,
+    TruncatedResponseError,
+    UpstreamError,
+)
 from cherrylane.http.deadlines import DEADLINES
 from cherrylane.membership.runners import Runner
 from cherrylane.settings.schema import UpstreamSettings
@@ -219,6 +226,10 @@
         self._connection: HTTPConnection | None = connection
         self._response = response
         self.runner = runner
+        # urllib3 gives 0 for what has no body, such as the response to HEAD.
+        self._ends_with_connection = (
+            response.length_remaining is None and "Transfer-Encoding" not in response.headers
+        )
         self.status = response.status
         self.headers = response.headers
 
@@ -243,7 +254,8 @@
         """Return the whole body.
 
         Raises :class:`TruncatedResponseError` if it ends early, takes longer than the settings'
-        ``body_timeout_s`` or exceeds ``MAX_FULL_BODY_BYTES``.
+        ``body_timeout_s`` or exceeds ``MAX_FULL_BODY_BYTES``. JSON that ends with its connection
+        has ended early if it is no whole document.
         """
         what = f"body of a response of upstream {self.runner.name}"
         timeout_s = self._client.settings.body_timeout_s
@@ -251,8 +263,20 @@
             body = self._read_all()
         if limit.is_over:
             raise self._make_truncated_error(len(body), f"not complete within {timeout_s:g} s")
+        if self._is_json_ended_by_close and not _is_json(body):
+            raise self._make_truncated_error(len(body), "no whole JSON document")
         return body
 
+    @property
+    def _is_json_ended_by_close(self) -> bool:
+        """Whether only the content can tell a whole body from one that broke off."""
+        headers = self.headers
+        return (
+            self._ends_with_connection
+            and "Content-Encoding" not in headers
+            and headers.get("Content-Type", "").partition(";")[0].strip().lower() == JSON_TYPE
+        )
+
     def _read_all(self) -> bytes:
         parts: list[bytes] = []
         size = 0
@@ -298,6 +322,14 @@
         )
 
 
+def _is_json(body: bytes) -> bool:
+    try:
+        loads(body)
+    except DECODING_ERRORS:
+        return False
+    return True
+
+
 def is_disconnected(caller: socket) -> bool:
     """Return whether the other end of ``caller`` has closed the connection."""
     try:
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -44,6 +44,22 @@
             with ExpectedException(TruncatedResponseError):
                 self.read(send(HEAD + body))
 
+    # Guards against an engine's crash passing half an object on as a whole answer (like inc1).
+    def test_a_json_body_that_its_connection_ends_early_is_truncated(self) -> None:
+        for body in (b"", b'{"choices": [', b'{"n": "ab'):
+            with ExpectedException(TruncatedResponseError):
+                self.read(send(HEAD + b"Content-Type: application/json\r\n\r\n" + body))
+
+    def test_other_bodies_that_their_connection_ends_are_read(self) -> None:
+        for head, body in (
+            (b"Content-Type: application/json; charset=utf-8\r\n", b'{"n": [1]}'),
+            (b"Content-Type: text/plain\r\n", b'{"n": '),
+            (b"Content-Type: application/json\r\nContent-Encoding: gzip\r\n", b"\x1f\x8b"),
+            (b"Content-Type: application/json\r\nContent-Length: 3\r\n", b"{n}"),
+            (b"", b"abc"),
+        ):
+            self.assertEqual(body, self.read(send(HEAD + head + b"\r\n" + body)))
+
     def test_a_body_that_stalls_is_truncated(self) -> None:
         with ExpectedException(TruncatedResponseError):
             self.read(send_then_hang(HEAD + b"Content-Length: 5\r\n\r\nab"), SHORT_SILENCE)
