--- a/src/cherrylane/relay/_attempt_log.py
+++ b/src/cherrylane/relay/_attempt_log.py
@@ -83,6 +83,19 @@
     )
 
 
+def log_stall(request: CallerRequest, upstream: str, *, is_tried_elsewhere: bool) -> None:
+    """Log that an attempt makes no progress, and whether another one is started for it."""
+    log.info(
+        "attempt stalled",
+        extra={
+            "request": request.id,
+            "upstream": upstream,
+            "tried_elsewhere": is_tried_elsewhere,
+            "left_ms": round((request.deadline - asyncio.get_running_loop().time()) * 1000),
+        },
+    )
+
+
 def log_backoff(upstream: str, seconds: float) -> None:
     """Log that an upstream wants no request from this host for a while."""
     log.info(
--- a/src/cherrylane/relay/attempts.py
+++ b/src/cherrylane/relay/attempts.py
@@ -22,6 +22,7 @@
     log_choice,
     log_failed_attempt,
     log_overload,
+    log_stall,
 )
 from cherrylane.relay.admission import is_stream
 from cherrylane.relay.crashes import BrokenAttempt, CrashGuard
@@ -168,16 +169,18 @@
             return False
         return self.find_retry_budget(request.service).withdraw()
 
-    def _can_move(self, state: RequestState) -> bool:
+    def _can_move(self, state: RequestState, upstream: str) -> bool:
         """Return whether a request in progress could be sent to another upstream now."""
         request = state.request
         now = asyncio.get_running_loop().time()
-        return (
+        can_move = (
             request.route.is_idempotent
             and state.times_sent + 1 < request.route.max_attempts
             and self.find_retry_budget(request.service).has_retry
             and self.selector.has_another(request.service, self.read_snapshot(), state.tried, now)
         )
+        log_stall(request, upstream, is_tried_elsewhere=can_move)
+        return can_move
 
     async def _attempt(self, state: RequestState, choice: Choice, responder: Responder) -> Outcome:
         loop = asyncio.get_running_loop()
@@ -187,7 +190,7 @@
         in_flight = self.load_tracker.begin(name, Load(1, choice.unread_tokens))
         try:
             async with asyncio.timeout_at(state.request.deadline) as timeout:
-                move_timer = MoveTimer(timeout, lambda: self._can_move(state))
+                move_timer = MoveTimer(timeout, lambda: self._can_move(state, name))
                 move_timer.restart(_find_patience(state.request))
                 try:
                     outcome = await self._exchange(state, choice, responder, move_timer, in_flight)
