Show an answer that is lost to a refused move (LOST) in failing tests

Scripted upstreams: the first sends one event, is silent for 0.7 s (0.2 s are tolerated) and goes on; the second refuses with 503, with 503 and 'not run', by a reset, by half an answer, or is gone. Callers saw [1] and a reset instead of [1, 2, 3, 4], and 502 'outcome_unknown' instead of a late whole answer.

--- /dev/null
+++ b/tests/test_silent_upstreams.py
@@ -0,0 +1,182 @@
+"""Upstreams that fall silent for a while and go on, beside others that refuse or are silent too."""
+
+import asyncio
+
+from testtools import TestCase
+from testtools.matchers import Contains
+
+from cherrylane.http.messages import LAST_CHUNK
+from cherrylane.routing.routes import RequestKind
+from tests.relay_fixture import (
+    RelayFixture,
+    answer_503,
+    answer_truncated,
+    events,
+    never_answer,
+    refuse_not_run,
+    reset,
+    stream,
+    succeed,
+)
+from tests.wire import (
+    LOOPBACK,
+    Call,
+    Script,
+    make_configuration,
+    make_route,
+    run,
+    wait_for,
+)
+
+# Both routes give an upstream 0.2 s before another one is tried.
+RESUMABLE = make_route(
+    RequestKind.STREAM, is_resumable=True, target_event_gap_s=0.05, target_s=1.0, max_attempts=2
+)
+SAFE = make_route(RequestKind.SAFE, target_s=0.33)
+SILENCE_S = 0.7
+REFUSALS = (answer_503, refuse_not_run, reset, answer_truncated)
+
+
+def fall_silent(first: int, last: int) -> Script:
+    """Return a script that sends one event, is silent for ``SILENCE_S`` and sends the others."""
+
+    async def go_on(call: Call) -> None:
+        await asyncio.sleep(SILENCE_S)
+        for number in range(first + 1, last + 1):
+            call.write_event(number)
+        call.end_events()
+
+    return stream(first, first, then=go_on)
+
+
+async def answer_late(call: Call) -> None:
+    await asyncio.sleep(SILENCE_S)
+    call.answer(b"done")
+
+
+async def wait_until_closed(call: Call) -> None:
+    await call.reader.read()
+
+
+async def open_fixture(*scripts: Script, route: object = RESUMABLE) -> RelayFixture:
+    assert route in (RESUMABLE, SAFE)
+    return await RelayFixture(
+        scripts, make_configuration(RESUMABLE if route is RESUMABLE else SAFE)
+    ).open()
+
+
+class RefusedMoveTest(TestCase):
+    # Guards against an answer that would have come being given up for an upstream that refuses
+    # (LOST, a sound upstream that falls silent).
+    def test_a_stream_goes_on_where_the_other_upstream_refuses_it(self) -> None:
+        async def scenario(refuse: Script) -> tuple[bytes, list[int]]:
+            fixture = await open_fixture(fall_silent(1, 4), refuse)
+            return await fixture.fetch("POST"), fixture.calls
+
+        for refuse in REFUSALS:
+            answer, calls = run(scenario(refuse))
+            self.assertEqual(([1, 2, 3, 4], [1, 1]), (events(answer), calls))
+            self.assertTrue(answer.endswith(LAST_CHUNK))
+
+    # Guards against the same where the other upstream cannot be reached.
+    def test_a_stream_goes_on_where_the_other_upstream_is_gone(self) -> None:
+        async def scenario() -> bytes:
+            fixture = await open_fixture(fall_silent(1, 4), succeed)
+            fixture.upstreams[1].crash()
+            return await fixture.fetch("POST")
+
+        answer = run(scenario())
+        self.assertEqual([1, 2, 3, 4], events(answer))
+        self.assertTrue(answer.endswith(LAST_CHUNK))
+
+    # Guards against a late whole answer being replaced by an error (LOST, as above).
+    def test_a_late_answer_arrives_where_the_other_upstream_refuses(self) -> None:
+        async def scenario(refuse: Script) -> tuple[bytes, list[int]]:
+            fixture = await open_fixture(answer_late, refuse, route=SAFE)
+            return await fixture.fetch(), fixture.calls
+
+        for refuse in REFUSALS:
+            answer, calls = run(scenario(refuse))
+            self.assertThat(answer, Contains(b"done"))
+            self.assertEqual([1, 1], calls)
+
+    # Guards against a stream being cut because the retry of it broke off before its first event.
+    def test_a_stream_goes_on_where_the_retry_breaks_off(self) -> None:
+        async def scenario() -> bytes:
+            fixture = await open_fixture(fall_silent(1, 4), stream(2, 1, cut=True))
+            return await fixture.fetch("POST")
+
+        self.assertEqual([1, 2, 3, 4], events(run(scenario())))
+
+
+class HedgeTest(TestCase):
+    # Guards against an upstream being cut that goes on before the other one has begun.
+    def test_the_upstream_that_goes_on_first_wins_and_the_other_is_closed(self) -> None:
+        async def scenario() -> tuple[bytes, int]:
+            fixture = await open_fixture(fall_silent(1, 4), wait_until_closed)
+            answer = await fixture.fetch("POST")
+            await wait_for(lambda: fixture.upstreams[1].closed_connections == 1)
+            await wait_for(lambda: not fixture.load_tracker.own)
+            return answer, fixture.upstreams[0].closed_connections
+
+        answer, closed_connections = run(scenario())
+        self.assertEqual(([1, 2, 3, 4], 0), (events(answer), closed_connections))
+
+    # Guards against a request going on at two upstreams at once (TWICE).
+    def test_a_silent_stream_is_closed_when_another_upstream_has_begun(self) -> None:
+        async def scenario() -> tuple[bytes, int]:
+            closed_connections = 0
+
+            async def go_on_alone(call: Call) -> None:
+                nonlocal closed_connections
+                await wait_for(lambda: fixture.upstreams[0].closed_connections == 1)
+                closed_connections = fixture.upstreams[0].closed_connections
+                call.write_event(3)
+                call.end_events()
+
+            fixture = await open_fixture(
+                stream(1, 1, then=wait_until_closed), stream(2, 2, then=go_on_alone)
+            )
+            answer = await fixture.fetch("POST")
+            await wait_for(lambda: not fixture.load_tracker.own)
+            return answer, closed_connections
+
+        answer, closed_connections = run(scenario())
+        self.assertEqual(([1, 2, 3], 1), (events(answer), closed_connections))
+        self.assertTrue(answer.endswith(LAST_CHUNK))
+
+    def test_both_upstreams_count_as_loaded_while_both_may_answer(self) -> None:
+        async def scenario() -> set[str]:
+            fixture = await open_fixture(never_answer, wait_until_closed, route=SAFE)
+            fetching = asyncio.create_task(fixture.fetch())
+            await wait_for(lambda: fixture.calls == [1, 1])
+            loaded = set(fixture.load_tracker.own)
+            fetching.cancel()
+            return loaded
+
+        self.assertEqual({"i0", "i1"}, run(scenario()))
+
+    def test_a_caller_that_leaves_ends_the_request_at_both_upstreams(self) -> None:
+        async def scenario() -> None:
+            fixture = await open_fixture(stream(1, 1, then=wait_until_closed), wait_until_closed)
+            assert fixture.server is not None
+            reader, writer = await asyncio.open_connection(LOOPBACK, fixture.server.port)
+            writer.write(b"POST /x/ HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: 1\r\n\r\n")
+            await reader.readuntil(b"data: 1")
+            await wait_for(lambda: fixture.calls == [1, 1])
+            writer.close()
+            for upstream in fixture.upstreams:
+                await wait_for(lambda: upstream.closed_connections == 1)  # noqa: B023
+            await wait_for(lambda: not fixture.load_tracker.own)
+
+        run(scenario())
+
+    # Guards against more upstreams being tried than the route allows when all are silent.
+    def test_no_more_upstreams_are_tried_than_the_route_allows(self) -> None:
+        async def scenario(route: object) -> tuple[bytes, list[int]]:
+            fixture = await open_fixture(never_answer, never_answer, succeed, route=route)
+            return await fixture.fetch(extra="Deadline-Ms: 1500\r\n"), fixture.calls
+
+        answer, calls = run(scenario(SAFE))
+        self.assertThat(answer, Contains(b" 504 "))
+        self.assertEqual([1, 1, 0], calls)
