Write no whole answer into a stream that has begun

Callers saw a second response head, or the bytes of a document, inside a stream: a resumable stream broke off after event 2, and the upstream that was to resume it answered with a whole document (404; 200 that is no stream of events; 200 of unknown type with a length). Cause: the answer of a later attempt was sent as if nothing had been relayed. Change: such an attempt has no stream to resume, so the caller's connection is reset. The test fails before ('HTTP/1.1 ' twice, not once; then a complete stream with 'done' at its end).

--- a/src/cherrylane/relay/attempts.py
+++ b/src/cherrylane/relay/attempts.py
@@ -122,6 +122,8 @@
             if not isinstance(choice, Choice):
                 return choice
             outcome = await self._attempt(state, choice, responder)
+            if isinstance(outcome, Answered) and responder.started:
+                return Broken(f"no stream to resume: status {outcome.head.status}")
             match outcome:
                 case Answered() | Completed():
                     return outcome
--- a/src/cherrylane/relay/streams.py
+++ b/src/cherrylane/relay/streams.py
@@ -49,6 +49,7 @@
         """Relay events until the answer ends; ``move_timer`` is restarted with complete events."""
         splitter = EventSplitter(last_id=self.progress.last_id)
         connection = answer.connection
+        is_resumed = self.responder.started
         try:
             while (part := await connection.read_part()) is not None:
                 events = splitter.feed(part)
@@ -59,8 +60,9 @@
                     self._note_progress(move_timer)
                     await self._forward(answer.head, events)
                     self.progress.last_id = splitter.last_id
-            # A body of the announced length is whole, whatever it contains.
-            if splitter.is_inside_event and answer.head.framing != "length":
+            # A body of the announced length is whole, whatever it contains; it may still not be the
+            # rest of a stream.
+            if splitter.is_inside_event and (is_resumed or answer.head.framing != "length"):
                 connection.close()
                 return Broken(_describe_unfinished_event(answer.head, splitter))
             if splitter.remainder:
--- a/tests/test_relay_streams.py
+++ b/tests/test_relay_streams.py
@@ -154,6 +154,19 @@
         self.assertEqual([1, 2, 3], events(answer))
         self.assertEqual([1, 1], calls)
 
+    # Guards against a second response inside a stream that has begun (MIXED).
+    def test_a_whole_answer_to_a_stream_that_is_resumed_is_not_written_into_it(self) -> None:
+        async def answer_not_found(call: Call) -> None:
+            call.answer(b"no such run", status=404)
+
+        for whole_answer in (answer_not_found, succeed):
+            answer, calls = fetch(
+                RESUMABLE, stream(1, 2, cut=True), whole_answer, stream(3, 4), method="POST"
+            )
+            self.assertEqual([1, 1, 0], calls)
+            self.assertEqual(([1, 2], 1), (events(answer), answer.count(b"HTTP/1.1 ")))
+            self.assertFalse(answer.endswith(LAST_CHUNK))
+
     def test_the_callers_last_event_id_is_sent_to_the_upstream(self) -> None:
         resume_ids: list[str] = []
 
