Take no slow caller for a silent upstream

Callers saw their resumable stream moved, and cut after event 16 of 40, because they read slowly: the relay waits for the caller to take what was written, and the time for the upstream's next event ran meanwhile. An attempt that was given up at that moment had written an event that its progress did not count yet, so the next upstream would have sent it again (ORDER). Change: no event is due while the caller is waited for, and an event counts as relayed once it is written. The test fails before (16 of 40 events, calls [1, 1] instead of [1, 0]).

--- a/src/cherrylane/relay/streams.py
+++ b/src/cherrylane/relay/streams.py
@@ -57,9 +57,11 @@
                     connection.close()
                     return Broken(f"an event of more than {MAX_EVENT_BYTES} bytes")
                 if events:
-                    self._note_progress(move_timer)
-                    await self._forward(answer.head, events)
+                    # A caller that reads slowly is no silence of the upstream.
+                    move_timer.stop()
                     self.progress.last_id = splitter.last_id
+                    await self._forward(answer.head, events)
+                    self._note_progress(move_timer)
             # A body of the announced length is whole, whatever it contains; it may still not be the
             # rest of a stream.
             if splitter.is_inside_event and (is_resumed or answer.head.framing != "length"):
--- a/tests/test_relay_streams.py
+++ b/tests/test_relay_streams.py
@@ -4,6 +4,7 @@
 from testtools.matchers import EndsWith, StartsWith
 
 from cherrylane.http.messages import LAST_CHUNK, encode_chunk
+from cherrylane.routing.routes import RequestKind
 from tests.relay_fixture import (
     RESUMABLE,
     STREAM,
@@ -18,10 +19,14 @@
     Call,
     Script,
     make_configuration,
+    make_route,
     run,
     wait_for,
 )
 
+# More than the buffers of both sockets and of the caller's connection hold.
+LARGE_EVENTS = 40
+LARGE_EVENT_BYTES = 400_000
 INSIDE_SECOND_EVENT = b"id: 1\ndata: 1\n\nid: 2\nda"
 
 
@@ -167,6 +172,38 @@
             self.assertEqual(([1, 2], 1), (events(answer), answer.count(b"HTTP/1.1 ")))
             self.assertFalse(answer.endswith(LAST_CHUNK))
 
+    # Guards against an event that a slow caller has not read yet being sent twice (ORDER).
+    def test_a_slow_caller_does_not_move_its_stream_to_another_upstream(self) -> None:
+        async def scenario() -> tuple[bytes, list[int]]:
+            async def send_large_events(call: Call) -> None:
+                call.start_events()
+                for number in range(1, LARGE_EVENTS + 1):
+                    data = f"id: {number}\ndata: {number}\nx: {'.' * LARGE_EVENT_BYTES}\n\n"
+                    call.writer.write(encode_chunk(data.encode()))
+                await call.writer.drain()
+                call.end_events()
+
+            route = make_route(
+                RequestKind.STREAM, is_resumable=True, target_event_gap_s=0.02, timeout_s=15.0
+            )
+            fixture = await RelayFixture(
+                (send_large_events, stream(LARGE_EVENTS, LARGE_EVENTS)), make_configuration(route)
+            ).open()
+            assert fixture.server is not None
+            reader, writer = await asyncio.open_connection(LOOPBACK, fixture.server.port)
+            writer.write(
+                b"POST /x/ HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: 1\r\n"
+                b"Connection: close\r\n\r\n"
+            )
+            await reader.readuntil(b"data: 1")
+            await asyncio.sleep(0.5)
+            received = await reader.read()
+            writer.close()
+            return b"data: 1\n" + received, fixture.calls
+
+        answer, calls = run(scenario())
+        self.assertEqual(([*range(1, LARGE_EVENTS + 1)], [1, 0]), (events(answer), calls))
+
     def test_the_callers_last_event_id_is_sent_to_the_upstream(self) -> None:
         resume_ids: list[str] = []
 
