Leave a silent attempt open until another one has begun to answer

Cause: giving up what one has before one has the other. MoveTimer cancelled the attempt at the silent upstream, which closes its connection, as soon as another upstream was listed; whatever then failed there ended the request. No hedge while requests to the service are refused for overload. A cancellation from inside an attempt no longer looks like a caller that left.

--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -41,6 +41,7 @@
 from cherrylane.relay.attempts import AttemptRunner
 from cherrylane.relay.crashes import CrashGuard
 from cherrylane.relay.exchange import ExchangeClient
+from cherrylane.relay.forwarding import Forwarder
 from cherrylane.relay.selection import UpstreamSelector
 from cherrylane.relay.service import RelayService
 from cherrylane.routing.snapshot import Snapshot
@@ -271,16 +272,26 @@
         chooser = Chooser(
             self.settings.identity.zone, self.settings.bounds.load_multiple, self.caches
         )
-        attempt_runner = AttemptRunner(
-            UpstreamSelector(
-                chooser, self.load_tracker, self.outliers, self.backoffs, self.chat_heat
-            ),
+        selector = UpstreamSelector(
+            chooser, self.load_tracker, self.outliers, self.backoffs, self.chat_heat
+        )
+        crash_guard = CrashGuard(
+            self.quarantine, self._announce_crash, self._announcements.note_answered
+        )
+        forwarder = Forwarder(
             ExchangeClient(self.pool),
+            selector,
+            crash_guard,
+            lambda: self.routing_state.snapshot,
+            self._announcements.note_leaving,
+        )
+        attempt_runner = AttemptRunner(
+            selector,
+            forwarder,
             self.load_tracker,
             lambda: self.routing_state.snapshot,
             self._find_retry_budget,
-            CrashGuard(self.quarantine, self._announce_crash, self._announcements.note_answered),
-            self._announcements.note_leaving,
+            crash_guard,
         )
         return RelayService(attempt_runner, lambda: self.routing_state.snapshot, self.telemetry)
 
--- a/src/cherrylane/limits/overload.py
+++ b/src/cherrylane/limits/overload.py
@@ -49,11 +49,13 @@
 class Throughput:
     """The measured speed of one service's upstreams, as exponentially weighted averages.
 
-    ``tokens_per_s`` is the prefill rate.
+    ``tokens_per_s`` is the prefill rate, ``refused_at`` when a request was last refused because no
+    upstream was expected to start it in time.
     """
 
     seconds_per_request: float = 0.0
     tokens_per_s: float = INITIAL_TOKENS_PER_S
+    refused_at: float = float("-inf")
 
     def note_end(self, seconds: float) -> None:
         """Add a sample: the seconds of one request from its dispatch to its end."""
@@ -61,6 +63,14 @@
             self.seconds_per_request = seconds
         self.seconds_per_request += EWMA_WEIGHT * (seconds - self.seconds_per_request)
 
+    def note_refusal(self, now: float) -> None:
+        """Record that a request was refused."""
+        self.refused_at = now
+
+    def is_overloaded(self, now: float) -> bool:
+        """Return whether requests queue, so that a silent upstream is likely a busy one."""
+        return now - self.refused_at <= QUIET_S
+
     def note_first_event(self, unread_tokens: int, seconds: float) -> None:
         """Add a sample: the seconds to the first event, with ``unread_tokens`` to prefill."""
         if unread_tokens >= MIN_SAMPLE_TOKENS and seconds > 0:
--- a/src/cherrylane/relay/_attempt_log.py
+++ b/src/cherrylane/relay/_attempt_log.py
@@ -84,7 +84,7 @@
 
 
 def log_stall(request: CallerRequest, upstream: str, *, is_tried_elsewhere: bool) -> None:
-    """Log that an attempt makes no progress, and whether another one is started for it."""
+    """Log that an attempt makes no progress, and whether another one is started beside it."""
     log.info(
         "attempt stalled",
         extra={
--- /dev/null
+++ b/src/cherrylane/relay/forwarding.py
@@ -0,0 +1,131 @@
+"""Sending of one attempt to its upstream, and relaying of what comes back."""
+
+import asyncio
+from collections.abc import Callable
+
+from attrs import define
+
+from cherrylane.http.messages import ResponseHead
+from cherrylane.http.responder import Responder
+from cherrylane.placement.choice import Choice
+from cherrylane.platform.headers import Dispatch, is_leaving, read_backoff
+from cherrylane.relay._attempt_log import log_backoff
+from cherrylane.relay.admission import is_stream
+from cherrylane.relay.crashes import CrashGuard
+from cherrylane.relay.exchange import ExchangeClient, OpenAnswer, is_success, may_be_events
+from cherrylane.relay.outcomes import Completed, Outcome, Unknown
+from cherrylane.relay.race import Attempt, AttemptRace
+from cherrylane.relay.request import CallerRequest
+from cherrylane.relay.selection import UpstreamSelector
+from cherrylane.relay.state import RequestState
+from cherrylane.relay.streams import StreamRelay
+from cherrylane.routing.snapshot import Snapshot
+from cherrylane.routing.upstreams import Upstream
+
+# Fraction of its target time after which a safe request is tried at another upstream as well.
+SAFE_PATIENCE_SHARE = 0.6
+# Minimum seconds that an upstream has to answer a safe request.
+MIN_SAFE_PATIENCE_S = 0.06
+# Multiple of its target time after which a resumable stream without any data is tried elsewhere.
+STREAM_PATIENCE_TARGETS = 3.0
+
+
+@define
+class Forwarder:
+    """Forwards requests to upstreams, and relays the events of streams to callers.
+
+    ``on_leaving`` is called with an upstream that says in an answer that it leaves.
+    """
+
+    client: ExchangeClient
+    selector: UpstreamSelector
+    crash_guard: CrashGuard
+    read_snapshot: Callable[[], Snapshot]
+    on_leaving: Callable[[Upstream], None] = lambda upstream: None
+
+    async def forward(
+        self, state: RequestState, attempt: Attempt, race: AttemptRace, responder: Responder
+    ) -> Outcome:
+        """Send the request to the upstream of ``attempt`` and return the outcome.
+
+        Events of a stream are relayed from the moment at which the attempt wins ``race``.
+        """
+        request = state.request
+        upstream = attempt.choice.upstream
+        attempt.note_progress(find_patience(request))
+        answer = await self.client.begin(request, upstream, _make_dispatch(state, attempt.choice))
+        if not isinstance(answer, OpenAnswer):
+            return answer
+        state.framing = answer.head.framing
+        self._note_upstream_state(upstream, answer.head)
+        if not (is_stream(request) and is_success(answer.head) and may_be_events(answer.head)):
+            return await self.client.finish(request, upstream, answer)
+        self._record_cached(request, upstream.name)
+        relay = StreamRelay(
+            request,
+            responder,
+            state.progress,
+            claim=lambda: race.claim(attempt),
+            note_progress=attempt.note_progress,
+            note_first_event=lambda: self._note_first_event(request, attempt),
+            note_under_way=lambda at: self.crash_guard.note_answered(request, at),
+        )
+        try:
+            outcome = await relay.relay(answer)
+        except BaseException:
+            answer.connection.close()
+            raise
+        if isinstance(outcome, Completed):
+            self.client.release(upstream, answer)
+        elif not responder.started:
+            return Unknown(f"stream ended before its first event: {outcome}")
+        return outcome
+
+    def _note_first_event(self, request: CallerRequest, attempt: Attempt) -> None:
+        now = asyncio.get_running_loop().time()
+        choice = attempt.choice
+        self.selector.throughput_of(request.service).note_first_event(
+            choice.load.unread_tokens + choice.unread_tokens, now - attempt.started_at
+        )
+        attempt.in_flight.note_answer_started(now)
+
+    def _note_upstream_state(self, upstream: Upstream, head: ResponseHead) -> None:
+        """Take over what an upstream says of itself beside its answer."""
+        if is_leaving(head):
+            self.on_leaving(upstream)
+        backoff_s = read_backoff(head)
+        if backoff_s is None:
+            return
+        now = asyncio.get_running_loop().time()
+        self.selector.backoffs.note(upstream.name, upstream.incarnation, backoff_s, now)
+        log_backoff(upstream.name, backoff_s)
+
+    def _record_cached(self, request: CallerRequest, upstream: str) -> None:
+        snapshot = self.read_snapshot()
+        if snapshot.table is None:
+            return
+        service = snapshot.table.configuration.services.get(request.service)
+        if service is not None and service.engine is not None:
+            parts = request.prompt.shared_parts
+            self.selector.chooser.caches.note_run(upstream, parts, service.engine.kv_cache_tokens)
+
+
+def find_patience(request: CallerRequest) -> float:
+    """Return in how many seconds an upstream should have started its answer."""
+    target_s = request.route.target_s
+    if is_stream(request):
+        return target_s * STREAM_PATIENCE_TARGETS
+    return max(MIN_SAFE_PATIENCE_S, target_s * SAFE_PATIENCE_SHARE)
+
+
+def _make_dispatch(state: RequestState, choice: Choice) -> Dispatch:
+    request = state.request
+    source = choice.cache_source
+    return Dispatch(
+        upstream=choice.upstream.name,
+        remaining_s=request.caller_deadline - asyncio.get_running_loop().time(),
+        priority=request.priority,
+        account=request.account.name if request.account is not None else "",
+        resume_after=state.progress.last_id or request.resume_after,
+        cache_source=str(source.endpoint) if source is not None else "",
+    )
--- a/src/cherrylane/relay/outcomes.py
+++ b/src/cherrylane/relay/outcomes.py
@@ -56,7 +56,18 @@
     reason: str
 
 
-Outcome = Answered | Failed | NotRun | Unknown | Completed | Broken
+@frozen
+class Superseded:
+    """The attempt was ended because another one went on first.
+
+    ``has_stalled`` means that it had made no progress for as long as it was given.
+    """
+
+    reason: str
+    has_stalled: bool
+
+
+Outcome = Answered | Failed | NotRun | Unknown | Completed | Broken | Superseded
 
 
 class Cause(Enum):
--- a/src/cherrylane/relay/selection.py
+++ b/src/cherrylane/relay/selection.py
@@ -72,15 +72,6 @@
         heat = 0 if tried else self.chat_heat.note(request.prompt.chat_key, now)
         return self.chooser.choose_for_chat(request.prompt, candidates, holders, heat=heat)
 
-    def has_another(self, service: str, snapshot: Snapshot, tried: set[str], now: float) -> bool:
-        """Return whether an upstream is left to which a request could be sent next."""
-        return any(
-            known.upstream.name not in tried
-            and known.upstream.accepts_requests
-            and not self._is_backing_off(known, now)
-            for known in snapshot.list_upstreams(service)
-        )
-
     def _is_backing_off(self, known: KnownUpstream, now: float) -> bool:
         return self.backoffs.is_backing_off(*_get_key(known), now)
 
--- a/src/cherrylane/relay/service.py
+++ b/src/cherrylane/relay/service.py
@@ -11,7 +11,7 @@
 from cherrylane.http.responder import Responder
 from cherrylane.platform.headers import REQUEST_ID, encode_retry_after, read_request_id
 from cherrylane.relay.admission import Admission
-from cherrylane.relay.attempts import AttemptRunner, RequestState
+from cherrylane.relay.attempts import AttemptRunner
 from cherrylane.relay.outcomes import (
     Answered,
     Broken,
@@ -22,6 +22,7 @@
     make_response,
 )
 from cherrylane.relay.request import CallerRequest
+from cherrylane.relay.state import RequestState
 from cherrylane.relay.streams import StreamProgress
 from cherrylane.routing.snapshot import Snapshot
 from cherrylane.telemetry.counters import Telemetry
--- /dev/null
+++ b/src/cherrylane/relay/state.py
@@ -0,0 +1,42 @@
+"""The state of a request over all its attempts."""
+
+from attrs import define, field
+
+from cherrylane.relay.outcomes import Broken, Failed, Outcome, Superseded, Unknown
+from cherrylane.relay.request import CallerRequest
+from cherrylane.relay.streams import StreamProgress
+
+
+@define
+class AttemptRecord:
+    """The log entry of one attempt."""
+
+    upstream: str
+    outcome: str
+    seconds: float
+
+
+@define
+class RequestState:
+    """The state of one request over all its attempts; ``framing`` is that of the last answer.
+
+    ``times_sent`` counts the attempts that have ended after the request was sent.
+    """
+
+    request: CallerRequest
+    progress: StreamProgress
+    tried: set[str] = field(factory=set)
+    attempts: list[AttemptRecord] = field(factory=list)
+    times_sent: int = 0
+    unreachable: int = 0
+    may_have_run: bool = False
+    failure: Failed | None = None
+    framing: str = ""
+
+    def note(self, outcome: Outcome) -> None:
+        """Record the outcome of an attempt that was sent but did not answer the request."""
+        match outcome:
+            case Failed():
+                self.failure = outcome
+            case Unknown() | Broken() | Superseded():
+                self.may_have_run = True
--- a/src/cherrylane/relay/streams.py
+++ b/src/cherrylane/relay/streams.py
@@ -11,10 +11,9 @@
 from cherrylane.relay.events import MAX_EVENT_BYTES, EventSplitter
 from cherrylane.relay.exchange import OpenAnswer
 from cherrylane.relay.outcomes import Broken, Completed, Outcome
-from cherrylane.relay.patience import MoveTimer
 from cherrylane.relay.request import CallerRequest
 
-# Multiple of its target gap between events after which a silent resumable stream is retried at
+# Multiple of its target gap between events after which a silent resumable stream is also tried at
 # another upstream.
 EVENT_GAPS_TOLERATED = 4.0
 # Seconds after its first event in which an upstream that its prompt crashes would have ended.
@@ -33,20 +32,24 @@
 class StreamRelay:
     """Relays one answer of a caller's stream; a broken one is resumed after its last whole event.
 
-    ``note_first_event`` is called when the first complete event has arrived from the upstream, and
-    ``note_under_way`` with the time of that when later ones have come for ``UNDER_WAY_S``.
+    ``claim`` is called before anything is sent to the caller: other attempts at the request end
+    then. ``note_progress`` is called with the seconds until the next event is due, None if none
+    is. ``note_first_event`` is called when the first complete event has arrived from the upstream,
+    and ``note_under_way`` with the time of that when later ones have come for ``UNDER_WAY_S``.
     """
 
     request: CallerRequest
     responder: Responder
     progress: StreamProgress
+    claim: Callable[[], None] = lambda: None
+    note_progress: Callable[[float | None], None] = lambda patience_s: None
     note_first_event: Callable[[], None] = lambda: None
     note_under_way: Callable[[float], None] = lambda answered_at: None
     _started_at: float | None = None
     _is_under_way: bool = False
 
-    async def relay(self, answer: OpenAnswer, move_timer: MoveTimer) -> Outcome:
-        """Relay events until the answer ends; ``move_timer`` is restarted with complete events."""
+    async def relay(self, answer: OpenAnswer) -> Outcome:
+        """Relay events until the answer ends."""
         splitter = EventSplitter(last_id=self.progress.last_id)
         connection = answer.connection
         is_resumed = self.responder.started
@@ -57,16 +60,18 @@
                     connection.close()
                     return Broken(f"an event of more than {MAX_EVENT_BYTES} bytes")
                 if events:
+                    self.claim()
                     # A caller that reads slowly is no silence of the upstream.
-                    move_timer.stop()
+                    self.note_progress(None)
                     self.progress.last_id = splitter.last_id
                     await self._forward(answer.head, events)
-                    self._note_progress(move_timer)
+                    self._note_event()
             # A body of the announced length is whole, whatever it contains; it may still not be the
             # rest of a stream.
             if splitter.is_inside_event and (is_resumed or answer.head.framing != "length"):
                 connection.close()
                 return Broken(_describe_unfinished_event(answer.head, splitter))
+            self.claim()
             if splitter.remainder:
                 await self._forward(answer.head, splitter.remainder)
         except IncompleteResponseError as error:
@@ -87,7 +92,7 @@
             return
         await self.responder.write(data)
 
-    def _note_progress(self, move_timer: MoveTimer) -> None:
+    def _note_event(self) -> None:
         now = asyncio.get_running_loop().time()
         if self._started_at is None:
             self._started_at = now
@@ -96,10 +101,8 @@
             self._is_under_way = True
             self.note_under_way(self._started_at)
         event_gap_s = self.request.route.target_event_gap_s
-        if event_gap_s is None:
-            move_timer.stop()
-        else:
-            move_timer.restart(event_gap_s * EVENT_GAPS_TOLERATED)
+        if event_gap_s is not None:
+            self.note_progress(event_gap_s * EVENT_GAPS_TOLERATED)
 
 
 def _describe_unfinished_event(head: ResponseHead, splitter: EventSplitter) -> str:
--- a/tests/test_silent_upstreams.py
+++ b/tests/test_silent_upstreams.py
@@ -180,3 +180,16 @@
         answer, calls = run(scenario(SAFE))
         self.assertThat(answer, Contains(b" 504 "))
         self.assertEqual([1, 1, 0], calls)
+
+    # Guards against queues that grow because each silent request takes a place in two of them.
+    def test_no_other_upstream_is_tried_while_requests_are_refused_for_overload(self) -> None:
+        async def scenario() -> tuple[bytes, list[int]]:
+            fixture = await open_fixture(answer_late, succeed, route=SAFE)
+            assert fixture.relay is not None
+            selector = fixture.relay.attempt_runner.selector
+            selector.throughput_of("desk").note_refusal(asyncio.get_running_loop().time())
+            return await fixture.fetch(), fixture.calls
+
+        answer, calls = run(scenario())
+        self.assertThat(answer, Contains(b"done"))
+        self.assertEqual([1, 0], calls)
