--- a/tests/test_inbound.py
+++ b/tests/test_inbound.py
@@ -1,4 +1,6 @@
 import asyncio
+from contextlib import suppress
+from socket import SO_RCVBUF, SOL_SOCKET, socket
 
 from testtools import ExpectedException, TestCase
 from testtools.matchers import Contains, StartsWith
@@ -15,6 +17,10 @@
 )
 
 
+# More than the kernel holds for a caller that doesn't read.
+MANY_BYTES = 20_000_000
+
+
 class Recorder:
     """Handles requests: records each, and responds with its body or as its path says."""
 
@@ -43,6 +49,24 @@
         responder.send(Response(200, (), request.body or b"empty"))
 
 
+async def open_slow_caller(port: int) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Open a connection on which little is received until the caller reads."""
+    connection = socket()
+    connection.setsockopt(SOL_SOCKET, SO_RCVBUF, 64 * 1024)
+    connection.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(connection, (LOOPBACK, port))
+    return await asyncio.open_connection(sock=connection, limit=1024)
+
+
+async def read_until_closed(reader: asyncio.StreamReader) -> bytes:
+    """Return all that is received until the connection is closed or reset."""
+    parts: list[bytes] = []
+    with suppress(ConnectionError):
+        while part := await reader.read(256 * 1024):
+            parts.append(part)
+    return b"".join(parts)
+
+
 class InboundCase(TestCase):
     def setUp(self) -> None:
         super().setUp()
@@ -110,6 +134,28 @@
 
         run(scenario())
 
+    # A time limit on one wait for a slow caller cancelled the next one too, which ended the
+    # connection without the rest of the response.
+    def test_a_time_limit_on_a_slow_caller_leaves_its_connection_usable(self) -> None:
+        async def respond(request: Request, responder: Responder) -> None:
+            responder.start(200, [], b"x" * MANY_BYTES)
+            with suppress(TimeoutError):
+                async with asyncio.timeout(0.1):
+                    await responder.write(b"first")
+            await responder.write(b"second")
+            responder.finish()
+
+        async def scenario() -> bytes:
+            server = InboundServer(respond, InboundLimits())
+            await server.listen(open_listener())
+            reader, writer = await open_slow_caller(server.port)
+            writer.write(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+            await asyncio.sleep(0.5)
+            return await read_until_closed(reader)
+
+        end = b"6\r\nsecond\r\n0\r\n\r\n"
+        self.assertEqual(end, run(scenario())[-len(end) :])
+
     def test_a_draining_server_closes_after_the_response(self) -> None:
         async def scenario() -> bytes:
             server = await self.open()
