Keep a wait for a slow caller usable after a time limit has ended one

Callers saw: a stream that ended in the middle, with the log line 'caller left', although the caller was there. A caller that reads slowly makes its handler wait for one future of the connection. A time limit on that wait (the request's own, or the move of a silent attempt) cancels the future, which stays in place until the caller has read enough; the next wait, of the next attempt, gets its CancelledError, which counts as the caller's leaving. Test failed before: b'6\r\nsecond\r\n0\r\n\r\n' != b'xxxxxxxxxxxxxxxx'. Change: waits are shielded, so that only the wait ends and not the future. Ruled out elsewhere: the other futures of connections are made anew for each wait.

--- a/src/cherrylane/http/inbound.py
+++ b/src/cherrylane/http/inbound.py
@@ -280,7 +280,8 @@
     async def drain(self) -> None:
         """Wait until the caller has read enough of the queued bytes."""
         if self._writable is not None:
-            await self._writable
+            # Shielded, since cancelling a handler's wait would cancel the future for later waits.
+            await asyncio.shield(self._writable)
 
     async def _serve(self) -> None:
         try:
