--- a/tests/test_inbound.py
+++ b/tests/test_inbound.py
@@ -156,6 +156,26 @@
         end = b"6\r\nsecond\r\n0\r\n\r\n"
         self.assertEqual(end, run(scenario())[-len(end) :])
 
+    # Any CancelledError counted as the caller's leaving, so a caller that was there got nothing.
+    def test_a_cancel_that_is_not_the_callers_ends_as_an_error_response(self) -> None:
+        async def scenario() -> bytes:
+            async def respond(request: Request, responder: Responder) -> None:
+                if request.head.path == "/cancelled":
+                    waiting = asyncio.get_running_loop().create_future()
+                    waiting.cancel()
+                    await waiting
+                responder.send(Response(200, (), b"next"))
+
+            server = InboundServer(respond, LIMITS)
+            await server.listen(open_listener())
+            first = b"GET /cancelled HTTP/1.1\r\nHost: h\r\n\r\n"
+            second = b"GET /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+            return await send_raw(server.port, first + second)
+
+        answer = run(scenario())
+        self.assertThat(answer, StartsWith(b"HTTP/1.1 502"))
+        self.assertThat(answer, Contains(b"next"))
+
     def test_a_draining_server_closes_after_the_response(self) -> None:
         async def scenario() -> bytes:
             server = await self.open()
