Answer a request whose handler is cancelled while its caller is there

Callers saw: a closed connection, neither an answer nor a refusal, and the log line 'caller left'. The connection took any CancelledError of a handler for the caller's leaving. Test failed before: b'' does not start with b'HTTP/1.1 502'. Change: only if the connection's own task was asked to end (Task.cancelling) has the caller left; otherwise the request ends as that of any handler that fails, with 502, or with a reset in the middle of a stream, and later requests of the connection are served. asyncio.timeout takes its own cancels back, so that they don't count.

--- a/src/cherrylane/http/inbound.py
+++ b/src/cherrylane/http/inbound.py
@@ -305,6 +305,11 @@
         responder = Responder(self, request.head, is_draining=lambda: self._server.draining)
         try:
             await self._server.handle(request, responder)
+        except asyncio.CancelledError as error:
+            if self._is_cancelled:
+                raise
+            # Something that the handler waited for was cancelled; the caller is still there.
+            self._end_failed(responder, error)
         except Exception as error:
             self._end_failed(responder, error)
         finally:
@@ -314,7 +319,12 @@
             return
         self._restart_timer(self._server.limits.idle_timeout_s)
 
-    def _end_failed(self, responder: Responder, error: Exception) -> None:
+    @property
+    def _is_cancelled(self) -> bool:
+        """Whether the task was asked to end: the caller has left, or the process ends."""
+        return self._task is not None and self._task.cancelling() > 0
+
+    def _end_failed(self, responder: Responder, error: BaseException) -> None:
         """End the request of a handler that has failed; others are not affected."""
         log.exception(
             "handling a request failed", extra={"reason": f"{type(error).__name__}: {error}"}
