--- a/tests/test_inbound.py
+++ b/tests/test_inbound.py
@@ -2,6 +2,7 @@
 from contextlib import suppress
 from socket import SO_RCVBUF, SOL_SOCKET, socket
 
+from attrs import evolve
 from testtools import ExpectedException, TestCase
 from testtools.matchers import Contains, StartsWith
 
@@ -185,6 +186,59 @@
         self.assertThat(run(scenario()), Contains(b"Connection: close"))
 
 
+class DrainingTest(InboundCase):
+    async def drain_behind_a_request(self, behind: bytes, rest: bytes) -> bytes:
+        """Send a request and ``behind``, drain meanwhile, and send ``rest`` when it is answered."""
+        is_released = asyncio.Event()
+
+        async def respond(request: Request, responder: Responder) -> None:
+            if not self.recorder.requests:
+                self.recorder.requests.append(request)
+                await is_released.wait()
+            responder.send(Response(200, (), request.head.path.encode()))
+
+        server = InboundServer(respond, evolve(LIMITS, idle_timeout_s=60.0))
+        await server.listen(open_listener())
+        reader, writer = await asyncio.open_connection(LOOPBACK, server.port)
+        writer.write(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n" + behind)
+        await wait_for(lambda: bool(self.recorder.requests))
+        server.draining = True
+        server.close_idle()
+        is_released.set()
+        first = await reader.readuntil(b"/a")
+        writer.write(rest)
+        return first + await read_until_closed(reader)
+
+    def assert_all_answered(self, answer: bytes) -> None:
+        responses = answer.split(b"HTTP/1.1 200 OK\r\n")[1:]
+        bodies = [response.partition(b"\r\n\r\n")[2] for response in responses]
+        self.assertEqual([b"/a", b"/b"], bodies)
+        closing = [b"Connection: close" in response for response in responses]
+        self.assertEqual([False, True], closing)
+
+    # The first response said close, and the requests behind it were dropped without an answer.
+    def test_requests_that_were_read_are_answered_and_the_last_response_says_close(self) -> None:
+        behind = b"GET /b HTTP/1.1\r\nHost: h\r\n\r\n"
+        self.assert_all_answered(run(self.drain_behind_a_request(behind, b"")))
+
+    # The same for a request of which only a part had arrived by then.
+    def test_a_request_that_has_begun_to_arrive_is_answered(self) -> None:
+        behind, rest = b"GET /b HTTP/1.1\r\nHo", b"st: h\r\n\r\n"
+        self.assert_all_answered(run(self.drain_behind_a_request(behind, rest)))
+
+    # A server that drains must not wait without end for the rest of such a request.
+    def test_a_request_that_does_not_arrive_completely_is_refused_in_time(self) -> None:
+        answer = run(self.drain_behind_a_request(b"GET /b HTTP/1.1\r\nHo", b""))
+        self.assertThat(answer, Contains(b"HTTP/1.1 408"))
+
+    # RFC 9112, section 9.6: after a caller's own close nothing more is due, or may run.
+    def test_a_request_behind_one_that_says_close_is_not_handled(self) -> None:
+        first = b"GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+        answer = self.send(first + b"GET /b HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.assertEqual(1, answer.count(b"HTTP/1.1 "))
+        self.assertEqual(["/a"], [request.head.path for request in self.recorder.requests])
+
+
 class InvalidRequestTest(InboundCase):
     def assert_refused(self, data: bytes, status: int) -> None:
         answer = self.send(data)
