--- a/tests/test_inbound.py
+++ b/tests/test_inbound.py
@@ -239,6 +239,23 @@
         self.assertEqual(["/a"], [request.head.path for request in self.recorder.requests])
 
 
+class IdleTest(InboundCase):
+    # Connections kept the idle timeout of the configuration in whose time they became idle, so
+    # that after a longer one a caller's request met a connection that was already closed.
+    def test_a_longer_idle_timeout_holds_for_connections_that_are_already_idle(self) -> None:
+        async def scenario() -> bytes:
+            server = await self.open()
+            reader, writer = await asyncio.open_connection(LOOPBACK, server.port)
+            writer.write(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+            await reader.readuntil(b"empty")
+            server.limits = evolve(LIMITS, idle_timeout_s=60.0)
+            await asyncio.sleep(2 * LIMITS.idle_timeout_s)
+            writer.write(b"GET /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+            return await read_until_closed(reader)
+
+        self.assertThat(run(scenario()), StartsWith(b"HTTP/1.1 200"))
+
+
 class InvalidRequestTest(InboundCase):
     def assert_refused(self, data: bytes, status: int) -> None:
         answer = self.send(data)
