Let a longer idle timeout hold for connections that are idle already

Callers saw: after a change of the config that allows a longer idle time, a kept connection closed at the earlier time, and a request that they then sent on it got no answer. Each connection had a timer with the limit of the moment at which it became idle (before the first config: the default). Test failed before: b'' does not start with b'HTTP/1.1 200'. Change: when the timer ends, the limit in force then decides. It also ends nothing while a request is queued that the connection's task hasn't taken yet.

--- a/src/cherrylane/http/inbound.py
+++ b/src/cherrylane/http/inbound.py
@@ -115,6 +115,7 @@
         self._reading = False
         self._stopped_reading = False
         self._lingering = False
+        self._idle_since = 0.0
         self.is_busy = False
         self.is_lost = False
         self.served = 0
@@ -124,7 +125,7 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self._server.connections.add(self)
-        self._restart_timer(self._server.limits.idle_timeout_s)
+        self._start_idle_timer()
         self._task = self._loop.create_task(self._serve())
 
     def data_received(self, data: bytes) -> None:
@@ -329,8 +330,10 @@
         if not responder.keeps_connection:
             self.close()
             return
-        limits = self._server.limits
-        self._restart_timer(limits.read_timeout_s if self._reading else limits.idle_timeout_s)
+        if self._reading:
+            self._restart_timer(self._server.limits.read_timeout_s)
+        else:
+            self._start_idle_timer()
 
     @property
     def _is_cancelled(self) -> bool:
@@ -379,14 +382,27 @@
             self._timeout_handle.cancel()
         self._timeout_handle = self._loop.call_later(seconds, self._on_timeout)
 
+    def _start_idle_timer(self) -> None:
+        self._idle_since = self._loop.time()
+        self._restart_timer(self._server.limits.idle_timeout_s)
+
     def _on_timeout(self) -> None:
         if self._lingering:
             self._transport.abort()
-        elif self.is_busy:
+        elif self.is_busy or self._requests:
             return
         elif self._reading:
             self._fail(
                 ReadFailure(HTTPStatus.REQUEST_TIMEOUT, "timed out while reading the request")
             )
+        else:
+            self._end_idle()
+
+    def _end_idle(self) -> None:
+        # The limits may have been replaced since the timer was started.
+        ends_at = self._idle_since + self._server.limits.idle_timeout_s
+        time_left_s = ends_at - self._loop.time()
+        if time_left_s > 0:
+            self._restart_timer(time_left_s)
         else:
             self._fail(ReadFailure(HTTPStatus.REQUEST_TIMEOUT, "idle", silent=True))
