Add failing tests: requests that arrive as a server closes are dropped

A connection that waits to be accepted when the server stops accepting is reset, and one that asyncio has just accepted is neither served nor closed (of five moments one turn of the loop apart: two resets, a test that ends at its time limit, two answers). A request that has arrived but isn't read when idle connections are closed is read and dropped: b'' does not start with b'HTTP/1.1 200'.

--- a/tests/test_inbound.py
+++ b/tests/test_inbound.py
@@ -1,6 +1,6 @@
 import asyncio
 from contextlib import suppress
-from socket import SO_RCVBUF, SOL_SOCKET, socket
+from socket import SO_RCVBUF, SOL_SOCKET, create_connection, socket
 
 from attrs import evolve
 from testtools import ExpectedException, TestCase
@@ -231,6 +231,38 @@
         answer = run(self.drain_behind_a_request(b"GET /b HTTP/1.1\r\nHo", b""))
         self.assertThat(answer, Contains(b"HTTP/1.1 408"))
 
+    # A request that had arrived, but that this process hadn't read yet, was read after the close of
+    # its connection and dropped.
+    def test_a_connection_on_which_a_request_has_arrived_is_not_idle(self) -> None:
+        async def scenario() -> bytes:
+            server = await self.open()
+            caller = create_connection((LOOPBACK, server.port))
+            await wait_for(lambda: bool(server.connections))
+            server.draining = True
+            caller.sendall(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+            server.close_idle()
+            reader, _ = await asyncio.open_connection(sock=caller)
+            return await read_until_closed(reader)
+
+        self.assertThat(run(scenario()), StartsWith(b"HTTP/1.1 200"))
+
+    # The kernel reset connections that weren't accepted yet, and asyncio dropped those that it had
+    # accepted in the same moment.
+    def test_a_server_that_stops_accepting_serves_the_connections_that_wait(self) -> None:
+        async def scenario(turns: int) -> bytes:
+            server = await self.open()
+            server.draining = True
+            caller = create_connection((LOOPBACK, server.port))
+            caller.sendall(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            server.stop_accepting()
+            reader, _ = await asyncio.open_connection(sock=caller)
+            return await read_until_closed(reader)
+
+        answers = [run(scenario(turns))[:12] for turns in range(5)]
+        self.assertEqual([b"HTTP/1.1 200"] * 5, answers)
+
     # RFC 9112, section 9.6: after a caller's own close nothing more is due, or may run.
     def test_a_request_behind_one_that_says_close_is_not_handled(self) -> None:
         first = b"GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
