Serve the connections that wait when a server stops accepting

Callers saw: during a planned stop, a connection that was reset, or one that stayed open without an answer until the process ended. The kernel resets what waits in the accept queue when the listener is closed, and asyncio (3.11) drops a connection whose set-up it has begun when the listener is closed in the same turn of the loop, without closing it. Test failed before: of five moments two gave a reset and one no end at all. Change: the listener is closed one turn later, so that accepted connections are set up, and what waits is accepted before. Both are then served or refused like any other.

--- a/src/cherrylane/http/inbound.py
+++ b/src/cherrylane/http/inbound.py
@@ -10,6 +10,7 @@
 from http import HTTPStatus
 from socket import SO_LINGER, SOL_SOCKET, socket
 from struct import pack
+from typing import Any
 
 from attrs import define, field
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
@@ -52,10 +53,13 @@
     connections: set["InboundConnection"] = field(factory=set)
     draining: bool = False
     _listener: asyncio.Server | None = None
+    _listening: socket | None = None
+    _accepting: set[asyncio.Task[Any]] = field(factory=set)
 
     async def listen(self, listening: socket) -> None:
         """Accept connections on a socket that is already listening."""
         loop = asyncio.get_running_loop()
+        self._listening = listening
         self._listener = await loop.create_server(lambda: InboundConnection(self), sock=listening)
 
     @property
@@ -65,7 +69,22 @@
         return int(self._listener.sockets[0].getsockname()[1])
 
     def stop_accepting(self) -> None:
-        """Close the listener; open connections stay open."""
+        """Close the listener; connections that are open or wait to be accepted are served."""
+        if self._listening is not None and self._listening.fileno() >= 0:
+            loop = asyncio.get_running_loop()
+            loop.remove_reader(self._listening)
+            # By the next turn of the loop, those that it has just accepted are set up, which fails
+            # once the listener is closed.
+            loop.call_soon(self._close_listener, self._listening)
+
+    def _close_listener(self, listening: socket) -> None:
+        loop = asyncio.get_running_loop()
+        # The kernel resets what still waits when the listener is closed.
+        while (connection := _accept(listening)) is not None:
+            work = loop.connect_accepted_socket(lambda: InboundConnection(self), connection)
+            task = loop.create_task(work)
+            self._accepting.add(task)
+            task.add_done_callback(self._accepting.discard)
         if self._listener is not None:
             self._listener.close()
 
@@ -90,6 +109,15 @@
         return sum(1 for connection in self.connections if connection.is_busy)
 
 
+def _accept(listening: socket) -> socket | None:
+    try:
+        connection, _ = listening.accept()
+    except OSError:
+        return None
+    connection.setblocking(False)
+    return connection
+
+
 class InboundConnection(asyncio.Protocol):
     """A connection from a caller."""
 
