Don't close a connection on which a request has just arrived

Callers saw: during a planned stop, or at the end of the idle timeout, a kept connection closed after they had sent a request, which was read and dropped. Idle connections are closed by timers, which the event loop runs between the arrival of a request in the kernel and its reading; under load that is a matter of many milliseconds. Test failed before: b'' does not start with b'HTTP/1.1 200'. Change: before such a close, the kernel is asked whether something has arrived; if so, it is read first. It counts as unfinished in a drain.

--- a/src/cherrylane/http/inbound.py
+++ b/src/cherrylane/http/inbound.py
@@ -8,6 +8,7 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
+from select import POLLIN, poll
 from socket import SO_LINGER, SOL_SOCKET, socket
 from struct import pack
 from typing import Any
@@ -277,10 +278,11 @@
 
     @property
     def is_unfinished(self) -> bool:
-        """Whether a request is read or handled, or its answer has not left this process."""
+        """Whether a request arrives, is read or handled, or its answer has not left yet."""
         has_unsent_data = bool(self._transport.get_write_buffer_size())
-        has_request = not self._stopped_reading and self._has_request
-        return self.is_busy or has_request or has_unsent_data
+        if self.is_busy or has_unsent_data:
+            return True
+        return not self._stopped_reading and (self._has_request or self._has_unread_data())
 
     @property
     def _has_request(self) -> bool:
@@ -288,10 +290,17 @@
         return self._reading or bool(self._requests)
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is being read or handled on it."""
-        if not self.is_busy and not self._has_request:
+        """Close the connection unless a request arrives, is being read or is handled on it."""
+        is_idle = not (self._lingering or self.is_busy or self._has_request)
+        if is_idle and not self._has_unread_data():
             self.close()
 
+    def _has_unread_data(self) -> bool:
+        """Whether data, or the end of the connection, has arrived and will be read next."""
+        poller = poll()
+        poller.register(self._transport.get_extra_info("socket").fileno(), POLLIN)
+        return bool(poller.poll(0))
+
     def close(self) -> None:
         """Stop sending, and keep reading for ``LINGER_S`` so that the last response arrives."""
         if self.is_lost or self._lingering:
@@ -430,7 +439,7 @@
         # The limits may have been replaced since the timer was started.
         ends_at = self._idle_since + self._server.limits.idle_timeout_s
         time_left_s = ends_at - self._loop.time()
-        if time_left_s > 0:
-            self._restart_timer(time_left_s)
+        if time_left_s > 0 or self._has_unread_data():
+            self._restart_timer(max(0.0, time_left_s))
         else:
             self._fail(ReadFailure(HTTPStatus.REQUEST_TIMEOUT, "idle", silent=True))
--- a/tests/test_inbound.py
+++ b/tests/test_inbound.py
@@ -241,6 +241,7 @@
             server.draining = True
             caller.sendall(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
             server.close_idle()
+            self.assertEqual(1, server.unfinished)
             reader, _ = await asyncio.open_connection(sock=caller)
             return await read_until_closed(reader)
 
