Add failing tests: an Upgrade header ends the reading of a connection

The test of a request behind one with an Upgrade header ends at its time limit: it is neither answered, nor is the connection closed. A body behind such a head is dropped, and the request is handled without it: [body, body] != [b'', b''].

--- a/tests/test_inbound.py
+++ b/tests/test_inbound.py
@@ -9,7 +9,7 @@
 from cherrylane.http.framing import ReadFailure
 from cherrylane.http.inbound import InboundServer
 from cherrylane.http.limits import InboundLimits
-from cherrylane.http.messages import Request, Response
+from cherrylane.http.messages import LAST_CHUNK, Request, Response, encode_chunk
 from cherrylane.http.responder import Responder
 from tests.wire import LOOPBACK, open_listener, run, send_raw, wait_for
 
@@ -135,6 +135,30 @@
 
         run(scenario())
 
+    # An Upgrade ended the reading of the connection, so that the next request got no answer at all.
+    def test_requests_behind_one_with_an_upgrade_header_are_answered(self) -> None:
+        first = b"GET /a HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n"
+        second = b"GET /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+
+        async def scenario(pause_s: float) -> bytes:
+            server = await self.open()
+            reader, writer = await asyncio.open_connection(LOOPBACK, server.port)
+            writer.write(first)
+            await asyncio.sleep(pause_s)
+            writer.write(second)
+            return await read_until_closed(reader)
+
+        for pause_s in (0.0, 0.1):
+            self.assertEqual(2, run(scenario(pause_s)).count(b"HTTP/1.1 200"))
+
+    # The body of such a request was dropped; nor may it be taken for a request of its own.
+    def test_the_body_of_a_request_with_an_upgrade_header_is_read(self) -> None:
+        inner = b"GET /inner HTTP/1.1\r\nHost: h\r\n\r\n"
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nConnection: Upgrade, close\r\nUpgrade: h2c\r\n"
+        self.send(head + b"Content-Length: %d\r\n\r\n" % len(inner) + inner)
+        self.send(head + b"Transfer-Encoding: chunked\r\n\r\n" + encode_chunk(inner) + LAST_CHUNK)
+        self.assertEqual([inner, inner], [request.body for request in self.recorder.requests])
+
     # A time limit on one wait for a slow caller cancelled the next one too, which ended the
     # connection without the rest of the response.
     def test_a_time_limit_on_a_slow_caller_leaves_its_connection_usable(self) -> None:
