Ignore a request's Upgrade without giving up its connection

Callers saw: after a request with an Upgrade header (as many HTTP clients send to probe for h2c), the next request on the kept connection got neither an answer nor a refusal, and the connection stayed open; a body behind such a head was dropped, and the upstream ran the request without it. The parser takes all that follows such a head for another protocol, and the server then ignored it, although the answer kept the connection. Tests failed before: no end within the time limit, and [body, body] != [b'', b'']. Change: the head is read again without its Upgrade, so that body and further requests are read as HTTP/1.1 (RFC 9110, section 7.8). A CONNECT, which the parser treats alike, is refused with 400: there is no tunnel.

--- a/src/cherrylane/http/framing.py
+++ b/src/cherrylane/http/framing.py
@@ -61,6 +61,8 @@
         return "more than one Content-Length header"
     if head.count(b"host") != 1:
         return "expected exactly one Host header"
+    if head.method == b"CONNECT":
+        return "CONNECT is not supported"
     if not head.target.startswith(b"/"):
         return "request target is not an absolute path"
     return ""
--- a/src/cherrylane/http/inbound.py
+++ b/src/cherrylane/http/inbound.py
@@ -169,10 +169,7 @@
         elif self._meter is not None:
             self._meter.received += len(data)
         try:
-            self._parser.feed_data(data)
-        except HttpParserUpgrade:
-            # The request is served as HTTP/1.1; the data after it is ignored.
-            self._stopped_reading = True
+            self._parse(data)
         except HttpParserError as error:
             self._fail(ReadFailure(HTTPStatus.BAD_REQUEST, str(error)))
         if self._head is None and self._head_bytes > self._server.limits.max_header_bytes:
@@ -186,6 +183,27 @@
                 ReadFailure(HTTPStatus.BAD_REQUEST, f"more than {MAX_PIPELINED} pipelined requests")
             )
 
+    def _parse(self, data: bytes) -> None:
+        while not self._stopped_reading and len(self._requests) <= MAX_PIPELINED:
+            try:
+                self._parser.feed_data(data)
+                return
+            except HttpParserUpgrade as upgrade:
+                data = self._restart_without_upgrade() + data[upgrade.args[0] :]
+
+    def _restart_without_upgrade(self) -> bytes:
+        """Return the head that was read without its Upgrade, and start a new parser for it.
+
+        A server may ignore an Upgrade; the parser takes all that follows for another protocol.
+        """
+        version = self._parser.get_http_version().encode()
+        lines = [self._parser.get_method() + b" " + self._target + b" HTTP/" + version]
+        lines += [
+            name + b": " + value for name, value in self._headers if name.lower() != b"upgrade"
+        ]
+        self._parser = HttpRequestParser(self)
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
     def eof_received(self) -> bool:
         # A caller that closed its sending side counts as disconnected: nobody reads the response.
         if self._task is not None:
@@ -226,6 +244,8 @@
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
+        if self._parser.should_upgrade() and self._parser.get_method() != b"CONNECT":
+            return
         head = RequestHead(
             headers=tuple(self._headers),
             method=self._parser.get_method(),
