--- a/tests/test_inbound.py
+++ b/tests/test_inbound.py
@@ -7,7 +7,7 @@
 from testtools.matchers import Contains, StartsWith
 
 from cherrylane.http.framing import ReadFailure
-from cherrylane.http.inbound import InboundServer
+from cherrylane.http.inbound import LINGER_S, InboundServer
 from cherrylane.http.limits import InboundLimits
 from cherrylane.http.messages import LAST_CHUNK, Request, Response, encode_chunk
 from cherrylane.http.responder import Responder
@@ -313,6 +313,52 @@
         self.assertThat(run(scenario()), StartsWith(b"HTTP/1.1 200"))
 
 
+class SlowCallerTest(InboundCase):
+    async def read_slowly(self, extra: bytes, limits: InboundLimits, pause_s: float) -> int:
+        """Return how many bytes a caller gets that pauses before each of eight parts."""
+
+        async def respond(request: Request, responder: Responder) -> None:
+            responder.send(Response(200, (), b"x" * MANY_BYTES))
+
+        server = InboundServer(respond, limits)
+        await server.listen(open_listener())
+        reader, writer = await open_slow_caller(server.port)
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n" + extra + b"\r\n")
+        await reader.readuntil(b"\r\n\r\n")
+        received = 0
+        with suppress(asyncio.IncompleteReadError):
+            for _ in range(8):
+                await asyncio.sleep(pause_s)
+                received += len(await reader.readexactly(MANY_BYTES // 8))
+        return received
+
+    # The time in which a closed connection lingers began before its last response had left.
+    def test_a_slow_caller_gets_the_whole_of_a_connections_last_response(self) -> None:
+        slow = self.read_slowly(b"Connection: close\r\n", InboundLimits(), LINGER_S / 4)
+        self.assertEqual(MANY_BYTES, run(slow))
+
+    # The time in which a connection is idle began before its last response had left.
+    def test_a_caller_that_reads_a_response_is_not_idle(self) -> None:
+        limits = evolve(InboundLimits(), idle_timeout_s=1.5)
+        self.assertEqual(MANY_BYTES, run(self.read_slowly(b"", limits, 0.4)))
+
+    # A caller that takes nothing must not keep its connection, and a server that drains, for ever.
+    def test_a_caller_that_takes_nothing_of_a_response_is_cut(self) -> None:
+        async def scenario() -> None:
+            async def respond(request: Request, responder: Responder) -> None:
+                responder.send(Response(200, (), b"x" * MANY_BYTES))
+
+            server = InboundServer(respond, LIMITS)
+            await server.listen(open_listener())
+            for extra in (b"", b"Connection: close\r\n"):
+                _, writer = await open_slow_caller(server.port)
+                writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n" + extra + b"\r\n")
+                await wait_for(lambda: server.unfinished == 1)
+                await wait_for(lambda: not server.connections)
+
+        run(scenario())
+
+
 class InvalidRequestTest(InboundCase):
     def assert_refused(self, data: bytes, status: int) -> None:
         answer = self.send(data)
