Begin to linger, and to be idle, when the last response has left

Callers saw: a large response that broke off, if they read it slowly: one second after its handler had written it where the connection was to be closed (a draining server, their own close, HTTP/1.0), else after the idle timeout and a second more. Both timers began when the response was written, not when it had left the process. Change: while the caller takes some of a response within each idle timeout, the connection is neither idle nor does its lingering begin. A caller that takes nothing is still cut, then after the idle timeout, and a stop still ends with its grace period.

--- a/src/cherrylane/http/inbound.py
+++ b/src/cherrylane/http/inbound.py
@@ -28,8 +28,8 @@
 )
 from cherrylane.http.responder import Responder
 
-# Seconds for which a connection is still read after the last response; closing it with unread data
-# would send a reset, and the caller could lose that response.
+# Seconds for which a connection is still read after the last response has left; closing it with
+# unread data would send a reset, and the caller could lose that response.
 LINGER_S = 1.0
 # Requests that may be queued behind the one being handled; RFC 9112 lets a server limit pipelining.
 MAX_PIPELINED = 16
@@ -145,6 +145,8 @@
         self._stopped_reading = False
         self._lingering = False
         self._idle_since = 0.0
+        # The part of a response that had not left this process when the timer was started.
+        self._unsent_bytes = 0
         self.is_busy = False
         self.is_lost = False
         self.served = 0
@@ -322,14 +324,14 @@
         return bool(poller.poll(0))
 
     def close(self) -> None:
-        """Stop sending, and keep reading for ``LINGER_S`` so that the last response arrives."""
+        """Stop sending, and linger so that the last response arrives."""
         if self.is_lost or self._lingering:
             return
         self._lingering = True
         self._stopped_reading = True
         if self._transport.can_write_eof():
             self._transport.write_eof()
-        self._restart_timer(LINGER_S)
+        self._linger()
 
     def abort(self) -> None:
         """Reset the connection, so that a partial response does not look complete."""
@@ -437,14 +439,26 @@
     def _restart_timer(self, seconds: float) -> None:
         if self._timeout_handle is not None:
             self._timeout_handle.cancel()
+        self._unsent_bytes = self._transport.get_write_buffer_size()
         self._timeout_handle = self._loop.call_later(seconds, self._on_timeout)
 
     def _start_idle_timer(self) -> None:
         self._idle_since = self._loop.time()
         self._restart_timer(self._server.limits.idle_timeout_s)
 
+    def _linger(self) -> None:
+        is_sending = self._transport.get_write_buffer_size() > 0
+        self._restart_timer(self._server.limits.idle_timeout_s if is_sending else LINGER_S)
+
+    @property
+    def _has_sent_more(self) -> bool:
+        """Whether the caller has taken some of a response since the timer was started."""
+        return self._transport.get_write_buffer_size() != self._unsent_bytes
+
     def _on_timeout(self) -> None:
-        if self._lingering:
+        if self._lingering and self._has_sent_more:
+            self._linger()
+        elif self._lingering:
             self._transport.abort()
         elif self.is_busy or self._requests:
             return
@@ -456,6 +470,9 @@
             self._end_idle()
 
     def _end_idle(self) -> None:
+        if self._has_sent_more:
+            self._start_idle_timer()
+            return
         # The limits may have been replaced since the timer was started.
         ends_at = self._idle_since + self._server.limits.idle_timeout_s
         time_left_s = ends_at - self._loop.time()
