--- a/tests/test_inbound.py
+++ b/tests/test_inbound.py
@@ -105,6 +105,37 @@
         answer = self.send(head + b"ab")
         self.assertThat(answer, StartsWith(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200"))
 
+    # The interim response was written into the middle of the response before, which broke it.
+    def test_expect_100_continue_waits_for_the_responses_before_it(self) -> None:
+        async def scenario() -> bytes:
+            is_released = asyncio.Event()
+
+            async def respond(request: Request, responder: Responder) -> None:
+                if request.head.method == b"GET":
+                    responder.start(200, [], b"a")
+                    await is_released.wait()
+                    responder.finish()
+                    return
+                responder.send(Response(200, (), request.body))
+
+            server = InboundServer(respond, InboundLimits())
+            await server.listen(open_listener())
+            reader, writer = await asyncio.open_connection(LOOPBACK, server.port)
+            writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            received = await reader.readuntil(b"a\r\n")
+            head = b"POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 2\r\n"
+            writer.write(head + b"Expect: 100-continue\r\n\r\n")
+            await asyncio.sleep(0.1)
+            is_released.set()
+            received += await reader.readuntil(b"100 Continue\r\n\r\n")
+            writer.write(b"bc")
+            return received + await read_until_closed(reader)
+
+        answer = run(scenario())
+        stream = b"\r\n\r\n1\r\na\r\n0\r\n\r\n"
+        self.assertThat(answer, Contains(stream + b"HTTP/1.1 100 Continue\r\n\r\n"))
+        self.assertTrue(answer.endswith(b"\r\n\r\nbc"), answer)
+
     def test_a_stream_is_sent_chunked(self) -> None:
         answer = self.send(b"GET /stream HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
         self.assertThat(answer, Contains(b"1\r\na\r\n1\r\nb\r\n0\r\n\r\n"))
