Send 100 Continue only after the responses before it

Callers saw: a broken stream, if they had sent a request with Expect: 100-continue behind it: the interim response was written at once, between two chunks of the response in progress. Test failed before: the 100 stands between the chunk and the end of the first response. Change: it is sent when all requests before are answered, unless the body has come by then.

--- a/src/cherrylane/http/inbound.py
+++ b/src/cherrylane/http/inbound.py
@@ -143,6 +143,8 @@
         self._meter: FramingMeter | None = None
         self._reading = False
         self._stopped_reading = False
+        # Whether a caller waits for leave to send the body of its request.
+        self._owes_continue = False
         self._lingering = False
         self._idle_since = 0.0
         # The part of a response that had not left this process when the timer was started.
@@ -273,6 +275,13 @@
         elif int(head.find(b"content-length") or 0) > limits.max_body_bytes:
             self._fail(ReadFailure(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "request body too large"))
         elif head.find_text(b"expect").lower() == "100-continue":
+            self._owes_continue = True
+            self._send_continue()
+
+    def _send_continue(self) -> None:
+        """Ask for the body of a request, if that is due and all requests before are answered."""
+        if self._owes_continue and not self.is_busy and not self._requests:
+            self._owes_continue = False
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
@@ -296,6 +305,7 @@
         self._requests.append(Request(self._head, b"".join(self._body)))
         self._head = None
         self._meter = None
+        self._owes_continue = False
         self._notify_request()
 
     @property
@@ -390,6 +400,7 @@
             self.close()
             return
         if self._reading:
+            self._send_continue()
             self._restart_timer(self._server.limits.read_timeout_s)
         else:
             self._start_idle_timer()
