--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -135,6 +135,18 @@
             with ExpectedException(SettingsError):
                 decode_configuration(invalid)
 
+    # A time limit that is no number broke the order of the event loop's timers, which all stopped.
+    def test_times_that_are_not_finite_numbers_are_refused(self) -> None:
+        route = CONFIG["routes"][0]
+        for milliseconds in (float("nan"), float("inf"), -1):
+            for name in ("timeout_ms", "target_latency_ms", "gap_aim_ms"):
+                with ExpectedException(SettingsError):
+                    decode_configuration(CONFIG | {"routes": [route | {name: milliseconds}]})
+            for name in ("header_timeout_ms", "idle_timeout_ms"):
+                limits = CONFIG["limits"] | {name: milliseconds}
+                with ExpectedException(SettingsError):
+                    decode_configuration(CONFIG | {"limits": limits})
+
 
 class UpstreamEntryTest(TestCase):
     def test_entry_is_decoded(self) -> None:
