Refuse a config with times that are no finite numbers

Callers saw (on a relay of tests/relay_fixture.py with such a route): 502 for requests without a deadline of their own, and with an upstream that answers at once no answer to anything any more: a timer at NaN breaks the order of the event loop's timers, which then stop for the whole process. Python's JSON reads NaN and Infinity. Test failed before: SettingsError not raised. Change: times have to be finite and not negative, or the last valid config stays in force, as with other invalid ones.

--- a/src/cherrylane/platform/configuration.py
+++ b/src/cherrylane/platform/configuration.py
@@ -49,13 +49,13 @@
         path_prefix=str(item["path_prefix"]),
         kind=KINDS[item["kind"]],
         shares=_decode_shares(item),
-        timeout_s=float(item["timeout_ms"]) / 1000,
-        target_s=float(item.get("target_latency_ms", item["timeout_ms"])) / 1000,
+        timeout_s=_read_seconds(item["timeout_ms"]),
+        target_s=_read_seconds(item.get("target_latency_ms", item["timeout_ms"])),
         priority=_read_int(item.get("priority", 0)),
         max_attempts=max(1, _read_int(item.get("max_attempts", 1))),
         is_public=bool(item.get("public", False)),
         is_resumable=bool(item.get("resumable", False)),
-        target_event_gap_s=None if event_gap_ms is None else float(event_gap_ms) / 1000,
+        target_event_gap_s=None if event_gap_ms is None else _read_seconds(event_gap_ms),
     )
 
 
@@ -88,8 +88,8 @@
     return InboundLimits(
         max_header_bytes=_read_int(item["max_header_bytes"]),
         max_body_bytes=_read_int(item["max_body_bytes"]),
-        read_timeout_s=float(item["header_timeout_ms"]) / 1000,
-        idle_timeout_s=float(item["idle_timeout_ms"]) / 1000,
+        read_timeout_s=_read_seconds(item["header_timeout_ms"]),
+        idle_timeout_s=_read_seconds(item["idle_timeout_ms"]),
     )
 
 
@@ -109,6 +109,14 @@
     return {service.name: service for service in decoded}
 
 
+def _read_seconds(milliseconds: Any) -> float:
+    """Return a time as a finite number of seconds: timers that get another one stop all others."""
+    seconds = float(milliseconds) / 1000
+    if not 0 <= seconds < float("inf"):
+        raise ValueError(f"{milliseconds!r} is not a time in milliseconds")
+    return seconds
+
+
 def _read_int(value: Any) -> int:
     if isinstance(value, bool) or not isinstance(value, int | float) or value != int(value):
         raise ValueError(f"{value!r} is not an integer")
