Test that requests outlive changes, reloads and a stop in series

Three kept connections with a request in progress and one behind it: the config moves their route to a service without upstreams and shortens its timeout, the upstream's entry is deleted, the settings change, and three SIGHUP, a SIGTERM and a SIGHUP follow. The first request is answered 200, the second 503, with Connection: close.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -10,7 +10,8 @@
 from threading import Thread
 from typing import Any
 
-from testtools.matchers import Contains, StartsWith
+from attrs import evolve
+from testtools.matchers import Contains, EndsWith, StartsWith
 
 from cherrylane.platform.client import AsyncPlatformClient
 from cherrylane.platform.objects import Kind, PlatformObject
@@ -175,6 +176,67 @@
         self.assertEqual(0, self.gateway.process.wait(timeout=20))
         self.assertEqual(0, self.gateway.wait_for("stopped")["cut"])
 
+    # Requests in progress, and those already read behind them, are cut when changes, reloads and
+    # a stop come in series.
+    def test_requests_outlive_changes_reloads_and_a_stop_in_series(self) -> None:
+        async def work() -> list[bytes]:
+            released = asyncio.Event()
+
+            async def answer(call: Call) -> None:
+                await released.wait()
+                call.answer(b"done")
+
+            upstream = await ScriptedUpstream(answer).start()
+            await self.write(upstream, {**DESK, "routes": [SLOW_ROUTE]})
+            await self.wait_until_ready()
+            port = self.gateway.port("callers")
+            head = b"GET /x/y HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: %d\r\n\r\n"
+            callers = [await asyncio.open_connection(LOOPBACK, port) for _ in range(3)]
+            for number, (_, writer) in enumerate(callers):
+                writer.write(head % (10 + number) + head % (20 + number))
+            while len(upstream.calls) < len(callers):
+                await asyncio.sleep(0.01)
+            await self.move_route_and_drop_upstream()
+            self.reload_settings()
+            self.gateway.process.send_signal(SIGTERM)
+            self.gateway.process.send_signal(SIGHUP)
+            await asyncio.to_thread(self.gateway.wait_for, "stopping")
+            released.set()
+            answers = [await reader.read() for reader, _ in callers]
+            for _, writer in callers:
+                writer.close()
+            return answers
+
+        for received in run(work()):
+            responses = received.split(b"HTTP/1.1 ")[1:]
+            self.assertEqual(2, len(responses))
+            first, second = responses
+            self.assertThat(first, StartsWith(b"200"))
+            self.assertThat(first, EndsWith(b"\r\n\r\ndone"))
+            self.assertThat(second, StartsWith(b"503"))
+            self.assertThat(second, Contains(b"Connection: close"))
+        self.assertEqual(0, self.gateway.process.wait(timeout=20))
+        self.assertEqual(0, self.gateway.wait_for("stopped")["cut"])
+
+    async def move_route_and_drop_upstream(self) -> None:
+        client = AsyncPlatformClient(self.store)
+        config = await client.get(Kind.CONFIG, "main")
+        moved = [{**SLOW_ROUTE, "service": "elsewhere", "timeout_ms": 5000}]
+        document = {**config.spec, "version": config.spec["version"] + 1, "routes": moved}
+        await client.update(evolve(config, spec=document))
+        await client.delete(Kind.UPSTREAMS, "i-1", version=None)
+        await asyncio.to_thread(self.gateway.wait_for, "upstream gone")
+        while len(self.gateway.find("configuration in force")) < 2:
+            await asyncio.sleep(0.01)
+
+    def reload_settings(self) -> None:
+        text = self.gateway.settings.read_text(encoding="utf-8")
+        changed = text.replace("budget_slack=54", "budget_slack=40")
+        self.gateway.settings.write_text(changed, encoding="utf-8")
+        for _ in range(3):
+            self.gateway.process.send_signal(SIGHUP)
+        self.gateway.wait_for("settings reloaded")
+
     def test_settings_are_reloaded_and_an_invalid_file_is_ignored(self) -> None:
         self.gateway.wait_for("started")
         valid = self.gateway.settings.read_text(encoding="utf-8")
