--- a/tests/test_inbound.py
+++ b/tests/test_inbound.py
@@ -232,6 +232,22 @@
         self.assertThat(answer, StartsWith(b"HTTP/1.1 502"))
         self.assertThat(answer, Contains(b"next"))
 
+    # An error after a complete response reset the connection, and what had not left was lost.
+    def test_an_error_after_a_complete_response_leaves_it_complete(self) -> None:
+        async def respond(request: Request, responder: Responder) -> None:
+            responder.send(Response(200, (), b"x" * MANY_BYTES))
+            raise RuntimeError("after the response")
+
+        async def scenario() -> int:
+            server = InboundServer(respond, InboundLimits())
+            await server.listen(open_listener())
+            reader, writer = await open_slow_caller(server.port)
+            writer.write(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+            await reader.readuntil(b"\r\n\r\n")
+            return len(await read_until_closed(reader))
+
+        self.assertEqual(MANY_BYTES, run(scenario()))
+
     def test_a_draining_server_closes_after_the_response(self) -> None:
         async def scenario() -> bytes:
             server = await self.open()
