Leave a complete response alone when its handler fails afterwards

Callers saw: a large response that broke off with a reset, although the log says that it was sent. Whatever a handler does after its response (logging, metrics) may fail, and the connection was then reset like in the middle of a response. Test failed before: != 127510 bytes. Change: the responder knows whether the response is complete; if so, the error is only logged.

--- a/src/cherrylane/http/inbound.py
+++ b/src/cherrylane/http/inbound.py
@@ -415,6 +415,8 @@
         log.exception(
             "handling a request failed", extra={"reason": f"{type(error).__name__}: {error}"}
         )
+        if responder.finished:
+            return
         if responder.started:
             responder.abort()
         else:
--- a/src/cherrylane/http/responder.py
+++ b/src/cherrylane/http/responder.py
@@ -41,11 +41,12 @@
         self._head = head
         self._is_draining = is_draining
         self.started = False
+        self.finished = False
         self.keeps_connection = head.keep_alive
 
     def send(self, response: Response) -> None:
         """Send a complete response."""
-        self.started = True
+        self.started = self.finished = True
         headers = self._add_connection_header(list(response.headers))
         if response.status not in (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED):
             headers.append((b"Content-Length", b"%d" % len(response.body)))
@@ -70,6 +71,7 @@
 
     def finish(self) -> None:
         """End the body."""
+        self.finished = True
         if not self._head.http_1_0:
             self._connection.write(LAST_CHUNK)
 
