--- a/tests/test_inbound.py
+++ b/tests/test_inbound.py
@@ -155,6 +155,26 @@
             with ExpectedException(ConnectionResetError):
                 run(scenario(version))
 
+    # The body of an HTTP/1.0 response ends with its connection: when the process ended, or the
+    # caller had closed its sending side, an orderly close made a part of it look complete.
+    def test_a_cancelled_stream_resets_the_connection(self) -> None:
+        async def scenario(version: str) -> None:
+            async def respond(request: Request, responder: Responder) -> None:
+                responder.start(200, [], b"a")
+                await asyncio.sleep(60)
+
+            server = InboundServer(respond, LIMITS)
+            await server.listen(open_listener())
+            reader, writer = await asyncio.open_connection(LOOPBACK, server.port)
+            writer.write(f"GET / HTTP/{version}\r\nHost: h\r\n\r\n".encode())
+            await reader.readuntil(b"a")
+            writer.write_eof()
+            await reader.read()
+
+        for version in ("1.0", "1.1"):
+            with ExpectedException(ConnectionResetError):
+                run(scenario(version))
+
     def test_a_disconnect_cancels_the_request(self) -> None:
         async def scenario() -> None:
             server = await self.open()
