Reset a connection whose response is cut by a cancel

Callers saw: of a stream over HTTP/1.0, whose end is that of its connection, a part that looked complete, when the process ended in the middle (grace period over) or when they had closed their sending side: the task's cancel closed the connection in order. Change: a response that has begun and isn't complete is reset, as that of a handler that fails. Other connections close as before.

--- a/src/cherrylane/http/inbound.py
+++ b/src/cherrylane/http/inbound.py
@@ -389,6 +389,8 @@
             await self._server.handle(request, responder)
         except asyncio.CancelledError as error:
             if self._is_cancelled:
+                if responder.started and not responder.finished:
+                    responder.abort()
                 raise
             # Something that the handler waited for was cancelled; the caller is still there.
             self._end_failed(responder, error)
