Know the port of a listener that is closed

Peers heard nothing more of a stopping host, and its log had 'background task failed' (task gossip) and an uncaught IndexError: the heartbeat names the callers' address, whose port was read from a listener that stop_accepting had closed. The new test fails before (IndexError: tuple index out of range). Change: the port is read when the server begins to listen.

--- a/src/cherrylane/http/inbound.py
+++ b/src/cherrylane/http/inbound.py
@@ -53,6 +53,8 @@
     on_read_failure: FailureListener = lambda failure: None
     connections: set["InboundConnection"] = field(factory=set)
     draining: bool = False
+    # Chosen by the kernel if port 0 was requested; known also when the listener is closed.
+    port: int = 0
     _listener: asyncio.Server | None = None
     _listening: socket | None = None
     _accepting: set[asyncio.Task[Any]] = field(factory=set)
@@ -61,14 +63,9 @@
         """Accept connections on a socket that is already listening."""
         loop = asyncio.get_running_loop()
         self._listening = listening
+        self.port = int(listening.getsockname()[1])
         self._listener = await loop.create_server(lambda: InboundConnection(self), sock=listening)
 
-    @property
-    def port(self) -> int:
-        """The port of the listener; chosen by the kernel if port 0 was requested."""
-        assert self._listener is not None
-        return int(self._listener.sockets[0].getsockname()[1])
-
     def stop_accepting(self) -> None:
         """Close the listener; connections that are open or wait to be accepted are served."""
         if self._listening is not None and self._listening.fileno() >= 0:
--- a/tests/test_inbound.py
+++ b/tests/test_inbound.py
@@ -338,6 +338,19 @@
 
         self.assertThat(run(scenario()), StartsWith(b"HTTP/1.1 200"))
 
+    # Guards against heartbeats of a stopping host that fail because its listener is closed.
+    def test_the_port_of_a_server_is_known_when_it_has_stopped_accepting(self) -> None:
+        async def scenario() -> tuple[int, int]:
+            server = await self.open()
+            port = server.port
+            server.stop_accepting()
+            await asyncio.sleep(0.05)
+            return port, server.port
+
+        port, port_when_stopped = run(scenario())
+        self.assertNotEqual(0, port)
+        self.assertEqual(port, port_when_stopped)
+
     # The kernel reset connections that weren't accepted yet, and asyncio dropped those that it had
     # accepted in the same moment.
     def test_a_server_that_stops_accepting_serves_the_connections_that_wait(self) -> None:
