Let no answer win that ends before its first event

Cause: an answer whose connection ends it and that was closed right after its head, as by a crash, claimed the request before it was found to be broken, so the silent attempt was cancelled for it. Where the stream had begun, it was not even found broken: an empty rest counted as complete if any event id was known. Change: the check comes before the claim. An empty rest without a length counts as complete only for a caller that resumes by itself (as test_an_answer_to_a_stream_that_was_relayed_completely_may_be_empty asks), not for a stream that has begun here. An answer without a length that holds only comments is broken now as well. Before: ([1, 2, 3, 4], [1, 1]) != ([1], [1, 1]), with the last chunk, and != ([], [1, 1]). After: the test passes.

--- a/src/cherrylane/relay/streams.py
+++ b/src/cherrylane/relay/streams.py
@@ -71,6 +71,11 @@
             if splitter.is_inside_event and (is_resumed or answer.head.framing != "length"):
                 connection.close()
                 return Broken(_describe_unfinished_event(answer.head, splitter))
+            # A caller that resumes may have every event; one whose stream broke off here may not.
+            may_be_empty = answer.head.has_length or (self.progress.last_id and not is_resumed)
+            if self._started_at is None and not may_be_empty:
+                connection.close()
+                return Broken("the connection was closed before the first event")
             self.claim()
             if splitter.remainder:
                 await self._forward(answer.head, splitter.remainder)
@@ -78,9 +83,6 @@
             connection.close()
             return Broken(error.problem)
         if not self.responder.started:
-            if not (answer.head.has_length or self.progress.last_id):
-                connection.close()
-                return Broken("the connection was closed before the first event")
             self.responder.start(answer.head.status, answer.head.end_to_end(), b"")
         self.responder.finish()
         return Completed()
--- a/tests/test_silent_upstreams.py
+++ b/tests/test_silent_upstreams.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from attrs import define
+from attrs import define, evolve
 from testtools import TestCase
 from testtools.matchers import Contains
 
@@ -61,6 +61,16 @@
     call.answer(b"done")
 
 
+async def begin_late(call: Call) -> None:
+    await asyncio.sleep(SILENCE_S)
+    await stream(1, 4)(call)
+
+
+async def end_after_head(call: Call) -> None:
+    call.start_events(chunked=False)
+    call.writer.close()
+
+
 async def wait_until_closed(call: Call) -> None:
     await call.reader.read()
 
@@ -113,6 +123,19 @@
 
         self.assertEqual([1, 2, 3, 4], events(run(scenario())))
 
+    # Guards against a silent upstream being closed for one that ends right after the head of its
+    # answer, and against such an end making a stream look complete (MIXED, ORDER).
+    def test_a_stream_goes_on_where_the_retry_is_closed_before_its_first_event(self) -> None:
+        async def scenario(silent: Script) -> tuple[bytes, list[int]]:
+            route = evolve(RESUMABLE, target_s=0.07)
+            fixture = await open_fixture(silent, end_after_head, route=route)
+            return await fixture.fetch("POST"), fixture.calls
+
+        for silent in (begin_late, fall_silent(1, 4)):
+            answer, calls = run(scenario(silent))
+            self.assertEqual(([1, 2, 3, 4], [1, 1]), (events(answer), calls))
+            self.assertTrue(answer.endswith(LAST_CHUNK))
+
 
 @define
 class StallingForwarder(Forwarder):
