Let a fault of one attempt end no other

Cause: giving up what one has: the exception of an attempt was raised to its request, which cancels all others. Change: while another attempt is in progress, the exception is logged and the outcome of that attempt is unknown. Before: [1, 2, 3, 4] != [1]. After: the test passes.

--- a/src/cherrylane/relay/_attempt_log.py
+++ b/src/cherrylane/relay/_attempt_log.py
@@ -83,6 +83,18 @@
     )
 
 
+def log_fault(request: CallerRequest, upstream: str, error: Exception) -> None:
+    """Log the exception being handled, which has ended an attempt while another one goes on."""
+    log.exception(
+        "attempt ended by a fault here",
+        extra={
+            "request": request.id,
+            "upstream": upstream,
+            "reason": f"{type(error).__name__}: {error}",
+        },
+    )
+
+
 def log_stall(request: CallerRequest, upstream: str, *, is_tried_elsewhere: bool) -> None:
     """Log that an attempt makes no progress, and whether another one is started beside it."""
     log.info(
--- a/src/cherrylane/relay/attempts.py
+++ b/src/cherrylane/relay/attempts.py
@@ -22,6 +22,7 @@
 from cherrylane.relay._attempt_log import (
     log_choice,
     log_failed_attempt,
+    log_fault,
     log_overload,
     log_stall,
 )
@@ -95,7 +96,7 @@
                     case Stalled(attempt):
                         self._handle_stall(state, responder, race, attempt)
                     case Ended(attempt) as ended:
-                        outcome = _read_outcome(ended, responder)
+                        outcome = _read_outcome(state, ended, race, responder)
                         self._record_attempt(state, attempt, outcome)
                         final = await self._handle_end(state, responder, race, attempt, outcome)
                         if final is not None:
@@ -302,9 +303,20 @@
                 outliers.note_failure(upstream, peers, now)
 
 
-def _read_outcome(ended: Ended, responder: Responder) -> Outcome:
-    """Return the outcome of an attempt; a whole answer is none to a stream that has begun."""
-    outcome = ended.read_outcome()
+def _read_outcome(
+    state: RequestState, ended: Ended, race: AttemptRace, responder: Responder
+) -> Outcome:
+    """Return the outcome of an attempt; a whole answer is none to a stream that has begun.
+
+    Raises the exception that the attempt has failed with, unless another one is in progress.
+    """
+    try:
+        outcome = ended.read_outcome()
+    except Exception as error:
+        if not race.running:
+            raise
+        log_fault(state.request, ended.attempt.choice.upstream.name, error)
+        return Unknown(f"the attempt failed here: {type(error).__name__}")
     if isinstance(outcome, Answered) and responder.started:
         return Broken(f"no stream to resume: status {outcome.head.status}")
     return outcome
--- a/tests/test_silent_upstreams.py
+++ b/tests/test_silent_upstreams.py
@@ -152,15 +152,42 @@
             await asyncio.sleep(0)
 
 
+@define
+class FaultyForwarder(Forwarder):
+    """A forwarder with a fault that shows at the upstream ``i1``."""
+
+    async def forward(
+        self, state: RequestState, attempt: Attempt, race: AttemptRace, responder: Responder
+    ) -> Outcome:
+        if attempt.choice.upstream.name == "i1":
+            raise ValueError("a fault in the code")
+        return await super().forward(state, attempt, race, responder)
+
+
+def replace_forwarder(fixture: RelayFixture, kind: type[Forwarder]) -> None:
+    assert fixture.relay is not None
+    runner = fixture.relay.attempt_runner
+    own = runner.forwarder
+    runner.forwarder = kind(own.client, own.selector, own.crash_guard, own.read_snapshot)
+
+
+class FaultTest(TestCase):
+    # Guards against an answer being given up for a fault that only the attempt beside it has met.
+    def test_a_stream_goes_on_where_the_attempt_beside_it_meets_a_fault(self) -> None:
+        async def scenario() -> bytes:
+            fixture = await open_fixture(fall_silent(1, 4), succeed)
+            replace_forwarder(fixture, FaultyForwarder)
+            return await fixture.fetch("POST")
+
+        answer = run(scenario())
+        self.assertEqual([1, 2, 3, 4], events(answer))
+        self.assertTrue(answer.endswith(LAST_CHUNK))
+
+
 class StallAtTheEndTest(TestCase):
     async def fetch(self, *scripts: Script) -> tuple[bytes, list[int]]:
         fixture = await open_fixture(*scripts, route=UNSAFE)
-        assert fixture.relay is not None
-        runner = fixture.relay.attempt_runner
-        forwarder = runner.forwarder
-        runner.forwarder = StallingForwarder(
-            forwarder.client, forwarder.selector, forwarder.crash_guard, forwarder.read_snapshot
-        )
+        replace_forwarder(fixture, StallingForwarder)
         return await fixture.fetch("POST"), fixture.calls
 
     # Guards against a request that may run only once being sent again (TWICE).
