Ask no third upstream beside a second one that is not silent

Cause: an attempt that finds its upstream unreachable was always replaced while another was in progress. Where the first attempt had stalled in connecting (CONNECT_TIMEOUT_S is 0.15 s, the patience of a safe request 0.06 s or more), the second one, just started, was in progress and not silent. Change: it is replaced at once only if one in progress has stalled. A second one that stalls later is hedged as any other. Before: [0, 1, 0] != [0, 1, 1]. After: the test passes.

--- a/src/cherrylane/relay/attempts.py
+++ b/src/cherrylane/relay/attempts.py
@@ -133,7 +133,9 @@
             case NotRun(was_sent=False):
                 state.unreachable += 1
                 if race.running:
-                    self._start_hedge(state, responder, race)
+                    # Another one is due only if this one was started beside a silent one.
+                    if any(other.stalls for other in race.running):
+                        self._start_hedge(state, responder, race)
                 elif state.unreachable >= MAX_UNREACHABLE:
                     return self._give_up(state, responder, Cause.NO_UPSTREAM)
             case _:
--- a/tests/test_silent_upstreams.py
+++ b/tests/test_silent_upstreams.py
@@ -8,8 +8,8 @@
 
 from cherrylane.http.messages import LAST_CHUNK
 from cherrylane.http.responder import Responder
-from cherrylane.relay.forwarding import Forwarder
-from cherrylane.relay.outcomes import Outcome
+from cherrylane.relay.forwarding import Forwarder, find_patience
+from cherrylane.relay.outcomes import NotRun, Outcome
 from cherrylane.relay.race import Attempt, AttemptRace
 from cherrylane.relay.state import RequestState
 from cherrylane.routing.routes import RequestKind, Route
@@ -164,6 +164,20 @@
         return await super().forward(state, attempt, race, responder)
 
 
+@define
+class SlowlyUnreachableForwarder(Forwarder):
+    """A forwarder to which the upstream ``i0`` is unreachable, which takes 0.3 s to find out."""
+
+    async def forward(
+        self, state: RequestState, attempt: Attempt, race: AttemptRace, responder: Responder
+    ) -> Outcome:
+        if attempt.choice.upstream.name == "i0":
+            attempt.note_progress(find_patience(state.request))
+            await asyncio.sleep(0.3)
+            return NotRun("cannot connect", was_sent=False)
+        return await super().forward(state, attempt, race, responder)
+
+
 def replace_forwarder(fixture: RelayFixture, kind: type[Forwarder]) -> None:
     assert fixture.relay is not None
     runner = fixture.relay.attempt_runner
@@ -250,6 +264,21 @@
 
         self.assertEqual({"i0", "i1"}, run(scenario()))
 
+    # Guards against a third upstream being asked beside a second one that is not silent.
+    def test_an_unreachable_upstream_is_replaced_once(self) -> None:
+        async def answer_soon(call: Call) -> None:
+            await asyncio.sleep(0.15)
+            call.answer(b"done")
+
+        async def scenario() -> tuple[bytes, list[int]]:
+            fixture = await open_fixture(succeed, answer_soon, wait_until_closed, route=SAFE)
+            replace_forwarder(fixture, SlowlyUnreachableForwarder)
+            return await fixture.fetch(), fixture.calls
+
+        answer, calls = run(scenario())
+        self.assertThat(answer, Contains(b"done"))
+        self.assertEqual([0, 1, 0], calls)
+
     def test_a_caller_that_leaves_ends_the_request_at_both_upstreams(self) -> None:
         async def scenario() -> None:
             fixture = await open_fixture(stream(1, 1, then=wait_until_closed), wait_until_closed)
