--- a/src/cherrylane/relay/forwarding.py
+++ b/src/cherrylane/relay/forwarding.py
@@ -17,6 +17,7 @@
 from cherrylane.relay.race import Attempt, AttemptRace
 from cherrylane.relay.request import CallerRequest
 from cherrylane.relay.selection import UpstreamSelector
+from cherrylane.relay.stalls import MIN_PATIENCE_S
 from cherrylane.relay.state import RequestState
 from cherrylane.relay.streams import StreamRelay
 from cherrylane.routing.snapshot import Snapshot
@@ -24,8 +25,6 @@
 
 # Fraction of its target time after which a safe request is tried at another upstream as well.
 SAFE_PATIENCE_SHARE = 0.6
-# Minimum seconds that an upstream has to answer a safe request.
-MIN_SAFE_PATIENCE_S = 0.06
 # Multiple of its target time after which a resumable stream without any data is tried elsewhere.
 STREAM_PATIENCE_TARGETS = 3.0
 
@@ -113,9 +112,8 @@
 def find_patience(request: CallerRequest) -> float:
     """Return in how many seconds an upstream should have started its answer."""
     target_s = request.route.target_s
-    if is_stream(request):
-        return target_s * STREAM_PATIENCE_TARGETS
-    return max(MIN_SAFE_PATIENCE_S, target_s * SAFE_PATIENCE_SHARE)
+    share = STREAM_PATIENCE_TARGETS if is_stream(request) else SAFE_PATIENCE_SHARE
+    return max(MIN_PATIENCE_S, target_s * share)
 
 
 def _make_dispatch(state: RequestState, choice: Choice) -> Dispatch:
--- a/src/cherrylane/relay/stalls.py
+++ b/src/cherrylane/relay/stalls.py
@@ -9,6 +9,9 @@
 
 from attrs import define
 
+# Minimum seconds that an upstream has for its next progress.
+MIN_PATIENCE_S = 0.06
+
 
 @define
 class StallTimer:
--- a/src/cherrylane/relay/streams.py
+++ b/src/cherrylane/relay/streams.py
@@ -12,6 +12,7 @@
 from cherrylane.relay.exchange import OpenAnswer
 from cherrylane.relay.outcomes import Broken, Completed, Outcome
 from cherrylane.relay.request import CallerRequest
+from cherrylane.relay.stalls import MIN_PATIENCE_S
 
 # Multiple of its target gap between events after which a silent resumable stream is also tried at
 # another upstream.
@@ -104,7 +105,7 @@
             self.note_under_way(self._started_at)
         event_gap_s = self.request.route.target_event_gap_s
         if event_gap_s is not None:
-            self.note_progress(event_gap_s * EVENT_GAPS_TOLERATED)
+            self.note_progress(max(MIN_PATIENCE_S, event_gap_s * EVENT_GAPS_TOLERATED))
 
 
 def _describe_unfinished_event(head: ResponseHead, splitter: EventSplitter) -> str:
--- a/tests/test_silent_upstreams.py
+++ b/tests/test_silent_upstreams.py
@@ -4,13 +4,17 @@
 
 from attrs import define, evolve
 from testtools import TestCase
-from testtools.matchers import Contains
+from testtools.matchers import Contains, LessThan
 
 from cherrylane.http.messages import LAST_CHUNK
 from cherrylane.http.responder import Responder
+from cherrylane.limits.quarantine import Quarantined
+from cherrylane.relay.crashes import CrashGuard
 from cherrylane.relay.forwarding import Forwarder, find_patience
 from cherrylane.relay.outcomes import NotRun, Outcome
 from cherrylane.relay.race import Attempt, AttemptRace
+from cherrylane.relay.request import CallerRequest
+from cherrylane.relay.stalls import MIN_PATIENCE_S
 from cherrylane.relay.state import RequestState
 from cherrylane.routing.routes import RequestKind, Route
 from tests.relay_fixture import (
@@ -217,7 +221,31 @@
         self.assertEqual([1], calls)
 
 
+@define
+class CountingGuard(CrashGuard):
+    """Counts how often another upstream is looked for."""
+
+    searches: int = 0
+
+    def find_refusal(self, request: CallerRequest, now: float) -> Quarantined | None:
+        self.searches += 1
+        return super().find_refusal(request, now)
+
+
 class HedgeTest(TestCase):
+    # Guards against a target or gap of zero in a configuration keeping the event loop busy.
+    def test_a_target_of_zero_is_no_reason_to_look_for_upstreams_without_end(self) -> None:
+        async def scenario(silent: Script) -> int:
+            route = evolve(RESUMABLE, target_s=0.0, target_event_gap_s=0.0)
+            fixture = await open_fixture(silent, route=route)
+            assert fixture.relay is not None
+            guard = fixture.relay.attempt_runner.crash_guard = CountingGuard()
+            self.assertEqual([1, 2, 3, 4], events(await fixture.fetch("POST")))
+            return guard.searches
+
+        for silent in (begin_late, fall_silent(1, 4)):
+            self.assertThat(run(scenario(silent)), LessThan(2 + SILENCE_S / MIN_PATIENCE_S))
+
     # Guards against an upstream being cut that goes on before the other one has begun.
     def test_the_upstream_that_goes_on_first_wins_and_the_other_is_closed(self) -> None:
         async def scenario() -> tuple[bytes, int]:
