Answer HEAD on a stream without a wait for events

Cause: the answer to HEAD has no body, and its head on a stream route was taken for the begin of events. Change: such an answer is a whole one, as on other routes. Before: the answer, at the deadline of 500 ms, does not start with b'HTTP/1.1 200 '. After: the test passes.

--- a/src/cherrylane/relay/forwarding.py
+++ b/src/cherrylane/relay/forwarding.py
@@ -57,7 +57,7 @@
             return answer
         state.framing = answer.head.framing
         self._note_upstream_state(upstream, answer.head)
-        if not (is_stream(request) and is_success(answer.head) and may_be_events(answer.head)):
+        if not _has_events(request, answer.head):
             return await self.client.finish(request, upstream, answer)
         self._record_cached(request, upstream.name)
         relay = StreamRelay(
@@ -116,6 +116,16 @@
     return max(MIN_PATIENCE_S, target_s * share)
 
 
+def _has_events(request: CallerRequest, head: ResponseHead) -> bool:
+    """Return whether an answer with this head is relayed as a stream of events."""
+    return (
+        is_stream(request)
+        and request.method != b"HEAD"
+        and is_success(head)
+        and may_be_events(head)
+    )
+
+
 def _make_dispatch(state: RequestState, choice: Choice) -> Dispatch:
     request = state.request
     source = choice.cache_source
--- a/tests/test_relay_streams.py
+++ b/tests/test_relay_streams.py
@@ -98,6 +98,16 @@
 
 
 class StreamsTest(TestCase):
+    # Guards against a wait for the events of an answer that has no body.
+    def test_a_head_request_to_a_stream_is_answered(self) -> None:
+        async def answer_head(call: Call) -> None:
+            call.start_events()
+
+        answer, calls = fetch(RESUMABLE, answer_head, method="HEAD", extra="Deadline-Ms: 500\r\n")
+        self.assertThat(answer, StartsWith(b"HTTP/1.1 200 "))
+        self.assertThat(answer, EndsWith(b"\r\n\r\n"))
+        self.assertEqual([1], calls)
+
     def test_a_stream_without_a_signature_is_no_success(self) -> None:
         async def unsigned_stream(call: Call) -> None:
             head = b"HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
