Hold no upstream for failing that was asked shortly before the deadline

Cause: taking silence for failure: at the deadline both attempts of a hedged request counted as failures, also the second one, which had had less time than an upstream is given; its upstream was also probed for a crash. Change: an attempt beside another one that had not stalled yet is logged as superseded and counts for nothing, as where the other one goes on first. Before: ([1, 1], ['i0']) != ([1, 1], ['i0', 'i1']). After: the test passes.

--- a/src/cherrylane/relay/attempts.py
+++ b/src/cherrylane/relay/attempts.py
@@ -208,8 +208,12 @@
         self, state: RequestState, responder: Responder, race: AttemptRace
     ) -> FinalOutcome:
         """End the attempts in progress at the request's deadline."""
-        outcome = Broken("silent") if responder.started else Unknown("no answer in time")
-        for attempt in race.cancel():
+        late = Broken("silent") if responder.started else Unknown("no answer in time")
+        cancelled = race.cancel()
+        for attempt in cancelled:
+            # An attempt that was started beside a silent one may have had little time.
+            is_late = attempt.stalls > 0 or len(cancelled) == 1
+            outcome = late if is_late else Superseded("the deadline came first", has_stalled=False)
             self._record_attempt(state, attempt, outcome)
             state.note(outcome)
         return self._give_up(state, responder, Cause.TIMED_OUT)
--- a/src/cherrylane/relay/outcomes.py
+++ b/src/cherrylane/relay/outcomes.py
@@ -58,7 +58,7 @@
 
 @frozen
 class Superseded:
-    """The attempt was ended because another one went on first.
+    """The attempt was ended because another one went on first, or early by the deadline.
 
     ``has_stalled`` means that it had made no progress for as long as it was given.
     """
--- a/tests/test_silent_upstreams.py
+++ b/tests/test_silent_upstreams.py
@@ -1,13 +1,15 @@
 """Upstreams that fall silent for a while and go on, beside others that refuse or are silent too."""
 
 import asyncio
+from collections.abc import Iterable
 
-from attrs import define, evolve
+from attrs import define, evolve, field
 from testtools import TestCase
 from testtools.matchers import Contains, LessThan
 
 from cherrylane.http.messages import LAST_CHUNK
 from cherrylane.http.responder import Responder
+from cherrylane.limits.outliers import OutlierDetector
 from cherrylane.limits.quarantine import Quarantined
 from cherrylane.relay.crashes import CrashGuard
 from cherrylane.relay.forwarding import Forwarder, find_patience
@@ -232,7 +234,29 @@
         return super().find_refusal(request, now)
 
 
+@define
+class RecordingDetector(OutlierDetector):
+    """Keeps the names of the upstreams whose failures were noted."""
+
+    failed: list[str] = field(factory=list)
+
+    def note_failure(self, name: str, peers: Iterable[str], now: float) -> bool:
+        self.failed.append(name)
+        return super().note_failure(name, peers, now)
+
+
 class HedgeTest(TestCase):
+    # Guards against an upstream that was asked shortly before the deadline being held for failing.
+    def test_only_the_silent_upstream_counts_as_failing_at_the_deadline(self) -> None:
+        async def scenario() -> tuple[list[int], list[str]]:
+            fixture = await open_fixture(wait_until_closed, wait_until_closed, route=SAFE)
+            assert fixture.relay is not None
+            detector = fixture.relay.attempt_runner.selector.outliers = RecordingDetector()
+            await fixture.fetch(extra="Deadline-Ms: 350\r\n")
+            return fixture.calls, detector.failed
+
+        self.assertEqual(([1, 1], ["i0"]), run(scenario()))
+
     # Guards against a target or gap of zero in a configuration keeping the event loop busy.
     def test_a_target_of_zero_is_no_reason_to_look_for_upstreams_without_end(self) -> None:
         async def scenario(silent: Script) -> int:
