--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,7 +1,10 @@
 """Tests of stream relaying in the event loop, with scripted upstreams."""
 
+from fcntl import ioctl
 from json import loads
-from socket import socket, socketpair
+from socket import SO_LINGER, SOL_SOCKET, socket, socketpair
+from struct import unpack
+from termios import TIOCOUTQ
 from threading import Event
 
 from testtools import TestCase
@@ -10,10 +13,12 @@
 from cherrylane.delivery.exchange import UpstreamClient, UpstreamRequest
 from cherrylane.delivery.relay import StreamRelay
 from cherrylane.delivery.streams import StreamLoop
+from cherrylane.http.inbound import RESET_ON_CLOSE
 from cherrylane.limits.work import Grant, GrantOutcome
 from cherrylane.settings.schema import UpstreamSettings
 from cherrylane.telemetry.metrics import Metrics
 from cherrylane.telemetry.traffic import TrafficCounter
+from standins.fleet import wait_until
 from tests.builders import POOL
 from tests.scripted import Script, ScriptedUpstream, send, send_then_hang
 
@@ -30,6 +35,23 @@
     return b"%x\r\n%b\r\n" % (len(data), data)
 
 
+def send_then_reset(response: bytes, reset: Event) -> Script:
+    """Return a script that resets the connection once all of ``response`` has arrived."""
+
+    def script(connection: socket, _: Event) -> None:
+        connection.sendall(response)
+        wait_until(lambda: count_unacknowledged_bytes(connection) == 0, "the response to arrive")
+        connection.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
+        connection.close()
+        reset.set()
+
+    return script
+
+
+def count_unacknowledged_bytes(connection: socket) -> int:
+    return int(unpack("i", ioctl(connection, TIOCOUTQ, bytes(4)))[0])
+
+
 class RelayTest(TestCase):
     def setUp(self) -> None:
         super().setUp()
@@ -145,6 +167,25 @@
         self.assertFalse(self.released.wait(0.5), "the stream ended before its caller read it")
         self.assertEqual(body + FINAL_EVENTS, self.read_all(caller))
 
+    # Guards against the reset of an engine's connection counting as the end of a slow caller's.
+    def test_a_slow_caller_receives_what_arrived_before_a_reset(self) -> None:
+        events = EVENT * 15_000
+        caller = self.begin_and_reset(make_chunk(events + FINAL_EVENTS) + LAST_CHUNK)
+        received = self.read_all(caller)
+        self.assertEqual(len(events + FINAL_EVENTS), len(received))
+        self.assertTrue(received == events + FINAL_EVENTS)
+        caller = self.begin_and_reset(make_chunk(events))
+        self.assert_cut(self.read_all(caller), after=events)
+
+    def begin_and_reset(self, chunks: bytes) -> socket:
+        """Begin a stream whose engine resets its connection before the caller reads."""
+        self.released.clear()
+        self.outcomes.clear()
+        reset = Event()
+        caller = self.begin(send_then_reset(CHUNKED + chunks, reset))
+        self.assertTrue(reset.wait(TIMEOUT_S), "the engine did not reset its connection")
+        return caller
+
     def test_a_caller_that_disconnects_ends_the_stream(self) -> None:
         caller = self.begin(send_then_hang(CHUNKED + make_chunk(EVENT)))
         caller.recv(1)
