Test that a request that runs when a server of the thread daemon stops is answered

The caller gets an empty 400 a second after the stop, and the upstream's answer is given up: MismatchError: (b'200', b'late') != (b'400', b'\r\n\r\n').

--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -2,17 +2,33 @@
 
 from collections.abc import Iterable
 from json import loads
-from socket import create_connection
+from socket import create_connection, socket
+from threading import Event, Thread
 from typing import Any
 
 from testtools import TestCase
 
-from cherrylane.delivery.responses import make_json_response, make_refusal_response
+from cherrylane.delivery.exchange import UpstreamClient, UpstreamRequest
+from cherrylane.delivery.responses import (
+    CallerResponse,
+    make_json_response,
+    make_refusal_response,
+)
+from cherrylane.errors import CallerDisconnectedError
 from cherrylane.http.requests import read_request
-from cherrylane.http.server import Environ, HttpServer, StartResponse, write_response
-from cherrylane.settings.schema import Endpoint
+from cherrylane.http.server import (
+    Environ,
+    HttpServer,
+    StartResponse,
+    caller_socket,
+    write_response,
+)
+from cherrylane.settings.schema import Endpoint, UpstreamSettings
+from tests.scripted import ScriptedUpstream
 
 WAIT_S = 10.0
+# Seconds for which an upstream is silent beyond the begin of a stop.
+SILENCE_S = 1.6
 MAX_BODY_BYTES = 100
 
 
@@ -77,3 +93,50 @@
             connection.settimeout(WAIT_S)
             received = connection.recv(65536)
         self.assertIn(b" 4", received.split(b"\r\n")[0])
+
+
+class StopTest(TestCase):
+    # Guards against a stop that takes a running request's caller for disconnected after a second.
+    def test_a_request_that_runs_when_the_server_stops_is_answered(self) -> None:
+        arrived, proceed = Event(), Event()
+
+        def answer_late(connection: socket, _: Event) -> None:
+            arrived.set()
+            proceed.wait(WAIT_S)
+            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
+
+        upstream = ScriptedUpstream(answer_late)
+        self.addCleanup(upstream.close)
+        client = UpstreamClient(UpstreamSettings())
+
+        def relay(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+            request = UpstreamRequest("GET", "/", {}, b"")
+            try:
+                exchange = client.open(upstream.runner, request, caller=caller_socket(environ))
+                response = CallerResponse(200, {}, exchange.read_full_body())
+            except CallerDisconnectedError:
+                response = CallerResponse(400, {}, b"")
+            return write_response(response, start_response)
+
+        server = HttpServer(
+            Endpoint("127.0.0.1", 0),
+            relay,
+            threads=4,
+            idle_timeout_s=WAIT_S,
+            max_header_bytes=2048,
+            name="callers",
+        )
+        server.start()
+        stopper = Thread(target=server.stop)
+        with create_connection(("127.0.0.1", server.port), WAIT_S) as connection:
+            connection.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            self.assertTrue(arrived.wait(WAIT_S), "the request did not reach its upstream")
+            stopper.start()
+            stopper.join(SILENCE_S)
+            proceed.set()
+            received = b""
+            while part := connection.recv(65536):
+                received += part
+        stopper.join(WAIT_S)
+        self.assertFalse(stopper.is_alive(), "the server did not stop")
+        self.assertEqual((b"200", b"late"), (received.split()[1], received[-4:]))
