Finish the running requests of a server of the thread daemon that is stopped

Callers saw an empty 400 instead of their answer, if their request was read just before the stop of a daemon and its engine was silent for a second after it; a 400 says that the request is at fault, but it had been passed on. Cause: cheroot shuts down the reading side of connections that are in use a second after the stop; whoever waits for an engine takes that for the caller's disconnect and cancels. Evidence: the test failed before (MismatchError: (b'200', b'late') != (b'400', b'\r\n\r\n')) and passes now, five times with the rest of test_http and test_slow_and_endless. Why it works: the stop waits for the threads without ending their connections; each request is bounded by its own time limits, as before, for the stop always waited for the thread after the cut.

--- a/src/cherrylane/http/server.py
+++ b/src/cherrylane/http/server.py
@@ -180,8 +180,9 @@
             max=threads,
             request_queue_size=1024,
             timeout=ceil(idle_timeout_s),
-            shutdown_timeout=1,
         )
+        # Each request has time limits of its own; after this one its connection would be cut.
+        self._server.shutdown_timeout = None
         self._server.ConnectionClass = _JsonErrorConnection
         self._server.gateway = _ConnectionGateway
         self._server.max_request_header_size = max_header_bytes
@@ -206,7 +207,7 @@
         return bool(pool.qsize or pool.idle < len(pool._threads))
 
     def stop(self) -> None:
-        """Stop listening and close idle connections."""
+        """Stop listening, close idle connections, and finish the requests that run."""
         self._server.stop()
 
 
