Take no more requests before a stop of the thread daemon waits for those that run

Callers saw streams cut without an error event, and chats cut, that had begun while their host left the roster, up to the 3 s of the platform's time limit and more; or, beside callers that kept their connections busy, a stop that never ended and so a SIGKILL. Cause: the stop waited for a moment without requests while it went on taking new ones, and went on taking them after that moment, with no more waiting. Why it works: first answers that close their connection, until addresses have expired; then the server of callers stops, which finishes what it has read; then the streams end; only then the host leaves.

--- a/src/cherrylane/daemon/runtime.py
+++ b/src/cherrylane/daemon/runtime.py
@@ -1,7 +1,7 @@
 """The running daemon: creates its components from the settings, starts and stops them in order."""
 
 from threading import Event, Lock
-from time import monotonic, sleep
+from time import sleep
 from typing import Any
 
 from logbook import Logger
@@ -123,7 +123,8 @@
     def stop(self) -> None:
         """Drain: mark the host as draining, finish running requests, leave the roster, and close.
 
-        Callers that still hold an address list with this host are served until it expires.
+        Callers that still hold an address list with this host are served until it expires. From
+        then on no request is taken, so that none begins that would not be finished.
         """
         self._stopping.set()
         self._serving = False
@@ -131,12 +132,14 @@
             self._roster_entry.mark_draining()
         except PlatformError as error:
             log.warning(f"could not mark this host as draining: {error}")
-        self._wait_until_idle()
+        self._callers.close_after_responses()
+        sleep(self.settings.callers.address_lifetime_s)
+        self._callers.stop()
+        self._wait_for_streams()
         try:
             self._roster_entry.leave()
         except PlatformError as error:
             log.warning(f"could not leave the roster: {error}")
-        self._callers.stop()
         self._streams.stop()
         self._idempotency_guard.stop()
         self._prober.stop()
@@ -167,10 +170,9 @@
             },
         }
 
-    def _wait_until_idle(self) -> None:
-        """Wait until issued address lists have expired, and then until no request is running."""
-        expiry = monotonic() + self.settings.callers.address_lifetime_s
-        while monotonic() < expiry or self.admission.count_held_grants() or self._callers.is_busy():
+    def _wait_for_streams(self) -> None:
+        """Wait for the streams, which run outside the server of callers and hold grants."""
+        while self.admission.count_held_grants():
             sleep(DRAIN_POLL_S)
 
     def _join(self) -> None:
--- a/src/cherrylane/http/server.py
+++ b/src/cherrylane/http/server.py
@@ -201,10 +201,9 @@
         """Start to serve requests."""
         self._thread.start()
 
-    def is_busy(self) -> bool:
-        """Return whether a request is being handled."""
-        pool = self._server.requests
-        return bool(pool.qsize or pool.idle < len(pool._threads))
+    def close_after_responses(self) -> None:
+        """From now on, announce with each response that its connection is closed."""
+        self._server.keep_alive_conn_limit = 0
 
     def stop(self) -> None:
         """Stop listening, close idle connections, and finish the requests that run."""
