--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -124,6 +124,14 @@
         self.assertEqual(Execution.NOT_RUN, refusal.execution)
         self.assertIsNotNone(refusal.retry_after_s)
 
+    # Guards against "not run" for a request that an upstream may have run before another declined.
+    def test_a_request_that_may_have_run_is_not_reported_as_not_run(self) -> None:
+        broken = self.start(send())
+        for last in (self.start(send(UNAVAILABLE)), DEAD_PORT):
+            attempts, _admission, view = self.make(broken, last)
+            refusal = attempts.run(self.make_task(1), view, view.services[SERVICE]).unwrap_err()
+            self.assertEqual((502, Execution.UNKNOWN), (refusal.status, refusal.execution))
+
     def test_a_503_to_a_non_repeatable_request_is_relayed_unchanged(self) -> None:
         """A 503 may follow a side effect, so it does not prove that the request was not run."""
         upstream = ScriptedUpstream(send(UNAVAILABLE))
