Report a request as perhaps run once one attempt may have run, in the thread daemon

Callers saw 503 "not_run" with Retry-After for a request that an upstream had accepted and broken off, if another one declined it then or couldn't be reached; "not_run" promises that no upstream has run it. Cause: the refusal of the last attempt replaced those before it. Why it works: a refusal whose execution is unknown holds for the whole request; only later answers, not later refusals, replace it. How often is tried, and what the budget counts, stays as it was.

--- a/src/cherrylane/delivery/attempts.py
+++ b/src/cherrylane/delivery/attempts.py
@@ -109,7 +109,7 @@
         """
         self._budget.deposit()
         excluded: tuple[str, ...] = ()
-        last_refusal: Refusal | None = None
+        refusal: Refusal | None = None
         sent = unreachable = 0
         while sent < MAX_ATTEMPTS and unreachable < MAX_UNREACHABLE:
             attempt_id = f"{task.request_id}.{len(excluded) + 1}"
@@ -120,22 +120,24 @@
                 lambda pool_request: self._admit(task, pool_request, view),
             ):
                 case Err(admission_refusal):
-                    return Err(last_refusal or convert_admission_refusal(admission_refusal))
+                    return Err(refusal or convert_admission_refusal(admission_refusal))
                 case Ok(grant):
                     outcome = self._run_attempt(task, grant, service)
             match outcome:
                 case Ok(granted):
                     return Ok(granted)
-                case Err(FailedAttempt(last_refusal, unreachable=True)):
-                    unreachable += 1
-                case Err(FailedAttempt(last_refusal)):
-                    sent += 1
-                    if not self._may_retry(task, last_refusal):
-                        return Err(last_refusal)
+                case Err(failed):
+                    refusal = _choose_refusal(refusal, failed.refusal)
+            if failed.unreachable:
+                unreachable += 1
+            else:
+                sent += 1
+                if not self._may_retry(task, refusal):
+                    return Err(refusal)
             excluded = (*excluded, grant.engine)
             self._metrics.count("retries", service.entry.name)
         message = f"service {service.entry.name} has no live upstream for this request"
-        return Err(last_refusal or _make_not_run_refusal("no_upstream", message))
+        return Err(refusal or _make_not_run_refusal("no_upstream", message))
 
     def _may_retry(self, task: DeliveryTask, refusal: Refusal) -> bool:
         if refusal.execution is not Execution.NOT_RUN and not task.repeatable:
@@ -209,6 +211,13 @@
         return Ok(granted)
 
 
+def _choose_refusal(earlier: Refusal | None, latest: Refusal) -> Refusal:
+    """Return the refusal that holds for all attempts: one that may have run stays so."""
+    if earlier is not None and earlier.execution is Execution.UNKNOWN:
+        return earlier
+    return latest
+
+
 def convert_admission_refusal(admission_refusal: AdmissionRefusal) -> Refusal:
     """Return the refusal for a request that the home admitted to no engine."""
     return Refusal(
