--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -1,3 +1,6 @@
+from socket import socket
+from threading import Event
+from time import sleep
 from typing import Any
 
 from result import Err, Ok, Result
@@ -19,8 +22,11 @@
 UNAVAILABLE = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
 REQUESTS = 60
 DEAD_PORT = 1
+# Seconds for which a sound upstream may say nothing.
+SILENCE_S = 1.6
 # Long enough for a busy machine: every upstream here responds or closes.
 TIMEOUT_S = 30.0
+PATIENT = UpstreamSettings(connect_timeout_s=TIMEOUT_S, first_byte_timeout_s=TIMEOUT_S)
 
 
 class DirectAdmissionClient:
@@ -62,14 +68,14 @@
     def alive(self, count: int) -> list[int]:
         return [self.start(send(RESPONSE)) for _ in range(count)]
 
-    def make(self, *ports: int) -> tuple[AttemptRunner, DirectAdmissionClient, FleetView]:
+    def make(
+        self, *ports: int, settings: UpstreamSettings = PATIENT
+    ) -> tuple[AttemptRunner, DirectAdmissionClient, FleetView]:
         runners = [make_runner(f"engine-{n}", port=port) for n, port in enumerate(ports)]
         view = make_view_of(runners)
         admission = DirectAdmissionClient(view)
         untyped_client: Any = admission
-        client = UpstreamClient(
-            UpstreamSettings(connect_timeout_s=TIMEOUT_S, first_byte_timeout_s=TIMEOUT_S)
-        )
+        client = UpstreamClient(settings)
         return AttemptRunner(untyped_client, client, Metrics(TrafficCounter())), admission, view
 
     def make_task(self, number: int, *, repeatable: bool = True) -> DeliveryTask:
@@ -124,6 +130,23 @@
         self.assertEqual(Execution.NOT_RUN, refusal.execution)
         self.assertIsNotNone(refusal.retry_after_s)
 
+    # Guards against the time limit of connecting ending an attempt whose upstream pauses.
+    def test_a_silent_upstream_is_not_given_up(self) -> None:
+        def pause(connection: socket, _: Event) -> None:
+            for part in (RESPONSE[:20], RESPONSE[20:-1], RESPONSE[-1:]):
+                sleep(SILENCE_S)
+                connection.sendall(part)
+
+        declining = ScriptedUpstream(send(UNAVAILABLE))
+        self.addCleanup(declining.close)
+        attempts, _admission, view = self.make(
+            self.start(pause), declining.runner.port, settings=UpstreamSettings()
+        )
+        granted = attempts.run(self.make_task(1), view, view.services[SERVICE]).unwrap()
+        self.assertEqual(b"ok", granted.exchange.read_full_body())
+        granted.finish()
+        self.assertEqual(0, declining.calls)
+
     # Guards against "not run" for a request that an upstream may have run before another declined.
     def test_a_request_that_may_have_run_is_not_reported_as_not_run(self) -> None:
         broken = self.start(send())
--- a/tests/test_slow_and_endless.py
+++ b/tests/test_slow_and_endless.py
@@ -23,6 +23,8 @@
 # The byte now and then comes far more often than the time-out for silence.
 PAUSE_S = 0.02
 SHORT_S = 0.3
+# A sound upstream may be silent for about so long and go on.
+SILENCE_S = 1.6
 LONG_S = 30.0
 
 
@@ -91,6 +93,21 @@
 
         self.assertEqual(b"x" * 10, self.read(script))
 
+    # Guards against the time limit of connecting being that of each read from an upstream.
+    def test_a_sound_upstream_may_be_silent_in_head_and_body(self) -> None:
+        whole = HEAD + b"Content-Length: 10\r\n\r\n" + b"x" * 10
+        for pause_at in (len(HEAD) // 2, len(whole) - 5):
+
+            def script(connection: socket, _: Event, start: int = pause_at) -> None:
+                connection.sendall(whole[:start])
+                sleep(SILENCE_S)
+                connection.sendall(whole[start:])
+
+            upstream = ScriptedUpstream(script)
+            self.addCleanup(upstream.close)
+            exchange = UpstreamClient(UpstreamSettings()).open(upstream.runner, REQUEST)
+            self.assertEqual(b"x" * 10, exchange.read_full_body())
+
 
 class StreamTest(RelayTest):
     def test_a_stalled_stream_that_sends_a_byte_now_and_then_ends(self) -> None:
@@ -111,6 +128,19 @@
         received = self.read_all(self.begin(script, silence_timeout_s=SHORT_S * 10))
         self.assertEqual(EVENT * 10 + FINAL_EVENTS, received)
 
+    # Guards against the time limit of connecting being that of the wait for the first event.
+    def test_a_sound_stream_may_be_silent_between_and_in_events(self) -> None:
+        parts = (CHUNKED, make_chunk(EVENT + EVENT[:4]), make_chunk(EVENT[4:]))
+
+        def script(connection: socket, _: Event) -> None:
+            for part in (*parts, make_chunk(FINAL_EVENTS) + LAST_CHUNK):
+                connection.sendall(part)
+                sleep(SILENCE_S)
+
+        default_s = UpstreamSettings().silence_timeout_s
+        received = self.read_all(self.begin(script, silence_timeout_s=default_s))
+        self.assertEqual(EVENT * 2 + FINAL_EVENTS, received)
+
     def test_a_caller_that_stops_reading_is_not_the_engines_silence(self) -> None:
         body = EVENT * 200_000
         script = send(CHUNKED + make_chunk(body) + make_chunk(FINAL_EVENTS) + LAST_CHUNK)
