Give reads from an upstream of the thread daemon their own time limit, not that of connecting

Callers saw 502 outcome_unknown, a truncated answer, or a stream that ended before its first event, when a sound engine or service paused for more than a second within its head, its body or after its head, or while it read a long request: the limit was connect_timeout_s (1 s), not silence_timeout_s (15 s). Cause: urllib3 sets the socket's time-out to the connection's in request() and in getresponse(), and so undid what the client had set on the socket. Evidence: three tests failed before ("sent no valid response (TimeoutError)", Refusal(status=502, code='outcome_unknown'), "TimeoutError: timed out") and pass now, twice, with test_exchange and test_relay. Why it works: the connection's own time-out is set once the connection stands; connecting keeps connect_timeout_s. Ruled out: the limit for a silence before the first byte (first_byte_timeout_s, 60 s), which a poll keeps. The settings say now what silence_timeout_s is for.

--- a/src/cherrylane/delivery/exchange.py
+++ b/src/cherrylane/delivery/exchange.py
@@ -145,7 +145,8 @@
 
     def _send(self, runner: Runner, connection: HTTPConnection, request: UpstreamRequest) -> None:
         try:
-            connection.sock.settimeout(self.settings.silence_timeout_s)
+            # urllib3 sets it for the socket again with each request and each response.
+            connection.timeout = self.settings.silence_timeout_s
             connection.request(
                 request.method,
                 request.path,
--- a/src/cherrylane/settings/schema.py
+++ b/src/cherrylane/settings/schema.py
@@ -107,8 +107,9 @@
     """Timeouts and limits of connections to engines and plain services.
 
     ``first_byte_timeout_s`` is for the start of a response, ``head_timeout_s`` and
-    ``body_timeout_s`` for its whole head and a whole body that is no stream. A stream ends when
-    none of its events is complete within ``silence_timeout_s``.
+    ``body_timeout_s`` for its whole head and a whole body that is no stream. An exchange ends when
+    the upstream neither sends nor takes a byte for ``silence_timeout_s``, and a stream when none
+    of its events is complete within it.
     """
 
     connect_timeout_s: float = field(default=1.0, validator=gt(0))
