--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -167,6 +167,25 @@
         self.assertFalse(self.released.wait(0.5), "the stream ended before its caller read it")
         self.assertEqual(body + FINAL_EVENTS, self.read_all(caller))
 
+    # Guards against a thread of the server waiting for the first event, without an error event.
+    def test_a_stream_begins_before_its_first_event(self) -> None:
+        proceed = Event()
+
+        def script(connection: socket, _: Event) -> None:
+            connection.sendall(CHUNKED)
+            proceed.wait()
+            connection.sendall(make_chunk(EVENT + FINAL_EVENTS) + LAST_CHUNK)
+
+        self.addCleanup(proceed.set)
+        caller = self.begin(script)
+        proceed.set()
+        self.assertEqual(EVENT + FINAL_EVENTS, self.read_all(caller))
+
+    # Guards against a stream without any event that ends without an error event.
+    def test_a_stream_that_stalls_before_its_first_event_ends_with_an_error_event(self) -> None:
+        caller = self.begin(send_then_hang(CHUNKED), silence_timeout_s=0.2)
+        self.assert_cut(self.read_all(caller), after=b"")
+
     # Guards against the reset of an engine's connection counting as the end of a slow caller's.
     def test_a_slow_caller_receives_what_arrived_before_a_reset(self) -> None:
         events = EVENT * 15_000
