Hand a stream over without waiting for its first event in the thread daemon

Callers saw the end of the connection without an error event, if the engine sent the head of a stream and then nothing for 15 s; until then the stream held one of the server's threads, and the caller's disconnect wasn't noticed. Cause: peek() of the buffered reader reads from the socket if nothing was read ahead, and the socket was still a blocking one; its TimeoutError came after the head had gone to the caller. Evidence: two tests failed before ("TimeoutError: timed out") and pass now, three runs with test_exchange and test_slow_and_endless. Why it works: the socket doesn't block any more before peek(), which gives what was read ahead or nothing; the loop of the streams waits for the rest, with its own limit for silence and its error event.

--- a/src/cherrylane/delivery/exchange.py
+++ b/src/cherrylane/delivery/exchange.py
@@ -295,8 +295,9 @@
 
         Whoever takes the socket closes it; closing the exchange does not.
         """
+        # Otherwise peek() would wait for the first byte of the body.
+        self._raw_socket.setblocking(False)
         detached = self._raw_socket.dup()
-        detached.setblocking(False)
         # urllib3 has no public access to the bytes that its buffered reader has read ahead.
         leftover: bytes = self._response._fp.fp.peek()  # type: ignore[union-attr]
         length = self.headers.get("Content-Length")
