Take no comment of an upstream for an event

A stalled upstream that sends comments held a stream until its deadline. Cause: a block of comments counted as an event. Change: an attempt claims and makes progress with events only; comments before its first event wait for that, later ones are passed on at once.

--- a/src/cherrylane/relay/events.py
+++ b/src/cherrylane/relay/events.py
@@ -49,9 +49,21 @@
     def is_inside_event(self) -> bool:
         """Whether more than empty lines and complete comments follow the last complete event."""
         *lines, unfinished_line = self._buffer.split(b"\n")
-        return bool(unfinished_line) or any(
-            line.strip() and not line.startswith(COMMENT) for line in lines
-        )
+        return bool(unfinished_line) or any(map(_is_field, lines))
+
+
+def has_event(data: bytes) -> bool:
+    """Return whether whole lines of a stream are more than empty lines and comments.
+
+    Example::
+
+        has_event(b": ping\\n\\n")  # False
+    """
+    return any(map(_is_field, data.split(b"\n")))
+
+
+def _is_field(line: bytes) -> bool:
+    return bool(line.strip()) and not line.startswith(COMMENT)
 
 
 def _find_last_event_end(data: bytes) -> int:
--- a/src/cherrylane/relay/streams.py
+++ b/src/cherrylane/relay/streams.py
@@ -8,7 +8,7 @@
 from cherrylane.errors import IncompleteResponseError
 from cherrylane.http.messages import ResponseHead
 from cherrylane.http.responder import Responder
-from cherrylane.relay.events import MAX_EVENT_BYTES, EventSplitter
+from cherrylane.relay.events import MAX_EVENT_BYTES, EventSplitter, has_event
 from cherrylane.relay.exchange import OpenAnswer
 from cherrylane.relay.outcomes import Broken, Completed, Outcome
 from cherrylane.relay.request import CallerRequest
@@ -54,19 +54,27 @@
         splitter = EventSplitter(last_id=self.progress.last_id)
         connection = answer.connection
         is_resumed = self.responder.started
+        comments = b""
         try:
             while (part := await connection.read_part()) is not None:
                 events = splitter.feed(part)
                 if splitter.is_oversized:
                     connection.close()
                     return Broken(f"an event of more than {MAX_EVENT_BYTES} bytes")
-                if events:
-                    self.claim()
-                    # A caller that reads slowly is no silence of the upstream.
-                    self.note_progress(None)
-                    self.progress.last_id = splitter.last_id
-                    await self._forward(answer.head, events)
-                    self._note_event()
+                if not has_event(events):
+                    # Comments keep a connection alive; they are no progress, and no begin.
+                    comments += events
+                    if self._started_at is not None and comments:
+                        await self._forward(answer.head, comments)
+                        comments = b""
+                    continue
+                self.claim()
+                # A caller that reads slowly is no silence of the upstream.
+                self.note_progress(None)
+                self.progress.last_id = splitter.last_id
+                await self._forward(answer.head, comments + events)
+                comments = b""
+                self._note_event()
             # A body of the announced length is whole, whatever it contains; it may still not be the
             # rest of a stream.
             if splitter.is_inside_event and (is_resumed or answer.head.framing != "length"):
@@ -78,8 +86,8 @@
                 connection.close()
                 return Broken("the connection was closed before the first event")
             self.claim()
-            if splitter.remainder:
-                await self._forward(answer.head, splitter.remainder)
+            if comments + splitter.remainder:
+                await self._forward(answer.head, comments + splitter.remainder)
         except IncompleteResponseError as error:
             connection.close()
             return Broken(error.problem)
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -2,7 +2,7 @@
 from hypothesis.strategies import integers, lists
 from testtools import TestCase
 
-from cherrylane.relay.events import EventSplitter
+from cherrylane.relay.events import EventSplitter, has_event
 
 STREAM = b"".join(b"id: %d\ndata: %d\ndata: x\n\n" % (number, number) for number in range(1, 30))
 
@@ -50,6 +50,12 @@
         for rest in (b"d", b"data: 2", b"data: 2\n", b"id: 2\r\n", b": pi", b": ping\nid"):
             self.assertTrue(make_splitter(rest).is_inside_event, rest)
 
+    def test_comments_and_empty_lines_are_no_event(self) -> None:
+        for data in (b"", b"\n\n", b": ping\n\n", b": ping\r\n\r\n: ping\n\n"):
+            self.assertFalse(has_event(data), data)
+        for data in (b"data: 1\n\n", b": ping\n\nid: 1\n\n", b": ping\ndata\n\n"):
+            self.assertTrue(has_event(data), data)
+
 
 def make_splitter(rest: bytes) -> EventSplitter:
     splitter = EventSplitter()
--- a/tests/test_silent_upstreams.py
+++ b/tests/test_silent_upstreams.py
@@ -7,7 +7,7 @@
 from testtools import TestCase
 from testtools.matchers import Contains, LessThan
 
-from cherrylane.http.messages import LAST_CHUNK
+from cherrylane.http.messages import LAST_CHUNK, encode_chunk
 from cherrylane.http.responder import Responder
 from cherrylane.limits.outliers import OutlierDetector
 from cherrylane.limits.quarantine import Quarantined
@@ -245,6 +245,56 @@
         return super().note_failure(name, peers, now)
 
 
+class CommentTest(TestCase):
+    # Guards against a comment of the next upstream ending a silent, sound one (LOST).
+    def test_an_upstream_that_has_only_sent_comments_has_not_begun(self) -> None:
+        async def comment_and_break_off(call: Call) -> None:
+            call.start_events()
+            call.writer.write(encode_chunk(b": ping\n\n"))
+            await call.writer.drain()
+            await asyncio.sleep(0.1)
+            call.reset()
+
+        async def scenario() -> bytes:
+            fixture = await open_fixture(fall_silent(1, 4), comment_and_break_off)
+            return await fixture.fetch("POST")
+
+        self.assertEqual([1, 2, 3, 4], events(run(scenario())))
+
+    # Guards against a stalled upstream that sends comments holding a stream until its deadline.
+    def test_an_upstream_that_only_sends_comments_is_silent(self) -> None:
+        async def send_comments(call: Call) -> None:
+            for _ in range(200):
+                call.writer.write(encode_chunk(b": ping\n\n"))
+                await call.writer.drain()
+                await asyncio.sleep(0.05)
+
+        async def scenario() -> tuple[bytes, list[int]]:
+            fixture = await open_fixture(stream(1, 1, then=send_comments), stream(2, 3))
+            return await fixture.fetch("POST"), fixture.calls
+
+        answer, calls = run(scenario())
+        self.assertEqual(([1, 2, 3], [1, 1]), (events(answer), calls))
+
+    def test_comments_of_a_stream_are_passed_on_in_their_place(self) -> None:
+        parts = (b": a\n\n", b"id: 1\n\n", b": b\n\n", b"id: 2\n\n", b": c\n\n")
+
+        async def send_parts(call: Call) -> None:
+            call.start_events()
+            for part in parts:
+                call.writer.write(encode_chunk(part))
+                await call.writer.drain()
+                await asyncio.sleep(0.02)
+            call.end_events()
+
+        async def scenario() -> bytes:
+            return await (await open_fixture(send_parts)).fetch("POST")
+
+        _, _, body = run(scenario()).partition(b"\r\n\r\n")
+        lines = [line for line in body.split(b"\r\n") if line.endswith(b"\n\n")]
+        self.assertEqual(b"".join(parts), b"".join(lines))
+
+
 class HedgeTest(TestCase):
     # Guards against an upstream that was asked shortly before the deadline being held for failing.
     def test_only_the_silent_upstream_counts_as_failing_at_the_deadline(self) -> None:
