--- a/src/cherrylane/relay/_attempt_log.py
+++ b/src/cherrylane/relay/_attempt_log.py
@@ -31,6 +31,7 @@
             "cached_tokens": choice.cached_tokens,
             "shared_tokens": request.prompt.shared_tokens,
             "parts": identify_parts(request),
+            "fingerprint": request.fingerprint,
             "cache_source": choice.cache_source.name if choice.cache_source else "",
             "config": snapshot.config_version,
             "upstreams": str(snapshot.upstreams_version),
@@ -74,6 +75,7 @@
         "attempt failed",
         extra={
             "request": request.id,
+            "fingerprint": request.fingerprint,
             "upstream": upstream,
             "outcome": type(outcome).__name__,
             "reason": getattr(outcome, "reason", ""),
--- a/src/cherrylane/relay/request.py
+++ b/src/cherrylane/relay/request.py
@@ -1,6 +1,9 @@
 """A caller's request, with all data needed for admission, placement and retries."""
 
+from functools import cached_property
+
 from attrs import frozen
+from xxhash import xxh3_64
 
 from cherrylane.http.messages import Header
 from cherrylane.routing.routes import Account, Route
@@ -82,3 +85,13 @@
         if self.account is not None and self.account.priority is not None:
             return self.account.priority
         return self.route.priority
+
+    @cached_property
+    def fingerprint(self) -> str:
+        """A hash of what a request has in common with its repeats: all but ids and times."""
+        host = next((value for name, value in self.headers if name.lower() == b"host"), b"")
+        account = self.account.name.encode() if self.account is not None else b""
+        # No field of the first ones contains a line feed.
+        digest = xxh3_64(b"\n".join((host.lower(), self.method, self.target, account, b"")))
+        digest.update(self.body)
+        return digest.hexdigest()
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -11,6 +11,7 @@
     identify_parts,
 )
 from cherrylane.relay.request import Prompt, PromptPart
+from cherrylane.routing.routes import Account
 from cherrylane.routing.upstreams import Upstream, UpstreamState
 from cherrylane.settings.schema import Endpoint
 from tests.relay_fixture import STREAM
@@ -96,3 +97,29 @@
 
         (crash,) = run(scenario())
         self.assertAlmostEqual(2.0, crash.suspects[0].lead_s, places=1)
+
+
+class FingerprintTest(TestCase):
+    def make(self, **changes: object) -> str:
+        account = Account("union", frozenset({"k"}))
+        body = {"method": b"POST", "target": b"/x/1?q=1", "body": b"{}", "account": account}
+        return make_request(STREAM, 0.0, **(body | changes)).fingerprint
+
+    def test_a_repeat_has_the_same_fingerprint(self) -> None:
+        host = (b"host", b"Desk.Example")
+        repeat = self.make(id="2", headers=(host, (b"Attempt-Id", b"2")), caller_deadline=9.0)
+        self.assertEqual(self.make(), repeat)
+
+    def test_what_a_repeat_has_in_common_sets_other_requests_apart(self) -> None:
+        others = [
+            self.make(headers=((b"Host", b"other.example"),)),
+            self.make(target=b"/x/1?q=2"),
+            self.make(target=b"/x/1?q=1{}", body=b""),
+            self.make(method=b"PUT"),
+            self.make(account=None),
+            self.make(account=Account("other", frozenset({"k"}))),
+            self.make(body=b"{ }"),
+            self.make(body=b"x" * 100_000),
+        ]
+        self.assertEqual(len(others), len(set(others) - {self.make()}))
+        self.assertEqual({16}, {len(other) for other in others})
