--- a/tests/relay_fixture.py
+++ b/tests/relay_fixture.py
@@ -88,11 +88,13 @@
         await self.server.listen(open_listener())
         return self
 
-    async def fetch(self, method: str = "GET", *, extra: str = "", request_id: str = "1") -> bytes:
+    async def fetch(
+        self, method: str = "GET", *, extra: str = "", request_id: str = "1", body: str = ""
+    ) -> bytes:
         assert self.server is not None
         identity = f"Attempt-Id: {request_id}\r\n" if request_id else ""
         head = f"{method} /x/y?q=1 HTTP/1.1\r\nHost: desk.example\r\n{identity}{extra}"
-        return await send_raw(self.server.port, f"{head}Connection: close\r\n\r\n".encode())
+        return await send_raw(self.server.port, f"{head}Connection: close\r\n\r\n{body}".encode())
 
     @property
     def calls(self) -> list[int]:
--- /dev/null
+++ b/tests/test_crashing_requests.py
@@ -0,0 +1,110 @@
+"""Whole requests, without parts of prompts, that crash each upstream which runs them."""
+
+import asyncio
+
+from testtools import TestCase
+from testtools.matchers import LessThan
+
+from cherrylane.routing.routes import Route
+from tests.relay_fixture import SAFE, UNSAFE, RelayFixture
+from tests.wire import Call, Script, ScriptedUpstream, make_configuration, run
+
+DEADLY, SOUND = "deadly", "sound"
+UPSTREAMS = 12
+# Seconds that an upstream works on a request before it crashes, or answers.
+WORK_S = 0.03
+# Crashes after which a request may reach no further upstream, but for requests already sent.
+MAX_CRASHES = 3
+
+
+def crash_on_deadly_requests(upstreams: dict[int, ScriptedUpstream], index: int) -> Script:
+    async def script(call: Call) -> None:
+        await asyncio.sleep(WORK_S)
+        if call.header("Test-Kind") == DEADLY:
+            upstreams[index].crash()
+        else:
+            call.answer(b"done")
+
+    return script
+
+
+async def start_upstreams(route: Route) -> RelayFixture:
+    """Return a relay in front of upstreams that crash on a deadly request, and stay down."""
+    by_index: dict[int, ScriptedUpstream] = {}
+    scripts = tuple(crash_on_deadly_requests(by_index, index) for index in range(UPSTREAMS))
+    fixture = await RelayFixture(scripts, make_configuration(route)).open()
+    by_index.update(enumerate(fixture.upstreams))
+    return fixture
+
+
+async def ask(fixture: RelayFixture, kind: str, number: int, body: str = "") -> bytes:
+    """Send a request; the fields that a repeat need not have in common tell which are deadly."""
+    return await fixture.fetch(
+        "POST",
+        extra=f"Test-Kind: {kind}\r\nContent-Length: {len(body or kind)}\r\n",
+        request_id=f"{kind}-{number}",
+        body=body or kind,
+    )
+
+
+def count_reached(fixture: RelayFixture) -> int:
+    return sum(
+        call.header("Test-Kind") == DEADLY
+        for upstream in fixture.upstreams
+        for call in upstream.calls
+    )
+
+
+class CrashingRequestTest(TestCase):
+    # Guards against one request that comes again crashing upstream after upstream (second1).
+    def test_a_request_that_crashed_three_upstreams_reaches_no_more(self) -> None:
+        for route in (SAFE, UNSAFE):
+            reached, last = run(self.repeat(route, at_once=1))
+            self.assertThat(reached, LessThan(MAX_CRASHES + 1))
+            self.assertTrue(last.startswith(b"HTTP/1.1 503 "), last)
+
+    # Guards against crashes of the same moment counting once, however many upstreams they end.
+    def test_one_that_several_callers_send_at_once_reaches_no_more(self) -> None:
+        for route in (SAFE, UNSAFE):
+            reached, last = run(self.repeat(route, at_once=MAX_CRASHES))
+            self.assertThat(reached, LessThan(2 * MAX_CRASHES + 1))
+            self.assertTrue(last.startswith(b"HTTP/1.1 503 "), last)
+
+    async def repeat(self, route: Route, at_once: int) -> tuple[int, bytes]:
+        fixture = await start_upstreams(route)
+        for number in range(UPSTREAMS // at_once):
+            repeats = [ask(fixture, DEADLY, number * at_once + n) for n in range(at_once)]
+            answers = await asyncio.gather(*repeats)
+        return count_reached(fixture), answers[-1]
+
+    # Guards against sound requests being refused, or finding no upstream, beside deadly ones.
+    def test_other_requests_are_served(self) -> None:
+        async def scenario() -> list[bytes]:
+            fixture = await start_upstreams(SAFE)
+            answers = []
+            for number in range(UPSTREAMS):
+                await ask(fixture, DEADLY, number)
+                answers.append(await ask(fixture, SOUND, number))
+                answers.append(await ask(fixture, SOUND, 100 + number, f"own {number}"))
+            return answers
+
+        for answer in run(scenario()):
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200 "), answer)
+
+    # Guards against requests being refused because they were in progress at the same crashes.
+    def test_requests_in_progress_beside_deadly_ones_are_not_refused(self) -> None:
+        async def scenario() -> list[list[bytes]]:
+            fixture = await start_upstreams(SAFE)
+            rounds = []
+            for number in range(UPSTREAMS):
+                same = ask(fixture, SOUND, number)
+                own = ask(fixture, SOUND, 100 + number, f"own {number}")
+                _, *answers = await asyncio.gather(ask(fixture, DEADLY, number), same, own)
+                rounds.append(answers)
+            return rounds
+
+        rounds = run(scenario())
+        for answer in sum(rounds, []):
+            self.assertFalse(answer.startswith(b"HTTP/1.1 503 "), answer)
+        for answer in sum(rounds[MAX_CRASHES:], []):
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200 "), answer)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -180,6 +180,95 @@
         self.assertEqual(MAX_VERDICTS, quarantine.count_in_force())
 
 
+class WholeRequestTest(TestCase):
+    """Requests without parts of prompts, known by a fingerprint."""
+
+    DEADLY = ("r:dead",)
+    OTHER = ("r:07e2",)
+
+    def crash_at_once(
+        self, quarantine: PromptQuarantine, times: int, *fingerprints: str, start: float = 0.0
+    ) -> float:
+        """Note crashes 0.03 s apart at which the same requests are in progress."""
+        for number in range(times):
+            suspects = tuple(Suspect(fingerprint, 0, 0.15) for fingerprint in fingerprints)
+            name = f"i-{start}-{number}"
+            crash = UpstreamCrash(name, 1, 0.0, suspects)
+            quarantine.note_crash(crash, start + number * 0.03)
+        return start + (times - 1) * 0.03
+
+    # Guards against upstreams that one request ends in the same moment counting as one (second1).
+    def test_crashes_of_the_same_moment_count_each_for_one_that_was_never_answered(self) -> None:
+        quarantine = PromptQuarantine()
+        now = self.crash_at_once(quarantine, 2, *self.DEADLY)
+        self.assertIsNone(quarantine.find(self.DEADLY, now))
+        now = self.crash_at_once(quarantine, 1, *self.DEADLY, start=0.06)
+        self.assertIsNotNone(quarantine.find(self.DEADLY, now))
+
+    # Guards against sending it on while the peers' reports are awaited.
+    def test_one_at_three_crashes_is_held_until_they_are_judged(self) -> None:
+        quarantine = PromptQuarantine(settle_s=1.0)
+        now = self.crash_at_once(quarantine, 3, *self.DEADLY)
+        held = quarantine.find(self.DEADLY, now + 0.01)
+        self.assertIsNotNone(held)
+        self.assertTrue(0.0 < held.retry_after_s <= 1.0, held)  # type: ignore[union-attr]
+        self.assertEqual(0, quarantine.count_in_force())
+        judged = quarantine.find(self.DEADLY, now + 1.01)
+        self.assertTrue(judged.retry_after_s > 20.0, judged)  # type: ignore[union-attr]
+        self.assertEqual(1, quarantine.count_in_force())
+
+    # Guards against a request that many send being refused when a failure domain ends.
+    def test_one_that_was_answered_before_is_not_refused_for_crashes_of_one_moment(self) -> None:
+        quarantine = PromptQuarantine(settle_s=1.0)
+        quarantine.note_answered(self.OTHER[0], -1.0)
+        for start in (0.0, 4.0):
+            now = self.crash_at_once(quarantine, 4, *self.OTHER, start=start)
+            self.assertIsNone(quarantine.find(self.OTHER, now))
+            self.assertIsNone(quarantine.find(self.OTHER, now + 2.0))
+
+    def test_an_answer_between_crashes_clears_it(self) -> None:
+        quarantine = PromptQuarantine()
+        for number in range(20):
+            now = self.crash_at_once(quarantine, 2, *self.OTHER, start=float(number))
+            quarantine.note_answered(self.OTHER[0], now + 0.2)
+            self.assertIsNone(quarantine.find(self.OTHER, now + 0.3))
+
+    def test_an_answer_ends_a_hold(self) -> None:
+        quarantine = PromptQuarantine(settle_s=1.0)
+        now = self.crash_at_once(quarantine, 3, *self.OTHER)
+        self.assertIsNotNone(quarantine.find(self.OTHER, now))
+        quarantine.note_answered(self.OTHER[0], now + 0.1)
+        self.assertIsNone(quarantine.find(self.OTHER, now + 0.2))
+
+    def test_of_two_at_the_same_crashes_the_one_at_more_of_them_explains_them(self) -> None:
+        for settle_s in (0.0, 1.0):
+            quarantine = PromptQuarantine(settle_s=settle_s)
+            self.crash_at_once(quarantine, 3, *self.DEADLY, *self.OTHER)
+            now = self.crash_at_once(quarantine, 1, *self.DEADLY, start=0.2)
+            self.assertIsNotNone(quarantine.find(self.DEADLY, now))
+            self.assertIsNone(quarantine.find(self.OTHER, now))
+            self.assertIsNotNone(quarantine.find(self.DEADLY, now + 2.0))
+            self.assertIsNone(quarantine.find(self.OTHER, now + 2.0))
+
+    def test_two_that_crash_upstreams_in_turn_are_both_refused(self) -> None:
+        quarantine = PromptQuarantine()
+        for number in range(3):
+            self.crash_at_once(quarantine, 1, *self.DEADLY, start=number / 10)
+            now = self.crash_at_once(quarantine, 1, *self.OTHER, start=number / 10 + 0.05)
+        self.assertIsNotNone(quarantine.find(self.DEADLY, now))
+        self.assertIsNotNone(quarantine.find(self.OTHER, now))
+
+    # Guards against requests being refused because many upstreams end for another reason.
+    def test_a_storm_of_crashes_with_other_requests_each_refuses_none(self) -> None:
+        quarantine = PromptQuarantine()
+        for number in range(MAX_CRASHES):
+            own = (f"r:{number}", f"r:{number // 2}-b")
+            now = self.crash_at_once(quarantine, 1, *own, start=number * 0.01)
+        for number in range(MAX_CRASHES):
+            self.assertIsNone(quarantine.find((f"r:{number}",), now))
+            self.assertIsNone(quarantine.find((f"r:{number // 2}-b",), now))
+
+
 class HealingTest(TestCase):
     def setUp(self) -> None:
         super().setUp()
