Count crashes by whole requests, and hold and quarantine what causes them

Change: its fingerprint is a suspect like a part, in the same store, heartbeats, verdicts and trials. Of one that was never answered each crashed incarnation counts, since its crashes overlap; one that was answered before needs five successive ones as parts do. While enough crashes are known but peers may have more to report it is held: 503 at once, Retry-After until they are judged. Of suspects of one depth the ones at most crashes are taken first and explain them. Complete answers of plain services clear too. A caller's part that is named like a whole request is hashed. Ruled out: a hold after two crashes (three or four ends are the least already); hashes of ids and headers, which a repeat changes.

--- a/src/cherrylane/limits/quarantine.py
+++ b/src/cherrylane/limits/quarantine.py
@@ -1,13 +1,18 @@
-"""Quarantine of parts of prompts that crash each upstream which begins to answer them.
+"""Quarantine of what crashes each upstream that begins to answer it.
 
-Other requests are in progress at an upstream that crashes, so one crash says little about a part.
-A part is quarantined after several successive crashes: each of a request that was sent after the
-crash before. Upstreams that end together, for a reason of their own, count once. An answer that
-began after a crash and went on clears the parts of its prompt. The deepest part of a prompt that
-explains the crashes is taken, since the parts before it are shared with sound requests.
+That is a part of a prompt, or a whole request that has no part which others may share, such as one
+to a plain service. Other requests are in progress at an upstream that crashes, so one crash says
+little about a part. A part is quarantined after several successive crashes: each of a request that
+was sent after the crash before. Upstreams that end together, for a reason of their own, count once.
+An answer that began after a crash and went on clears the parts of its prompt. The deepest part of a
+prompt that explains the crashes is taken, since the parts before it are shared with sound requests.
+
+A whole request comes again faster than hosts can tell each other of its crashes. Of one that was
+never answered each crash counts, and after enough of them it is held until they can be judged.
 """
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
+from operator import attrgetter
 
 from attrs import define, field, frozen
 from logbook import Logger
@@ -30,20 +35,23 @@
 MAX_VERDICTS = 64
 # Number of suspects of one crash; callers choose how many parts their prompts have.
 MAX_SUSPECTS = 256
-# Number of parts of which it is remembered when they were answered.
+# Number of parts and whole requests of which it is remembered when they were answered.
 MAX_ANSWERED = 4096
 # Seconds in which all hosts hear of a new verdict.
 NEWS_S = 30.0
 
+# Begins the name of a whole request; the names of parts of prompts begin otherwise.
+WHOLE_REQUEST = "r:"
+
 log = Logger("cherrylane.limits")
 
 
 @frozen
 class Suspect:
-    """A part of a prompt that an upstream was about to answer when it crashed.
+    """A part of a prompt, or a whole request, that was about to be answered at a crash.
 
-    ``depth`` is the position of the part in its prompt, and ``lead_s`` how many seconds before the
-    crash the request was sent.
+    ``part`` names it; a whole request is named by its fingerprint. ``depth`` is the position of the
+    part in its prompt, and ``lead_s`` how many seconds before the crash the request was sent.
     """
 
     part: str
@@ -125,6 +133,10 @@
     # The begin of the last known answer to each part, the part answered last at the end.
     _answered: dict[str, float] = field(factory=dict)
     _next_judgement: float = float("inf")
+    # When the last of the known crashes can be judged.
+    _settled_at: float = float("-inf")
+    # The whole requests that would be quarantined by all crashes; None once these have changed.
+    _held: set[str] | None = None
 
     def note_crash(self, crash: UpstreamCrash, now: float) -> None:
         """Record a crash that this host or a peer has seen; repeated reports change nothing."""
@@ -137,13 +149,16 @@
                 continue
             if verdict is not None and verdict.is_lifted and known.at <= verdict.since:
                 continue
-            # The request sent last is the least likely to be at another crash by chance.
             other = known.suspects.get(suspect.part)
             if other is None and len(known.suspects) >= MAX_SUSPECTS:
                 continue
-            if other is None or suspect.lead_s < other.lead_s:
-                known.suspects[suspect.part] = suspect
-                self._next_judgement = min(self._next_judgement, known.noted_at + self.settle_s)
+            merged = suspect if other is None else _merge(other, suspect)
+            if merged != other:
+                known.suspects[suspect.part] = merged
+                self._held = None
+                settles_at = known.noted_at + self.settle_s
+                self._settled_at = max(self._settled_at, settles_at)
+                self._next_judgement = min(self._next_judgement, settles_at)
             if other is None and verdict is not None and not verdict.is_lifted:
                 self._note_further_crash(suspect, known, verdict, now)
         while len(self._crashes) > MAX_CRASHES:
@@ -155,6 +170,8 @@
         Returns whether it was a suspect of a crash before.
         """
         self._answered[part] = max(answered_at, self._answered.pop(part, answered_at))
+        if self._held and part in self._held:
+            self._held = None
         if len(self._answered) > MAX_ANSWERED:
             del self._answered[next(iter(self._answered))]
         verdict = self._verdicts.get(part)
@@ -166,6 +183,9 @@
         """Return the quarantined part for which a prompt is refused, None if it may be sent."""
         if now >= self._next_judgement:
             self._judge(now)
+        for part in parts:
+            if is_whole_request(part) and now < self._settled_at and part in self._list_held():
+                return Quarantined(part, self._settled_at - now)
         if not self._verdicts:
             return None
         in_force = [
@@ -236,40 +256,54 @@
             for key, crash in self._crashes.items()
             if now - crash.at <= EVIDENCE_LIFETIME_S
         }
+        self._held = None
         settles_at = [crash.noted_at + self.settle_s for crash in self._crashes.values()]
         self._next_judgement = min((at for at in settles_at if at > now), default=float("inf"))
         settled = [
             crash for crash in self._crashes.values() if crash.noted_at + self.settle_s <= now
         ]
-        condemned: set[str] = set()
-        while guilty := self._find_guilty(settled, condemned):
-            deepest = max(guilty.values())
-            for part in [part for part, depth in guilty.items() if depth == deepest]:
-                self._condemn(part, settled, now)
-                condemned.add(part)
+        for part in self._find_causes(settled):
+            self._condemn(part, settled, now)
 
-    def _find_guilty(self, crashes: list[_Crash], condemned: set[str]) -> dict[str, int]:
-        """Return the parts with enough successive crashes that no verdict explains, with depths.
+    def _list_held(self) -> set[str]:
+        """Return the whole requests that will be quarantined if no peer has more to report."""
+        if self._held is None:
+            causes = self._find_causes(self._crashes.values())
+            self._held = {part for part in causes if is_whole_request(part)}
+        return self._held
 
-        Leaves out those that are ``condemned`` already.
+    def _find_causes(self, crashes: Collection[_Crash]) -> list[str]:
+        """Return the parts that explain crashes which no verdict explains.
+
+        The deepest are taken first, of these the ones with most crashes.
+        """
+        causes: list[str] = []
+        while guilty := self._find_guilty(crashes, causes):
+            most = max(guilty.values())
+            causes.extend(part for part, rank in guilty.items() if rank == most)
+        return causes
+
+    def _find_guilty(
+        self, crashes: Collection[_Crash], causes: Collection[str]
+    ) -> dict[str, tuple[int, int]]:
+        """Return the parts with enough crashes, with their depth and the number of crashes.
+
+        Leaves out the crashes that a verdict or one of the ``causes`` explains.
         """
         times: dict[str, list[tuple[float, float]]] = {}
         depths: dict[str, int] = {}
         for crash in crashes:
-            if any(self._is_in_force(part) for part in crash.suspects):
+            if any(part in causes or self._is_in_force(part) for part in crash.suspects):
                 continue
             for part, suspect in crash.suspects.items():
                 times.setdefault(part, []).append((crash.at - suspect.lead_s, crash.at))
                 depths[part] = max(suspect.depth, depths.get(part, 0))
         return {
-            part: depths[part]
+            part: (depths[part], len(spans))
             for part, spans in times.items()
-            if part not in condemned and count_successive(spans) >= self._find_min_crashes(part)
+            if _has_enough_crashes(part, spans, part in self._answered)
         }
 
-    def _find_min_crashes(self, part: str) -> int:
-        return MIN_CRASHES_ANSWERED_BEFORE if part in self._answered else MIN_CRASHES
-
     def _condemn(self, part: str, crashes: list[_Crash], now: float) -> None:
         caused = [crash for crash in crashes if part in crash.suspects]
         known = self._verdicts.get(part)
@@ -298,6 +332,7 @@
 
     def _set_verdict(self, verdict: Verdict, now: float) -> None:
         crashed_at = now - verdict.age_s
+        self._held = None
         self._verdicts[verdict.part] = _VerdictState(
             generation=verdict.generation,
             is_lifted=verdict.is_lifted,
@@ -314,6 +349,7 @@
         return not verdict.is_lifted, verdict.since
 
     def _lift(self, part: str, verdict: _VerdictState, answered_at: float) -> None:
+        self._held = None
         verdict.is_lifted = True
         verdict.since = answered_at
         log.notice(
@@ -328,6 +364,7 @@
         ]
         for crash in suspected:
             del crash.suspects[part]
+            self._held = None
         return bool(suspected)
 
     def _was_answered_since(self, part: str, at: float) -> bool:
@@ -338,6 +375,30 @@
         return verdict is not None and not verdict.is_lifted
 
 
+def _merge(known: Suspect, told: Suspect) -> Suspect:
+    # The request sent last is the least likely to be at another crash by chance.
+    return min(known, told, key=attrgetter("lead_s"))
+
+
+def _has_enough_crashes(
+    part: str, spans: Collection[tuple[float, float]], was_answered: bool
+) -> bool:
+    """Return whether the crashes at which a part was a suspect suffice to quarantine it.
+
+    ``spans`` are the times from the sending of a request with it to the crash.
+    """
+    if was_answered:
+        return count_successive(spans) >= MIN_CRASHES_ANSWERED_BEFORE
+    # The same request at several upstreams that crash is no chance, unless many callers send it.
+    count = len(spans) if is_whole_request(part) else count_successive(spans)
+    return count >= MIN_CRASHES
+
+
+def is_whole_request(part: str) -> bool:
+    """Return whether a suspect or a verdict names a whole request, not a part of a prompt."""
+    return part.startswith(WHOLE_REQUEST)
+
+
 def count_successive(spans: Iterable[tuple[float, float]]) -> int:
     """Return the largest number of time spans (start, end) that follow each other.
 
--- a/src/cherrylane/relay/attempts.py
+++ b/src/cherrylane/relay/attempts.py
@@ -279,8 +279,7 @@
             case Answered() | Completed():
                 service = state.request.service
                 self.selector.throughput_of(service).note_end(now - attempt.started_at)
-                if answered_at is not None:
-                    self.crash_guard.note_answered(state.request, answered_at)
+                self.crash_guard.note_complete(state.request, answered_at)
             case Unknown() | Broken():
                 self.crash_guard.note_broken(
                     BrokenAttempt(state.request, upstream, attempt.started_at, answered_at)
--- a/src/cherrylane/relay/crashes.py
+++ b/src/cherrylane/relay/crashes.py
@@ -14,7 +14,14 @@
 
 from cherrylane.errors import ConnectError
 from cherrylane.http.outbound import open_connection
-from cherrylane.limits.quarantine import PromptQuarantine, Quarantined, Suspect, UpstreamCrash
+from cherrylane.limits.quarantine import (
+    WHOLE_REQUEST,
+    PromptQuarantine,
+    Quarantined,
+    Suspect,
+    UpstreamCrash,
+    is_whole_request,
+)
 from cherrylane.relay.request import CallerRequest
 from cherrylane.routing.upstreams import Upstream
 
@@ -48,7 +55,7 @@
 
 @define
 class CrashGuard:
-    """Notes crashes of upstreams, and refuses requests whose prompts would cause the next.
+    """Notes crashes of upstreams, and refuses requests that would cause the next.
 
     ``on_crash`` is called with each crash that this host has seen, and ``on_cleared`` with a part
     that was suspected of one and the time from which it was answered since, to tell the peers.
@@ -61,11 +68,18 @@
 
     def find_refusal(self, request: CallerRequest, now: float) -> Quarantined | None:
         """Return why a request may not be sent to any upstream, None if it may."""
-        return self.quarantine.find(identify_parts(request), now)
+        return self.quarantine.find(identify_suspects(request), now)
+
+    def note_complete(self, request: CallerRequest, answered_at: float | None) -> None:
+        """Record a complete answer, of which the beginning may not have been noted."""
+        if answered_at is None and not request.prompt.shared_parts:
+            answered_at = asyncio.get_running_loop().time()
+        if answered_at is not None:
+            self.note_answered(request, answered_at)
 
     def note_answered(self, request: CallerRequest, answered_at: float) -> None:
         """Record that an answer which began at ``answered_at`` has gone on or is complete."""
-        for part in identify_parts(request):
+        for part in identify_suspects(request):
             if self.quarantine.note_answered(part, answered_at):
                 self.on_cleared(part, answered_at)
 
@@ -74,15 +88,12 @@
         now = asyncio.get_running_loop().time()
         if attempt.answered_at is not None and now - attempt.answered_at > BEGINNING_S:
             return
-        parts = identify_parts(attempt.request)
-        if not parts:
-            return
         key = (attempt.upstream.name, attempt.upstream.incarnation)
         probe = self._probes.get(key)
         if probe is None:
             task = asyncio.get_running_loop().create_task(self._probe(attempt.upstream, now))
             probe = self._probes[key] = _Probe(task)
-        for depth, part in enumerate(parts):
+        for depth, part in enumerate(identify_suspects(attempt.request)):
             suspect = Suspect(part, depth, now - attempt.sent_at)
             other = probe.suspects.get(part, suspect)
             probe.suspects[part] = min(suspect, other, key=attrgetter("lead_s"))
@@ -123,12 +134,20 @@
         self.on_crash(crash)
 
 
+def identify_suspects(request: CallerRequest) -> list[str]:
+    """Return the parts of a prompt that others may share; if it has none, the whole request."""
+    return identify_parts(request) or [WHOLE_REQUEST + request.fingerprint]
+
+
 def identify_parts(request: CallerRequest) -> list[str]:
     """Return the parts of a prompt that others may share, by their keys or a hash of long ones.
 
     Of a prompt with very many parts these are the first ``MAX_PARTS``.
     """
-    return [
-        part.key if len(part.key) <= MAX_KEY_CHARACTERS else xxh3_64_hexdigest(part.key.encode())
-        for part in request.prompt.shared_parts[:MAX_PARTS]
-    ]
+    return [_identify_part(part.key) for part in request.prompt.shared_parts[:MAX_PARTS]]
+
+
+def _identify_part(key: str) -> str:
+    if len(key) <= MAX_KEY_CHARACTERS and not is_whole_request(key):
+        return key
+    return xxh3_64_hexdigest(key.encode())
