Don't retry a whole request whose upstream has crashed and that was never answered

Cause: the host's own retry of a deadly request is the next crash, within 0.1 s, before any peer has heard of the first. Change: once the probe has confirmed the crash, a safe whole request that is a suspect of it, or of an earlier one, and that was never answered is not retried: its caller gets 502 and may return. One that was answered before, and prompts, are retried as before.

--- a/src/cherrylane/limits/quarantine.py
+++ b/src/cherrylane/limits/quarantine.py
@@ -201,6 +201,16 @@
             log.notice("trial of a quarantined part", extra={"part": part})
         return None
 
+    def may_retry(self, parts: Sequence[str]) -> bool:
+        """Return whether a request that an upstream may have run can be sent to another one.
+
+        A whole request that was at a crash and was never answered may have caused it.
+        """
+        return not any(
+            is_whole_request(part) and part not in self._answered and self.count_crashes(part)
+            for part in parts
+        )
+
     def apply_verdict(self, verdict: Verdict, now: float) -> None:
         """Take over a peer's verdict if it replaces the known one."""
         known = self._verdicts.get(verdict.part)
--- a/src/cherrylane/relay/attempts.py
+++ b/src/cherrylane/relay/attempts.py
@@ -145,6 +145,8 @@
                 if not self._may_retry(state, outcome):
                     return self._give_up(state, responder, Cause.NOT_ACCEPTED)
                 await self.crash_guard.wait_for_probe(attempt.choice.upstream)
+                if state.may_have_run and not self.crash_guard.may_retry(state.request):
+                    return self._give_up(state, responder, Cause.QUARANTINED)
         return None
 
     def _handle_stall(
--- a/src/cherrylane/relay/crashes.py
+++ b/src/cherrylane/relay/crashes.py
@@ -70,6 +70,10 @@
         """Return why a request may not be sent to any upstream, None if it may."""
         return self.quarantine.find(identify_suspects(request), now)
 
+    def may_retry(self, request: CallerRequest) -> bool:
+        """Return whether a request that an upstream may have run can be sent to another one."""
+        return self.quarantine.may_retry(identify_suspects(request))
+
     def note_complete(self, request: CallerRequest, answered_at: float | None) -> None:
         """Record a complete answer, of which the beginning may not have been noted."""
         if answered_at is None and not request.prompt.shared_parts:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -63,6 +63,17 @@
             for answer in answers[MAX_CRASHES:]:
                 self.assertTrue(answer.startswith(b"HTTP/1.1 503 "), answer)
 
+    # Guards against the host's own retry ending the next upstream.
+    def test_it_is_not_retried_after_its_upstream_has_crashed(self) -> None:
+        async def scenario() -> tuple[int, bytes]:
+            fixture = await start_upstreams(SAFE)
+            answer = await ask(fixture, DEADLY, 1)
+            return count_crashed(fixture), answer
+
+        crashed, answer = run(scenario())
+        self.assertEqual(1, crashed)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 502 "), answer)
+
     # Guards against crashes of the same moment counting once, however many upstreams they end.
     def test_one_that_several_callers_send_at_once_reaches_no_more(self) -> None:
         for route in (SAFE, UNSAFE):
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -268,6 +268,18 @@
             self.assertIsNone(quarantine.find((f"r:{number}",), now))
             self.assertIsNone(quarantine.find((f"r:{number // 2}-b",), now))
 
+    # Guards against the retry of a request being the second crash.
+    def test_one_that_was_at_a_crash_and_never_answered_is_not_retried(self) -> None:
+        quarantine = PromptQuarantine()
+        self.assertTrue(quarantine.may_retry(self.DEADLY))
+        quarantine.note_answered(self.OTHER[0], -1.0)
+        self.crash_at_once(quarantine, 1, *self.DEADLY, *self.OTHER, *PARTS)
+        self.assertFalse(quarantine.may_retry(self.DEADLY))
+        self.assertTrue(quarantine.may_retry(self.OTHER))
+        self.assertTrue(quarantine.may_retry(PARTS))
+        quarantine.note_answered(self.DEADLY[0], 1.0)
+        self.assertTrue(quarantine.may_retry(self.DEADLY))
+
 
 class HealingTest(TestCase):
     def setUp(self) -> None:
