Tell with a crash which of its suspects were answered before

Cause: three crashes condemn where the answers are not known and five are needed where they are, so a host that has just started, or has not had the request, refuses a sound one that many send. Change: a crash report names the positions of suspects that the sender has seen answered, in a field of its own, since hosts of the release before expect four values a crash; evidence keeps it with the suspect. A report of a host that has not seen the answer either says nothing; other hosts that have are not asked. Test: a host that starts refused the popular request before and not now, and the deadly one in both; between releases both ways.

--- a/src/cherrylane/gateway/announcements.py
+++ b/src/cherrylane/gateway/announcements.py
@@ -67,7 +67,13 @@
             key=lambda suspect: (self.quarantine.count_crashes(suspect.part), suspect.depth),
             reverse=True,
         )
-        reported = evolve(crash, suspects=tuple(suspects[:MAX_SUSPECTS]))
+        reported = evolve(
+            crash,
+            suspects=tuple(
+                evolve(suspect, was_answered=self.quarantine.was_answered(suspect.part))
+                for suspect in suspects[:MAX_SUSPECTS]
+            ),
+        )
         self._crashes.add(_NotedCrash(reported, now))
 
     def note_answered(self, part: str, answered_at: float) -> None:
@@ -153,11 +159,15 @@
             (suspect.part, suspect.depth, round(suspect.lead_s * 1000))
             for suspect in crash.suspects
         ),
+        answered=tuple(
+            index for index, suspect in enumerate(crash.suspects) if suspect.was_answered
+        ),
     )
 
 
 def _read_report(report: CrashReport) -> UpstreamCrash:
     suspects = tuple(
-        Suspect(part, depth, lead_ms / 1000) for part, depth, lead_ms in report.suspects
+        Suspect(part, depth, lead_ms / 1000, was_answered=index in report.answered)
+        for index, (part, depth, lead_ms) in enumerate(report.suspects)
     )
     return UpstreamCrash(report.upstream, report.incarnation, report.age_ms / 1000, suspects)
--- a/src/cherrylane/gossip/messages.py
+++ b/src/cherrylane/gossip/messages.py
@@ -56,19 +56,21 @@
 class CrashReport:
     """A crash of an upstream ``age_ms`` milliseconds ago, as the sender saw it.
 
-    ``suspects`` are parts of prompts, their depths, and how many milliseconds before the crash a
-    request with them was sent.
+    ``suspects`` are parts of prompts or whole requests, their depths, and how many milliseconds
+    before the crash a request with them was sent. ``answered`` are the positions of those that the
+    sender has seen answered before.
     """
 
     upstream: str
     incarnation: int
     age_ms: int
     suspects: tuple[tuple[str, int, int], ...]
+    answered: tuple[int, ...] = ()
 
 
 @frozen
 class PartAnswered:
-    """A part of prompts that an upstream began to answer ``age_ms`` milliseconds ago."""
+    """A part of prompts, or a whole request, that was answered ``age_ms`` milliseconds ago."""
 
     part: str
     age_ms: int
@@ -76,7 +78,7 @@
 
 @frozen
 class PartVerdict:
-    """What the sender knows of a part of prompts; see ``limits.quarantine.Verdict``."""
+    """What the sender knows of such a part or request; see ``limits.quarantine.Verdict``."""
 
     part: str
     generation: int
@@ -143,7 +145,7 @@
         return evolve(self, loads=tuple(largest[: len(largest) // 2]))
 
     def _to_json(self) -> bytes:
-        fields = {
+        fields: dict[str, Any] = {
             "h": self.host,
             "b": self.boot_id,
             "z": self.zone,
@@ -165,7 +167,9 @@
         if self.backing_off:
             fields["w"] = [(upstream.name, upstream.remaining_ms) for upstream in self.backing_off]
         if self.crashes:
-            fields["x"] = [astuple(crash) for crash in self.crashes]
+            # Four values a crash, as hosts of the release before expect them.
+            fields["x"] = [astuple(crash)[:4] for crash in self.crashes]
+            fields["y"] = [crash.answered for crash in self.crashes]
         if self.answered:
             fields["o"] = [astuple(part) for part in self.answered]
         if self.verdicts:
@@ -201,7 +205,7 @@
                 UpstreamBackoff(str(name), int(remaining))
                 for name, remaining in fields.get("w", ())
             ),
-            crashes=tuple(_decode_crash(*crash) for crash in fields.get("x", ())),
+            crashes=tuple(_decode_crashes(fields)),
             answered=tuple(
                 PartAnswered(str(part), _decode_age(age)) for part, age in fields.get("o", ())
             ),
@@ -217,15 +221,19 @@
         ) from error
 
 
-def _decode_crash(upstream: str, incarnation: int, age: int, suspects: list[Any]) -> CrashReport:
-    return CrashReport(
-        upstream=str(upstream),
-        incarnation=int(incarnation),
-        age_ms=_decode_age(age),
-        suspects=tuple(
-            (str(part), int(depth), _decode_age(lead)) for part, depth, lead in suspects
-        ),
-    )
+def _decode_crashes(fields: dict[str, Any]) -> Iterator[CrashReport]:
+    # Hosts of the release before do not say what they have seen answered.
+    answered = fields.get("y", ())
+    for number, (upstream, incarnation, age, suspects) in enumerate(fields.get("x", ())):
+        yield CrashReport(
+            upstream=str(upstream),
+            incarnation=int(incarnation),
+            age_ms=_decode_age(age),
+            suspects=tuple(
+                (str(part), int(depth), _decode_age(lead)) for part, depth, lead in suspects
+            ),
+            answered=tuple(map(int, answered[number])) if number < len(answered) else (),
+        )
 
 
 def _decode_age(milliseconds: Any) -> int:
--- a/src/cherrylane/limits/quarantine.py
+++ b/src/cherrylane/limits/quarantine.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable, Collection, Iterable, Sequence
 from operator import attrgetter
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 from logbook import Logger
 
 # Successive crashes after which a part is quarantined, and one that has been answered before.
@@ -52,11 +52,13 @@
 
     ``part`` names it; a whole request is named by its fingerprint. ``depth`` is the position of the
     part in its prompt, and ``lead_s`` how many seconds before the crash the request was sent.
+    ``was_answered`` is whether a host that saw the crash knows of an earlier answer.
     """
 
     part: str
     depth: int
     lead_s: float
+    was_answered: bool = False
 
 
 @frozen
@@ -211,6 +213,10 @@
             for part in parts
         )
 
+    def was_answered(self, part: str) -> bool:
+        """Return whether this host knows of an answer to a part."""
+        return part in self._answered
+
     def apply_verdict(self, verdict: Verdict, now: float) -> None:
         """Take over a peer's verdict if it replaces the known one."""
         known = self._verdicts.get(verdict.part)
@@ -302,16 +308,21 @@
         """
         times: dict[str, list[tuple[float, float]]] = {}
         depths: dict[str, int] = {}
+        answered: set[str] = set()
         for crash in crashes:
+            answered.update(
+                part for part, suspect in crash.suspects.items() if suspect.was_answered
+            )
             if any(part in causes or self._is_in_force(part) for part in crash.suspects):
                 continue
             for part, suspect in crash.suspects.items():
                 times.setdefault(part, []).append((crash.at - suspect.lead_s, crash.at))
                 depths[part] = max(suspect.depth, depths.get(part, 0))
+        answered.update(part for part in times if part in self._answered)
         return {
             part: (depths[part], len(spans))
             for part, spans in times.items()
-            if _has_enough_crashes(part, spans, part in self._answered)
+            if _has_enough_crashes(part, spans, part in answered)
         }
 
     def _condemn(self, part: str, crashes: list[_Crash], now: float) -> None:
@@ -387,7 +398,8 @@
 
 def _merge(known: Suspect, told: Suspect) -> Suspect:
     # The request sent last is the least likely to be at another crash by chance.
-    return min(known, told, key=attrgetter("lead_s"))
+    last = min(known, told, key=attrgetter("lead_s"))
+    return evolve(last, was_answered=known.was_answered or told.was_answered)
 
 
 def _has_enough_crashes(
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -128,3 +128,22 @@
             return {part for part, _, _ in report.suspects}
 
         self.assertTrue(run(scenario()).issuperset(PARTS))
+
+    # Guards against a request that many send being refused where it was never seen answered.
+    def test_a_host_learns_with_a_crash_what_the_sender_has_seen_answered_before(self) -> None:
+        async def scenario() -> tuple[bool, bool]:
+            old, new = make_announcements("old"), make_announcements("new")
+            old.quarantine.note_answered("r:07e2", -1.0)
+            for number in range(3):
+                for crash in (
+                    make_crash(number, ("r:07e2",)),
+                    make_crash(10 + number, ("r:dead",)),
+                ):
+                    old.quarantine.note_crash(crash, number / 100)
+                    old.note_crash(crash, number / 100)
+            for now in range(1, 12):
+                new.handle_heartbeat(send_heartbeat(old, now), now)
+            popular, deadly = (new.quarantine.find((name,), now) for name in ("r:07e2", "r:dead"))
+            return popular is not None, deadly is not None
+
+        self.assertEqual((False, True), run(scenario()))
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -1,5 +1,7 @@
 import asyncio
+from json import dumps, loads
 
+from attrs import evolve
 from testtools import ExpectedException, TestCase
 
 from cherrylane.errors import PeerMessageError
@@ -54,12 +56,24 @@
             cached=(CachedPart("i", "5c1e", 90),),
             leaving=(UpstreamLeaving("i", 1_700_000_000_000),),
             backing_off=(UpstreamBackoff("i", 1500),),
-            crashes=(CrashReport("i", 3, 20, (("5c1e", 0, 310), ("dead", 2, 90))),),
+            crashes=(
+                CrashReport("i", 3, 20, (("5c1e", 0, 310), ("dead", 2, 90)), answered=(0,)),
+                CrashReport("i", 4, 10, (("dead", 2, 90),)),
+            ),
             answered=(PartAnswered("5c1e", 120),),
             verdicts=(PartVerdict("dead", 2, False, 4000),),
         )
         self.assertEqual(sent, decode_heartbeat(sent.encode()))
 
+    # Guards against hosts of the release before dropping all heartbeats during an update.
+    def test_crashes_are_understood_between_releases(self) -> None:
+        crash = CrashReport("i", 3, 20, (("dead", 2, 90),), answered=(0,))
+        fields = loads(make_heartbeat(crashes=(crash,)).encode())
+        self.assertEqual([["i", 3, 20, [["dead", 2, 90]]]], fields["x"])
+        del fields["y"]
+        received = decode_heartbeat(dumps(fields).encode())
+        self.assertEqual((evolve(crash, answered=()),), received.crashes)
+
     # Guards against what a peer dates in the future never expiring.
     def test_ages_in_the_future_are_taken_for_now(self) -> None:
         sent = make_heartbeat(
