Don't give up a silent attempt of a request that may have crashed an upstream

Cause: a safe request is given up after 75 ms of silence, and a deadly one crashes its upstream up to 45 ms later, also when its connection was closed. The host then sees no crash and has sent it on. Change: such an attempt goes on if the request may not be retried either, since it was at a crash and never answered. Test: a request that crashes its upstream after twice the patience; it was still sent after four upstreams had ended. Ruled out: a second probe later on, a connection more for each silent attempt. The first attempts, before anything is known of the request, are still given up, so that a crash may be missed (open; not if silent attempts stay open beside the next).

--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -18,8 +18,9 @@
 from cherrylane.placement.choice import Candidate, Chooser
 from cherrylane.placement.loads import Load
 from cherrylane.platform.versions import StoreVersion
+from cherrylane.relay.crashes import CrashGuard
 from cherrylane.relay.events import EventSplitter
-from cherrylane.relay.request import Prompt, PromptPart
+from cherrylane.relay.request import CallerRequest, Prompt, PromptPart
 from cherrylane.routing.routes import (
     Account,
     Configuration,
@@ -40,6 +41,8 @@
 CHATS = 10_000
 # Suspects of a crash, as on a day on which one engine after the other crashes.
 SUSPECTS = 30
+PLAIN_UPSTREAMS = 4
+BODY = b"x" * 600
 EVENT = b"id: 12\ndata: " + b"x" * 65 + b"\n\n"
 
 
@@ -51,6 +54,7 @@
         *_measure_heartbeat(),
         _measure_event(),
         *(_measure_quarantine(crashes) for crashes in (0, MAX_CRASHES)),
+        *(_measure_whole_request(crashes) for crashes in (0, MAX_CRASHES)),
         *_measure_memory(),
     ]
 
@@ -139,6 +143,35 @@
     return Figure(f"gateway: quarantine, {crashes} crashes", check, "us", "choice", choice)
 
 
+def _measure_whole_request(crashes: int) -> Figure:
+    """Measure what a request to a plain service costs, against the choice of its upstream."""
+    quarantine = _make_quarantine(crashes)
+    guard = CrashGuard(quarantine)
+    upstreams = [
+        Upstream(f"i-{n:08x}", "s", Endpoint("10.0.0.1", 80), "a", 6, UpstreamState.READY)
+        for n in range(PLAIN_UPSTREAMS)
+    ]
+    candidates = [Candidate(upstream, Load(1)) for upstream in upstreams]
+    chooser = Chooser("a", 2.0, CacheMap())
+    host = (b"Host", b"bids.example")
+    route = _make_configuration(1, 0).routes[0]
+
+    def make_request() -> CallerRequest:
+        return CallerRequest(
+            "1", b"POST", b"/x/1", (host,), BODY, True, 0.0, 1.0, route, "s", Prompt("")
+        )
+
+    def check_request() -> None:
+        request = make_request()
+        guard.find_refusal(request, 1.0)
+        guard.note_answered(request, 0.5)
+
+    check = _time_call(check_request, 5_000) - _time_call(make_request, 5_000)
+    choice = _time_call(lambda: chooser.choose_by_load(candidates), 5_000)
+    name = f"gateway: quarantine of whole requests, {crashes} crashes"
+    return Figure(name, check, "us", "least load", choice)
+
+
 def _make_quarantine(crashes: int) -> PromptQuarantine:
     quarantine = PromptQuarantine()
     for number in range(crashes):
--- a/src/cherrylane/relay/attempts.py
+++ b/src/cherrylane/relay/attempts.py
@@ -175,6 +175,7 @@
             and not self.selector.throughput_of(state.request.service).is_overloaded(now)
             and running < MAX_CONCURRENT
             and state.times_sent + running < route.max_attempts
+            and self.crash_guard.may_retry(state.request)
         )
 
     def _start_hedge(self, state: RequestState, responder: Responder, race: AttemptRace) -> bool:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -5,21 +5,26 @@
 from testtools import TestCase
 from testtools.matchers import LessThan
 
-from cherrylane.routing.routes import Route
+from cherrylane.relay.attempts import SAFE_TIMEOUT_SHARE
+from cherrylane.routing.routes import RequestKind, Route
 from tests.relay_fixture import SAFE, UNSAFE, RelayFixture
-from tests.wire import Call, Script, ScriptedUpstream, make_configuration, run
+from tests.wire import Call, Script, ScriptedUpstream, make_configuration, make_route, run
 
 DEADLY, SOUND = "deadly", "sound"
 UPSTREAMS = 12
 # Seconds that an upstream works on a request before it crashes, or answers.
 WORK_S = 0.03
+# Seconds after which a silent attempt at a safe request is given up.
+PATIENCE_S = 0.08
 # Crashes after which a request may reach no further upstream, but for requests already sent.
 MAX_CRASHES = 3
 
 
-def crash_on_deadly_requests(upstreams: dict[int, ScriptedUpstream], index: int) -> Script:
+def crash_on_deadly_requests(
+    upstreams: dict[int, ScriptedUpstream], index: int, work_s: float
+) -> Script:
     async def script(call: Call) -> None:
-        await asyncio.sleep(WORK_S)
+        await asyncio.sleep(work_s)
         if call.header("Test-Kind") == DEADLY:
             upstreams[index].crash()
         else:
@@ -28,10 +33,10 @@
     return script
 
 
-async def start_upstreams(route: Route) -> RelayFixture:
+async def start_upstreams(route: Route, work_s: float = WORK_S) -> RelayFixture:
     """Return a relay in front of upstreams that crash on a deadly request, and stay down."""
     by_index: dict[int, ScriptedUpstream] = {}
-    scripts = tuple(crash_on_deadly_requests(by_index, index) for index in range(UPSTREAMS))
+    scripts = tuple(crash_on_deadly_requests(by_index, index, work_s) for index in range(UPSTREAMS))
     fixture = await RelayFixture(scripts, make_configuration(route)).open()
     by_index.update(enumerate(fixture.upstreams))
     return fixture
@@ -74,6 +79,15 @@
         self.assertEqual(1, crashed)
         self.assertTrue(answer.startswith(b"HTTP/1.1 502 "), answer)
 
+    # Guards against a crash not being seen because the silent attempt was given up before it.
+    def test_one_that_crashes_upstreams_slowly_reaches_no_more(self) -> None:
+        route = make_route(RequestKind.SAFE, target_s=PATIENCE_S / SAFE_TIMEOUT_SHARE)
+        crashed, answers = run(self.repeat(route, at_once=1, work_s=2 * PATIENCE_S))
+        # The very first attempt is given up, as nothing is known of the request then.
+        self.assertThat(crashed, LessThan(1 + MAX_CRASHES + 1))
+        for answer in answers[1 + MAX_CRASHES :]:
+            self.assertTrue(answer.startswith(b"HTTP/1.1 503 "), answer)
+
     # Guards against crashes of the same moment counting once, however many upstreams they end.
     def test_one_that_several_callers_send_at_once_reaches_no_more(self) -> None:
         for route in (SAFE, UNSAFE):
@@ -83,9 +97,11 @@
             for answer in answers[MAX_CRASHES**2 :]:
                 self.assertTrue(answer.startswith(b"HTTP/1.1 503 "), answer)
 
-    async def repeat(self, route: Route, at_once: int) -> tuple[int, list[bytes]]:
+    async def repeat(
+        self, route: Route, at_once: int, work_s: float = WORK_S
+    ) -> tuple[int, list[bytes]]:
         """Return how many upstreams a deadly request has crashed, and the answers to it."""
-        fixture = await start_upstreams(route)
+        fixture = await start_upstreams(route, work_s)
         answers: list[bytes] = []
         for number in range(UPSTREAMS):
             repeats = [ask(fixture, DEADLY, number * at_once + n) for n in range(at_once)]
