--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -10,7 +10,7 @@
 from cherrylane.limits.quarantine import (
     MAX_ANSWERED,
     MAX_CRASHES,
-    PromptQuarantine,
+    RequestQuarantine,
     Suspect,
     UpstreamCrash,
 )
@@ -172,8 +172,8 @@
     return Figure(name, check, "us", "least load", choice)
 
 
-def _make_quarantine(crashes: int) -> PromptQuarantine:
-    quarantine = PromptQuarantine()
+def _make_quarantine(crashes: int) -> RequestQuarantine:
+    quarantine = RequestQuarantine()
     for number in range(crashes):
         suspects = tuple(Suspect(f"{number:04x}{n:04x}", 1, 0.1) for n in range(SUSPECTS))
         quarantine.note_crash(UpstreamCrash(f"i-{number}", 1, 0.0, suspects), now=0.0)
--- a/src/cherrylane/gateway/announcements.py
+++ b/src/cherrylane/gateway/announcements.py
@@ -14,7 +14,7 @@
 )
 from cherrylane.gossip.updates import UpdateQueue
 from cherrylane.limits.backoff import BackoffTracker
-from cherrylane.limits.quarantine import PromptQuarantine, Suspect, UpstreamCrash, Verdict
+from cherrylane.limits.quarantine import RequestQuarantine, Suspect, UpstreamCrash, Verdict
 from cherrylane.placement.caches import CacheMap
 from cherrylane.placement.loads import LoadTracker
 from cherrylane.platform.client import AsyncPlatformClient
@@ -49,7 +49,7 @@
     load_tracker: LoadTracker
     caches: CacheMap
     backoffs: BackoffTracker
-    quarantine: PromptQuarantine
+    quarantine: RequestQuarantine
     _leaving: UpdateQueue[UpstreamLeaving] = field(factory=UpdateQueue)
     _crashes: UpdateQueue[_NotedCrash] = field(factory=UpdateQueue)
     _answered: UpdateQueue[tuple[str, float]] = field(factory=UpdateQueue)
--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -29,7 +29,7 @@
 from cherrylane.limits.backoff import BackoffTracker
 from cherrylane.limits.connections import share_idle_connections
 from cherrylane.limits.outliers import OutlierDetector
-from cherrylane.limits.quarantine import PromptQuarantine, UpstreamCrash
+from cherrylane.limits.quarantine import RequestQuarantine, UpstreamCrash
 from cherrylane.limits.retries import HostRetryBudget
 from cherrylane.placement.caches import CacheMap
 from cherrylane.placement.choice import Chooser
@@ -132,7 +132,7 @@
         self.store.on_new_era = self._handle_new_era
         self.backoffs = BackoffTracker()
         self.chat_heat = ChatHeat()
-        self.quarantine = PromptQuarantine(is_trial_host=self._is_trial_host)
+        self.quarantine = RequestQuarantine(is_trial_host=self._is_trial_host)
         self._announcements = Announcements(
             settings.identity,
             self._boot_id,
--- a/src/cherrylane/limits/quarantine.py
+++ b/src/cherrylane/limits/quarantine.py
@@ -115,7 +115,7 @@
 
 
 @define
-class PromptQuarantine:
+class RequestQuarantine:
     """The crashes that this host knows of, and the parts that it refuses because of them.
 
     ``settle_s`` is the time in which the crashes that peers have seen arrive; a crash is judged
--- a/src/cherrylane/relay/crashes.py
+++ b/src/cherrylane/relay/crashes.py
@@ -16,8 +16,8 @@
 from cherrylane.http.outbound import open_connection
 from cherrylane.limits.quarantine import (
     WHOLE_REQUEST,
-    PromptQuarantine,
     Quarantined,
+    RequestQuarantine,
     Suspect,
     UpstreamCrash,
     is_whole_request,
@@ -61,7 +61,7 @@
     that was suspected of one and the time from which it was answered since, to tell the peers.
     """
 
-    quarantine: PromptQuarantine = field(factory=PromptQuarantine)
+    quarantine: RequestQuarantine = field(factory=RequestQuarantine)
     on_crash: Callable[[UpstreamCrash], None] = lambda crash: None
     on_cleared: Callable[[str, float], None] = lambda part, answered_at: None
     _probes: dict[tuple[str, int], _Probe] = field(factory=dict)
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -9,7 +9,7 @@
     decode_heartbeat,
 )
 from cherrylane.limits.backoff import BackoffTracker
-from cherrylane.limits.quarantine import PromptQuarantine, Suspect, UpstreamCrash, Verdict
+from cherrylane.limits.quarantine import RequestQuarantine, Suspect, UpstreamCrash, Verdict
 from cherrylane.placement.caches import CacheMap
 from cherrylane.placement.loads import LoadTracker
 from cherrylane.platform.client import AsyncPlatformClient
@@ -31,7 +31,7 @@
         LoadTracker(),
         CacheMap(),
         BackoffTracker(),
-        PromptQuarantine(),
+        RequestQuarantine(),
     )
 
 
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -2,7 +2,7 @@
 
 from testtools import TestCase
 
-from cherrylane.limits.quarantine import PromptQuarantine, UpstreamCrash
+from cherrylane.limits.quarantine import RequestQuarantine, UpstreamCrash
 from cherrylane.relay.crashes import (
     BEGINNING_S,
     MAX_PARTS,
@@ -32,7 +32,7 @@
 async def detect(*attempts: BrokenAttempt) -> list[UpstreamCrash]:
     """Return the crashes that are noted after these attempts broke."""
     crashes: list[UpstreamCrash] = []
-    guard = CrashGuard(PromptQuarantine(), crashes.append)
+    guard = CrashGuard(RequestQuarantine(), crashes.append)
     for attempt in attempts:
         guard.note_broken(attempt)
     for attempt in attempts:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -10,7 +10,7 @@
     MIN_CRASHES_ANSWERED_BEFORE,
     TRIAL_TIMEOUT_S,
     VERDICT_LIFETIME_S,
-    PromptQuarantine,
+    RequestQuarantine,
     Suspect,
     UpstreamCrash,
     Verdict,
@@ -29,7 +29,7 @@
 
 
 def crash_often(
-    quarantine: PromptQuarantine, times: int, *parts: str, start: float = 0.0, first: int = 0
+    quarantine: RequestQuarantine, times: int, *parts: str, start: float = 0.0, first: int = 0
 ) -> float:
     """Note successive crashes a second apart; returns the time of the last one."""
     for number in range(times):
@@ -37,14 +37,16 @@
     return start + times - 1
 
 
-def note_answered(quarantine: PromptQuarantine, parts: tuple[str, ...], answered_at: float) -> None:
+def note_answered(
+    quarantine: RequestQuarantine, parts: tuple[str, ...], answered_at: float
+) -> None:
     for part in parts:
         quarantine.note_answered(part, answered_at)
 
 
 class VerdictTest(TestCase):
     def test_three_successive_crashes_quarantine_the_deepest_common_part_only(self) -> None:
-        quarantine = PromptQuarantine()
+        quarantine = RequestQuarantine()
         now = crash_often(quarantine, 2, *PARTS)
         self.assertIsNone(quarantine.find(PARTS, now))
         now = crash_often(quarantine, 1, *PARTS, start=2.0, first=2)
@@ -53,7 +55,7 @@
         self.assertEqual(1, quarantine.count_in_force())
 
     def test_requests_beside_the_tainted_one_do_not_count_against_what_they_share(self) -> None:
-        quarantine = PromptQuarantine()
+        quarantine = RequestQuarantine()
         for number in range(10):
             now = float(number)
             quarantine.note_crash(make_crash(number, *PARTS), now)
@@ -62,7 +64,7 @@
         self.assertEqual([TAINTED], [verdict.part for verdict in quarantine.list_verdicts(now)])
 
     def test_a_part_that_every_tainted_prompt_begins_with_is_found(self) -> None:
-        quarantine = PromptQuarantine()
+        quarantine = RequestQuarantine()
         for number in range(3):
             quarantine.note_crash(make_crash(number, TAINTED, f"chat-{number}"), float(number))
         self.assertIsNotNone(quarantine.find((TAINTED, "chat-9"), 2.0))
@@ -70,21 +72,21 @@
 
     # Guards against a failure domain that goes down at once being taken for a tainted part.
     def test_upstreams_that_end_together_count_once(self) -> None:
-        quarantine = PromptQuarantine()
+        quarantine = RequestQuarantine()
         for number in range(30):
             quarantine.note_crash(make_crash(number, SYSTEM, "chat", lead_s=1.0), number / 100)
         self.assertIsNone(quarantine.find((SYSTEM, "chat"), 1.0))
 
     # Guards against a prompt that all share being refused when engines crash for other reasons.
     def test_a_completed_answer_clears_the_parts_of_its_prompt(self) -> None:
-        quarantine = PromptQuarantine()
+        quarantine = RequestQuarantine()
         for number in range(20):
             quarantine.note_crash(make_crash(number, SYSTEM, f"chat-{number}"), float(number))
             note_answered(quarantine, (SYSTEM, "other"), answered_at=number + 0.5)
             self.assertIsNone(quarantine.find((SYSTEM, "other"), number + 0.6))
 
     def test_an_answer_that_began_before_a_crash_clears_nothing(self) -> None:
-        quarantine = PromptQuarantine()
+        quarantine = RequestQuarantine()
         note_answered(quarantine, PARTS, answered_at=-1.0)
         now = crash_often(quarantine, MIN_CRASHES_ANSWERED_BEFORE, *PARTS)
         note_answered(quarantine, PARTS, answered_at=-0.5)
@@ -92,7 +94,7 @@
 
     # Guards against a system prompt being refused when engines crash before a tainted part does.
     def test_a_part_that_was_answered_before_needs_more_crashes(self) -> None:
-        quarantine = PromptQuarantine()
+        quarantine = RequestQuarantine()
         note_answered(quarantine, (SYSTEM, ACCOUNT), answered_at=-1.0)
         for number, parts in enumerate(((SYSTEM, "chat"), PARTS, PARTS, PARTS, PARTS)):
             now = float(number)
@@ -102,7 +104,7 @@
 
     # Guards against a crash that peers report again undoing an answer since then.
     def test_repeated_reports_do_not_bring_back_a_part_that_was_answered_since(self) -> None:
-        quarantine = PromptQuarantine()
+        quarantine = RequestQuarantine()
         crash_often(quarantine, MIN_CRASHES_ANSWERED_BEFORE, SYSTEM)
         quarantine.note_answered(SYSTEM, 10.0)
         for number in range(MIN_CRASHES_ANSWERED_BEFORE):
@@ -110,7 +112,7 @@
         self.assertIsNone(quarantine.find((SYSTEM,), 11.0))
 
     def test_more_guilty_parts_than_verdicts_are_judged(self) -> None:
-        quarantine = PromptQuarantine()
+        quarantine = RequestQuarantine()
         suspects = tuple(Suspect(f"p{number}", 1, 0.2) for number in range(MAX_VERDICTS + 9))
         for number in range(3):
             crash = UpstreamCrash(f"i-{number}", 1, 0.0, suspects)
@@ -120,34 +122,34 @@
 
     # Guards against callers that fill a host's memory with the parts of their prompts.
     def test_the_suspects_of_a_crash_are_bounded(self) -> None:
-        quarantine = PromptQuarantine()
+        quarantine = RequestQuarantine()
         for number in range(MAX_SUSPECTS * 2):
             quarantine.note_crash(make_crash(1, f"p{number}"), 0.0)
         self.assertEqual(MAX_SUSPECTS, len(next(iter(quarantine._crashes.values())).suspects))
 
     # Guards against a part that crashes engines being forgotten because others were lifted.
     def test_lifted_verdicts_are_dropped_before_those_in_force(self) -> None:
-        quarantine = PromptQuarantine()
+        quarantine = RequestQuarantine()
         quarantine.apply_verdict(Verdict("dead", 1, False, 0.0), now=0.0)
         for number in range(MAX_VERDICTS * 2):
             quarantine.apply_verdict(Verdict(f"p{number}", 1, True, 0.0), now=1.0 + number)
         self.assertIsNotNone(quarantine.find(("dead",), 2.0))
 
     def test_memory_of_answered_parts_is_bounded(self) -> None:
-        quarantine = PromptQuarantine()
+        quarantine = RequestQuarantine()
         for number in range(MAX_ANSWERED * 2):
             quarantine.note_answered(f"p{number}", 0.0)
         self.assertEqual(MAX_ANSWERED, len(quarantine._answered))
 
     # Guards against a retry being taken for a request sent before the crash that it follows.
     def test_a_request_sent_at_the_moment_of_a_crash_counts_as_sent_after_it(self) -> None:
-        quarantine = PromptQuarantine()
+        quarantine = RequestQuarantine()
         for number, at in enumerate((1.0, 1.5, 2.0)):
             quarantine.note_crash(make_crash(number, *PARTS, lead_s=0.503), at)
         self.assertIsNotNone(quarantine.find(PARTS, 2.0))
 
     def test_repeated_reports_of_one_crash_count_once(self) -> None:
-        quarantine = PromptQuarantine()
+        quarantine = RequestQuarantine()
         for age_s in (0.0, 0.2, 5.0):
             quarantine.note_crash(make_crash(1, *PARTS, age_s=age_s, lead_s=0.0), now=10.0 + age_s)
         self.assertIsNone(quarantine.find(PARTS, 15.0))
@@ -158,7 +160,7 @@
 
     # Guards against a host judging by its own requests before it has heard of the tainted one.
     def test_crashes_are_judged_once_the_peers_have_reported_theirs(self) -> None:
-        quarantine = PromptQuarantine(settle_s=1.0)
+        quarantine = RequestQuarantine(settle_s=1.0)
         now = crash_often(quarantine, 3, SYSTEM, ACCOUNT)
         self.assertIsNone(quarantine.find((SYSTEM, ACCOUNT), now + 0.5))
         for number in range(3):
@@ -167,7 +169,7 @@
         self.assertIsNotNone(quarantine.find(PARTS, now + 1.1))
 
     def test_old_crashes_do_not_count_and_memory_is_bounded(self) -> None:
-        quarantine = PromptQuarantine()
+        quarantine = RequestQuarantine()
         for number in range(3):
             now = number * EVIDENCE_LIFETIME_S * 0.6
             quarantine.note_crash(make_crash(number, *PARTS), now)
@@ -187,7 +189,7 @@
     OTHER = ("r:07e2",)
 
     def crash_at_once(
-        self, quarantine: PromptQuarantine, times: int, *fingerprints: str, start: float = 0.0
+        self, quarantine: RequestQuarantine, times: int, *fingerprints: str, start: float = 0.0
     ) -> float:
         """Note crashes 0.03 s apart at which the same requests are in progress."""
         for number in range(times):
@@ -199,7 +201,7 @@
 
     # Guards against upstreams that one request ends in the same moment counting as one (second1).
     def test_crashes_of_the_same_moment_count_each_for_one_that_was_never_answered(self) -> None:
-        quarantine = PromptQuarantine()
+        quarantine = RequestQuarantine()
         now = self.crash_at_once(quarantine, 2, *self.DEADLY)
         self.assertIsNone(quarantine.find(self.DEADLY, now))
         now = self.crash_at_once(quarantine, 1, *self.DEADLY, start=0.06)
@@ -207,7 +209,7 @@
 
     # Guards against sending it on while the peers' reports are awaited.
     def test_one_at_three_crashes_is_held_until_they_are_judged(self) -> None:
-        quarantine = PromptQuarantine(settle_s=1.0)
+        quarantine = RequestQuarantine(settle_s=1.0)
         now = self.crash_at_once(quarantine, 3, *self.DEADLY)
         held = quarantine.find(self.DEADLY, now + 0.01)
         self.assertIsNotNone(held)
@@ -219,7 +221,7 @@
 
     # Guards against a request that many send being refused when a failure domain ends.
     def test_one_that_was_answered_before_is_not_refused_for_crashes_of_one_moment(self) -> None:
-        quarantine = PromptQuarantine(settle_s=1.0)
+        quarantine = RequestQuarantine(settle_s=1.0)
         quarantine.note_answered(self.OTHER[0], -1.0)
         for start in (0.0, 4.0):
             now = self.crash_at_once(quarantine, 4, *self.OTHER, start=start)
@@ -227,14 +229,14 @@
             self.assertIsNone(quarantine.find(self.OTHER, now + 2.0))
 
     def test_an_answer_between_crashes_clears_it(self) -> None:
-        quarantine = PromptQuarantine()
+        quarantine = RequestQuarantine()
         for number in range(20):
             now = self.crash_at_once(quarantine, 2, *self.OTHER, start=float(number))
             quarantine.note_answered(self.OTHER[0], now + 0.2)
             self.assertIsNone(quarantine.find(self.OTHER, now + 0.3))
 
     def test_an_answer_ends_a_hold(self) -> None:
-        quarantine = PromptQuarantine(settle_s=1.0)
+        quarantine = RequestQuarantine(settle_s=1.0)
         now = self.crash_at_once(quarantine, 3, *self.OTHER)
         self.assertIsNotNone(quarantine.find(self.OTHER, now))
         quarantine.note_answered(self.OTHER[0], now + 0.1)
@@ -242,7 +244,7 @@
 
     def test_of_two_at_the_same_crashes_the_one_at_more_of_them_explains_them(self) -> None:
         for settle_s in (0.0, 1.0):
-            quarantine = PromptQuarantine(settle_s=settle_s)
+            quarantine = RequestQuarantine(settle_s=settle_s)
             self.crash_at_once(quarantine, 3, *self.DEADLY, *self.OTHER)
             now = self.crash_at_once(quarantine, 1, *self.DEADLY, start=0.2)
             self.assertIsNotNone(quarantine.find(self.DEADLY, now))
@@ -251,7 +253,7 @@
             self.assertIsNone(quarantine.find(self.OTHER, now + 2.0))
 
     def test_two_that_crash_upstreams_in_turn_are_both_refused(self) -> None:
-        quarantine = PromptQuarantine()
+        quarantine = RequestQuarantine()
         for number in range(3):
             self.crash_at_once(quarantine, 1, *self.DEADLY, start=number / 10)
             now = self.crash_at_once(quarantine, 1, *self.OTHER, start=number / 10 + 0.05)
@@ -260,7 +262,7 @@
 
     # Guards against requests being refused because many upstreams end for another reason.
     def test_a_storm_of_crashes_with_other_requests_each_refuses_none(self) -> None:
-        quarantine = PromptQuarantine()
+        quarantine = RequestQuarantine()
         for number in range(MAX_CRASHES):
             own = (f"r:{number}", f"r:{number // 2}-b")
             now = self.crash_at_once(quarantine, 1, *own, start=number * 0.01)
@@ -270,7 +272,7 @@
 
     # Guards against the retry of a request being the second crash.
     def test_one_that_was_at_a_crash_and_never_answered_is_not_retried(self) -> None:
-        quarantine = PromptQuarantine()
+        quarantine = RequestQuarantine()
         self.assertTrue(quarantine.may_retry(self.DEADLY))
         quarantine.note_answered(self.OTHER[0], -1.0)
         self.crash_at_once(quarantine, 1, *self.DEADLY, *self.OTHER, *PARTS)
@@ -284,7 +286,7 @@
 class HealingTest(TestCase):
     def setUp(self) -> None:
         super().setUp()
-        self.quarantine = PromptQuarantine()
+        self.quarantine = RequestQuarantine()
         self.now = crash_often(self.quarantine, 3, *PARTS)
         self.assertIsNotNone(self.quarantine.find(PARTS, self.now))
 
@@ -337,13 +339,13 @@
             for lifted in (False, True)
         ]
         for order in (verdicts, verdicts[::-1]):
-            quarantine = PromptQuarantine()
+            quarantine = RequestQuarantine()
             for verdict in order:
                 quarantine.apply_verdict(verdict, now=10.0)
             self.assertEqual(verdicts[-1:], quarantine.list_verdicts(10.0))
 
     def test_a_lifted_verdict_is_not_renewed_by_the_crashes_before_it(self) -> None:
-        quarantine = PromptQuarantine()
+        quarantine = RequestQuarantine()
         now = crash_often(quarantine, 3, *PARTS)
         quarantine.find(PARTS, now)
         quarantine.apply_verdict(Verdict(TAINTED, 1, True, 0.5), now + 0.5)
@@ -353,7 +355,7 @@
 
     # Guards against a host refusing for all what another one has seen answered.
     def test_a_verdict_on_a_part_that_was_answered_since_its_last_crash_is_lifted(self) -> None:
-        quarantine = PromptQuarantine()
+        quarantine = RequestQuarantine()
         quarantine.note_answered(SYSTEM, 9.0)
         quarantine.apply_verdict(Verdict(SYSTEM, 1, False, age_s=2.0), now=10.0)
         self.assertIsNone(quarantine.find((SYSTEM,), 10.0))
@@ -363,7 +365,7 @@
 
     # Guards against a host that starts not hearing of a verdict because of newer ones on others.
     def test_verdicts_in_force_are_told_before_those_that_were_lifted_long_ago(self) -> None:
-        quarantine = PromptQuarantine()
+        quarantine = RequestQuarantine()
         quarantine.apply_verdict(Verdict("dead", 1, False, 1.0), now=0.0)
         quarantine.apply_verdict(Verdict("old", 1, True, 1.0), now=1.0)
         quarantine.apply_verdict(Verdict("new", 1, True, 1.0), now=100.0)
@@ -371,7 +373,7 @@
         self.assertEqual(["new", "dead", "old"], told)
 
     def test_an_expired_verdict_is_ignored(self) -> None:
-        quarantine = PromptQuarantine()
+        quarantine = RequestQuarantine()
         quarantine.apply_verdict(Verdict(TAINTED, 1, False, VERDICT_LIFETIME_S + 1), now=0.0)
         self.assertIsNone(quarantine.find(PARTS, 0.0))
 
