--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -5,7 +5,7 @@
 from testtools import TestCase
 from testtools.matchers import LessThan
 
-from cherrylane.relay.attempts import SAFE_TIMEOUT_SHARE
+from cherrylane.relay.forwarding import SAFE_PATIENCE_SHARE
 from cherrylane.routing.routes import RequestKind, Route
 from tests.relay_fixture import SAFE, UNSAFE, RelayFixture
 from tests.wire import Call, Script, ScriptedUpstream, make_configuration, make_route, run
@@ -14,7 +14,7 @@
 UPSTREAMS = 12
 # Seconds that an upstream works on a request before it crashes, or answers.
 WORK_S = 0.03
-# Seconds after which a silent attempt at a safe request is given up.
+# Seconds after which a silent safe request is tried elsewhere as well.
 PATIENCE_S = 0.08
 # Crashes after which a request may reach no further upstream, but for requests already sent.
 MAX_CRASHES = 3
@@ -79,11 +79,11 @@
         self.assertEqual(1, crashed)
         self.assertTrue(answer.startswith(b"HTTP/1.1 502 "), answer)
 
-    # Guards against a crash not being seen because the silent attempt was given up before it.
+    # Guards against the crash of a silent attempt not being seen, or another one being started then.
     def test_one_that_crashes_upstreams_slowly_reaches_no_more(self) -> None:
-        route = make_route(RequestKind.SAFE, target_s=PATIENCE_S / SAFE_TIMEOUT_SHARE)
+        route = make_route(RequestKind.SAFE, target_s=PATIENCE_S / SAFE_PATIENCE_SHARE)
         crashed, answers = run(self.repeat(route, at_once=1, work_s=2 * PATIENCE_S))
-        # The very first attempt is given up, as nothing is known of the request then.
+        # Two upstreams have the very first one, as nothing is known of the request then.
         self.assertThat(crashed, LessThan(1 + MAX_CRASHES + 1))
         for answer in answers[1 + MAX_CRASHES :]:
             self.assertTrue(answer.startswith(b"HTTP/1.1 503 "), answer)
