--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -79,7 +79,7 @@
         self.assertEqual(1, crashed)
         self.assertTrue(answer.startswith(b"HTTP/1.1 502 "), answer)
 
-    # Guards against the crash of a silent attempt not being seen, or another one being started then.
+    # Guards against the crash of a silent attempt not being seen, or another attempt beside it.
     def test_one_that_crashes_upstreams_slowly_reaches_no_more(self) -> None:
         route = make_route(RequestKind.SAFE, target_s=PATIENCE_S / SAFE_PATIENCE_SHARE)
         crashed, answers = run(self.repeat(route, at_once=1, work_s=2 * PATIENCE_S))
