Count what peers have seen answered for whole requests only

Cause: tells with a crash which suspects the reporter has seen answered before, and these need five successive crashes in place of three. For parts of prompts that took away what had held: hosts that had not seen a part answered judged at three, and told the others. Change: the flag counts for whole requests. The new test fails before (None: no verdict after three crashes).

--- a/src/cherrylane/limits/quarantine.py
+++ b/src/cherrylane/limits/quarantine.py
@@ -52,7 +52,8 @@
 
     ``part`` names it; a whole request is named by its fingerprint. ``depth`` is the position of the
     part in its prompt, and ``lead_s`` how many seconds before the crash the request was sent.
-    ``was_answered`` is whether a host that saw the crash knows of an earlier answer.
+    ``was_answered`` is whether a host that saw the crash knows of an earlier answer; it counts for
+    whole requests only.
     """
 
     part: str
@@ -311,7 +312,9 @@
         answered: set[str] = set()
         for crash in crashes:
             answered.update(
-                part for part, suspect in crash.suspects.items() if suspect.was_answered
+                part
+                for part, suspect in crash.suspects.items()
+                if suspect.was_answered and is_whole_request(part)
             )
             if any(part in causes or self._is_in_force(part) for part in crash.suspects):
                 continue
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -283,6 +283,16 @@
         self.assertTrue(quarantine.may_retry(self.DEADLY))
 
 
+class PartsOfPeersTest(TestCase):
+    # Guards against unanswered parts needing more crashes because a peer has seen them answered.
+    def test_what_peers_have_seen_answered_counts_for_whole_requests_only(self) -> None:
+        quarantine = RequestQuarantine()
+        for number in range(3):
+            suspects = (Suspect("part", 0, 0.3, was_answered=True),)
+            quarantine.note_crash(UpstreamCrash(f"i-{number}", 1, 0.0, suspects), number * 0.5)
+        self.assertIsNotNone(quarantine.find(("part",), 1.0))
+
+
 class HealingTest(TestCase):
     def setUp(self) -> None:
         super().setUp()
