Know a chat request that crashes engines as a whole, beside its parts

Cause: only requests without shared parts had a fingerprint as a suspect. The parts of a deadly chat request are those of sound ones, which answer in between and so clear them; what all its sends have in common is the whole request. Change: the fingerprint is a suspect of every request, judged before the parts; a part is quarantined only if one of its crashes at least is not explained by a whole request; a chat request is retried after one crash, not after two; crash reports have places of their own for both.

--- a/src/cherrylane/gateway/announcements.py
+++ b/src/cherrylane/gateway/announcements.py
@@ -14,7 +14,13 @@
 )
 from cherrylane.gossip.updates import UpdateQueue
 from cherrylane.limits.backoff import BackoffTracker
-from cherrylane.limits.quarantine import RequestQuarantine, Suspect, UpstreamCrash, Verdict
+from cherrylane.limits.quarantine import (
+    RequestQuarantine,
+    Suspect,
+    UpstreamCrash,
+    Verdict,
+    is_whole_request,
+)
 from cherrylane.placement.caches import CacheMap
 from cherrylane.placement.loads import LoadTracker
 from cherrylane.platform.client import AsyncPlatformClient
@@ -25,9 +31,11 @@
 
 # Sweeps of heartbeats to all hosts in which an update is sent, such as a newly cached part.
 UPDATE_SWEEPS = 2
-# Crashes in one heartbeat, suspects of one crash, answered parts and verdicts in one heartbeat.
+# Crashes in one heartbeat, suspects of one crash that are parts and that are whole requests,
+# answered parts and verdicts in one heartbeat.
 MAX_CRASHES = 2
 MAX_SUSPECTS = 8
+MAX_WHOLE_REQUESTS = 6
 MAX_ANSWERED = 8
 MAX_VERDICTS = 6
 
@@ -61,19 +69,20 @@
             self._leaving.add(UpstreamLeaving(upstream.name, upstream.incarnation))
 
     def note_crash(self, crash: UpstreamCrash, now: float) -> None:
-        """Tell the peers of a crash, with the parts that were at most other crashes."""
-        suspects = sorted(
-            crash.suspects,
-            key=lambda suspect: (self.quarantine.count_crashes(suspect.part), suspect.depth),
-            reverse=True,
-        )
-        reported = evolve(
-            crash,
-            suspects=tuple(
-                evolve(suspect, was_answered=self.quarantine.was_answered(suspect.part))
-                for suspect in suspects[:MAX_SUSPECTS]
-            ),
-        )
+        """Tell the peers of a crash, with the suspects that were at most other crashes."""
+
+        def rank(suspect: Suspect) -> tuple[int, int, float]:
+            # Of whole requests, what ends an upstream as it begins is the one sent last.
+            return -self.quarantine.count_crashes(suspect.part), -suspect.depth, suspect.lead_s
+
+        ranked = sorted(crash.suspects, key=rank)
+        parts = [suspect for suspect in ranked if not is_whole_request(suspect.part)]
+        whole = [
+            evolve(suspect, was_answered=self.quarantine.was_answered(suspect.part))
+            for suspect in ranked
+            if is_whole_request(suspect.part)
+        ]
+        reported = evolve(crash, suspects=(*parts[:MAX_SUSPECTS], *whole[:MAX_WHOLE_REQUESTS]))
         self._crashes.add(_NotedCrash(reported, now))
 
     def note_answered(self, part: str, answered_at: float) -> None:
--- a/src/cherrylane/limits/quarantine.py
+++ b/src/cherrylane/limits/quarantine.py
@@ -1,14 +1,15 @@
 """Quarantine of what crashes each upstream that begins to answer it.
 
-That is a part of a prompt, or a whole request that has no part which others may share, such as one
-to a plain service. Other requests are in progress at an upstream that crashes, so one crash says
-little about a part. A part is quarantined after several successive crashes: each of a request that
-was sent after the crash before. Upstreams that end together, for a reason of their own, count once.
-An answer that began after a crash and went on clears the parts of its prompt. The deepest part of a
-prompt that explains the crashes is taken, since the parts before it are shared with sound requests.
+That is a part of a prompt, or a whole request. Other requests are in progress at an upstream that
+crashes, so one crash says little about a part. A part is quarantined after several successive
+crashes: each of a request that was sent after the crash before. Upstreams that end together, for a
+reason of their own, count once. An answer that began after a crash and went on clears the parts of
+its prompt. The deepest part of a prompt that explains the crashes is taken, since the parts before
+it are shared with sound requests.
 
 A whole request comes again faster than hosts can tell each other of its crashes. Of one that was
-never answered each crash counts, and after enough of them it is held until they can be judged.
+never answered each crash counts, and after enough of them it is held until they can be judged. A
+part all of whose crashes are also those of such requests is not quarantined for them.
 """
 
 from collections.abc import Callable, Collection, Iterable, Sequence
@@ -35,8 +36,12 @@
 MAX_VERDICTS = 64
 # Number of suspects of one crash; callers choose how many parts their prompts have.
 MAX_SUSPECTS = 256
-# Number of parts and whole requests of which it is remembered when they were answered.
+# Number of parts, and of whole requests, of which it is remembered when they were answered.
 MAX_ANSWERED = 4096
+# Crashes at which a request that was never answered may have been and still be retried, by whether
+# it has parts: many of those are in progress at an engine.
+MAX_CRASHES_RETRIED = 0
+MAX_CRASHES_RETRIED_WITH_PARTS = 1
 # Seconds in which all hosts hear of a new verdict.
 NEWS_S = 30.0
 
@@ -133,8 +138,10 @@
     is_trial_host: Callable[[str], bool] = lambda part: True
     _crashes: dict[tuple[str, int], _Crash] = field(factory=dict)
     _verdicts: dict[str, _VerdictState] = field(factory=dict)
-    # The begin of the last known answer to each part, the part answered last at the end.
+    # The begin of the last known answer to each part, the part answered last at the end, and the
+    # same for whole requests, which are many more.
     _answered: dict[str, float] = field(factory=dict)
+    _answered_requests: dict[str, float] = field(factory=dict)
     _next_judgement: float = float("inf")
     # When the last of the known crashes can be judged.
     _settled_at: float = float("-inf")
@@ -172,11 +179,12 @@
 
         Returns whether it was a suspect of a crash before.
         """
-        self._answered[part] = max(answered_at, self._answered.pop(part, answered_at))
+        answered = self._get_answered(part)
+        answered[part] = max(answered_at, answered.pop(part, answered_at))
         if self._held and part in self._held:
             self._held = None
-        if len(self._answered) > MAX_ANSWERED:
-            del self._answered[next(iter(self._answered))]
+        if len(answered) > MAX_ANSWERED:
+            del answered[next(iter(answered))]
         verdict = self._verdicts.get(part)
         if verdict is not None and not verdict.is_lifted and verdict.since < answered_at:
             self._lift(part, verdict, answered_at)
@@ -207,16 +215,22 @@
     def may_retry(self, parts: Sequence[str]) -> bool:
         """Return whether a request that an upstream may have run can be sent to another one.
 
-        A whole request that was at a crash and was never answered may have caused it.
+        A whole request that was at crashes and was never answered may have caused them.
         """
+        limit = MAX_CRASHES_RETRIED if len(parts) == 1 else MAX_CRASHES_RETRIED_WITH_PARTS
         return not any(
-            is_whole_request(part) and part not in self._answered and self.count_crashes(part)
+            is_whole_request(part)
+            and not self.was_answered(part)
+            and self.count_crashes(part) > limit
             for part in parts
         )
 
     def was_answered(self, part: str) -> bool:
         """Return whether this host knows of an answer to a part."""
-        return part in self._answered
+        return part in self._get_answered(part)
+
+    def _get_answered(self, part: str) -> dict[str, float]:
+        return self._answered_requests if is_whole_request(part) else self._answered
 
     def apply_verdict(self, verdict: Verdict, now: float) -> None:
         """Take over a peer's verdict if it replaces the known one."""
@@ -290,42 +304,47 @@
         return self._held
 
     def _find_causes(self, crashes: Collection[_Crash]) -> list[str]:
-        """Return the parts that explain crashes which no verdict explains.
+        """Return the whole requests and parts that explain crashes which no verdict explains.
 
-        The deepest are taken first, of these the ones with most crashes.
+        Whole requests are taken first, then the deepest parts; of these the ones with most crashes.
         """
         causes: list[str] = []
-        while guilty := self._find_guilty(crashes, causes):
-            most = max(guilty.values())
-            causes.extend(part for part, rank in guilty.items() if rank == most)
+        for are_whole in (True, False):
+            while guilty := self._find_guilty(crashes, causes, are_whole=are_whole):
+                most = max(guilty.values())
+                causes.extend(part for part, rank in guilty.items() if rank == most)
         return causes
 
     def _find_guilty(
-        self, crashes: Collection[_Crash], causes: Collection[str]
+        self, crashes: Collection[_Crash], causes: Collection[str], *, are_whole: bool
     ) -> dict[str, tuple[int, int]]:
-        """Return the parts with enough crashes, with their depth and the number of crashes.
+        """Return whole requests or parts with enough crashes, with their depth and that number.
 
-        Leaves out the crashes that a verdict or one of the ``causes`` explains.
+        Leaves out the crashes that a verdict or one of the ``causes`` explains. For parts, those of
+        whole requests count if one at least is not explained.
         """
         times: dict[str, list[tuple[float, float]]] = {}
         depths: dict[str, int] = {}
+        unexplained: set[str] = set()
         answered: set[str] = set()
         for crash in crashes:
-            answered.update(
-                part
-                for part, suspect in crash.suspects.items()
-                if suspect.was_answered and is_whole_request(part)
-            )
-            if any(part in causes or self._is_in_force(part) for part in crash.suspects):
+            known = [part for part in crash.suspects if part in causes or self._is_in_force(part)]
+            has_whole_cause = any(map(is_whole_request, known))
+            if known and (are_whole or not all(map(is_whole_request, known))):
                 continue
             for part, suspect in crash.suspects.items():
+                if is_whole_request(part) is not are_whole:
+                    continue
                 times.setdefault(part, []).append((crash.at - suspect.lead_s, crash.at))
                 depths[part] = max(suspect.depth, depths.get(part, 0))
-        answered.update(part for part in times if part in self._answered)
+                if not has_whole_cause:
+                    unexplained.add(part)
+                if self.was_answered(part) or (are_whole and suspect.was_answered):
+                    answered.add(part)
         return {
-            part: (depths[part], len(spans))
+            part: (0 if are_whole else depths[part], len(spans))
             for part, spans in times.items()
-            if _has_enough_crashes(part, spans, part in answered)
+            if part in unexplained and _has_enough_crashes(part, spans, part in answered)
         }
 
     def _condemn(self, part: str, crashes: list[_Crash], now: float) -> None:
@@ -392,7 +411,7 @@
         return bool(suspected)
 
     def _was_answered_since(self, part: str, at: float) -> bool:
-        return self._answered.get(part, at) > at + DATING_ERROR_S
+        return self._get_answered(part).get(part, at) > at + DATING_ERROR_S
 
     def _is_in_force(self, part: str) -> bool:
         verdict = self._verdicts.get(part)
--- a/src/cherrylane/relay/crashes.py
+++ b/src/cherrylane/relay/crashes.py
@@ -139,8 +139,8 @@
 
 
 def identify_suspects(request: CallerRequest) -> list[str]:
-    """Return the parts of a prompt that others may share; if it has none, the whole request."""
-    return identify_parts(request) or [WHOLE_REQUEST + request.fingerprint]
+    """Return the parts of a prompt that others may share, and at last the whole request."""
+    return [*identify_parts(request), WHOLE_REQUEST + request.fingerprint]
 
 
 def identify_parts(request: CallerRequest) -> list[str]:
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -1,6 +1,11 @@
 from testtools import TestCase
 
-from cherrylane.gateway.announcements import MAX_SUSPECTS, MAX_VERDICTS, Announcements
+from cherrylane.gateway.announcements import (
+    MAX_SUSPECTS,
+    MAX_VERDICTS,
+    MAX_WHOLE_REQUESTS,
+    Announcements,
+)
 from cherrylane.gateway.routing_state import RoutingState
 from cherrylane.gossip.messages import (
     MAX_DATAGRAM_BYTES,
@@ -129,6 +134,24 @@
 
         self.assertTrue(run(scenario()).issuperset(PARTS))
 
+    # Guards against the parts of a prompt being told at the cost of whole requests, or the reverse.
+    def test_parts_and_whole_requests_have_places_of_their_own_in_a_report(self) -> None:
+        async def scenario() -> set[str]:
+            host = make_announcements("h")
+            others = [f"chat-{number}" for number in range(3 * MAX_SUSPECTS)]
+            others += [f"r:{number}" for number in range(3 * MAX_SUSPECTS)]
+            for number in range(2):
+                crash = make_crash(
+                    number, (*PARTS, "r:dead", *others) if number else (*PARTS, "r:dead")
+                )
+                host.quarantine.note_crash(crash, float(number))
+            host.note_crash(crash, 1.0)
+            (report,) = send_heartbeat(host, 1.0).crashes
+            self.assertEqual(MAX_SUSPECTS + MAX_WHOLE_REQUESTS, len(report.suspects))
+            return {part for part, _, _ in report.suspects}
+
+        self.assertTrue(run(scenario()).issuperset({*PARTS, "r:dead"}))
+
     # Guards against a request that many send being refused where it was never seen answered.
     def test_a_host_learns_with_a_crash_what_the_sender_has_seen_answered_before(self) -> None:
         async def scenario() -> tuple[bool, bool]:
