Ask for a chat's engine in the smoke check only after its release

The release of a grant reaches the pool's home by another link than the next request. The home may still count the load, and the bound then sends the chat to an idle engine; docs/design/003 and 004 allow it.

All hosts must still route the chat to one engine.

--- a/standins/smoke.py
+++ b/standins/smoke.py
@@ -9,10 +9,12 @@
 from urllib3 import request as http_request
 
 from standins.example import MILL_KEY, UNION_KEY
+from standins.fleet import wait_until
 from standins.launcher import RUN_FILE
 
 MESSAGES: Any = [{"role": "user", "content": "Draft a reply to HR about unpaid overtime."}]
 MODEL = "drafting-8b"
+SERVICE = "drafting-llm"
 
 
 def main() -> None:
@@ -70,16 +72,33 @@
 
 
 def check_chat_affinity(urls: str) -> None:
-    """Check that all hosts route a chat to the same engine."""
+    """Check that all hosts route a chat to the same engine once its last request is released.
+
+    Until then the request counts as load, and the load bound may send the chat elsewhere.
+    """
     engines = set()
     for url in urls.split():
         raw = make_client(url).chat.completions.with_raw_response.create(
             model=MODEL, messages=MESSAGES, extra_headers={"Cherrylane-Chat": "smoke-returning"}
         )
         engines.add(raw.headers["Cherrylane-Engine"])
+        wait_until(lambda: not any(read_loads()), "the home to count every grant as released")
     assert len(engines) == 1, f"the chat was routed to several engines: {engines}"
 
 
+def read_loads() -> list[float]:
+    """Return the load of each engine of the service as its home counts it."""
+    run: dict[str, Any] = loads(RUN_FILE.read_text(encoding="utf-8"))
+    found: list[float] = []
+    for name in run["hosts"]:
+        record = http_request("GET", f"{run['platform']}/objects/hosts/{name}").json()["spec"]
+        operators = f"http://{record['operators']['address']}:{record['operators']['port']}"
+        status = http_request("GET", f"{operators}/status").json()
+        found.extend(status["loads"].get(SERVICE, {}).values())
+    assert found, f"no host is the home of {SERVICE}"
+    return found
+
+
 def make_client(url: str, key: str = UNION_KEY) -> OpenAI:
     """Create an OpenAI client of the host at ``url``."""
     return OpenAI(base_url=f"{url}/v1", api_key=key, max_retries=0)
