Play silent upstreams, pipelined requests and slow readers in the fault soak

Cause: its upstreams fell silent only to reset afterwards, or by their links; requests went one by one, answers fitted into the buffers between the processes, and no check said that a whole request gets a whole response. Change: a sound upstream falls silent for 1 to 2 s in 6 of 100 requests (before the head, behind it, or in the middle of a stream) and goes on; at half of these, any other upstream refuses the request meanwhile. These silences are drawn from the seed and the request's id, so that the faults of a seed stay the same. One use of a connection in ten pipelines 2 to 5 requests; 3 connections in 100 get answers of 3.8 MB and begin to read each 1.4 s after its head. Callers wait 2 s beyond the deadline, so that a late answer can be told from a lost one. Checks: the answer of a sound silent upstream arrives whole unless its caller's time was up, another upstream had begun to answer, or that host or link was disturbed; a connection ends without a whole response only where its process was killed or its grace over, where the request crosses a stop before it is passed on, or where a stream's upstream or link failed it or its time was up; the part of a stream that broke off has every event once.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -4,13 +4,24 @@
 from enum import Enum
 from itertools import count
 from random import Random
+from socket import AF_INET, SO_RCVBUF, SOCK_STREAM, SOL_SOCKET, socket
 
 from attrs import define, field
 
 from soak.fleet import SoakFleet, SoakHost
-
-# How long a caller waits for a response; also sent as `Deadline-Ms`.
-RESPONSE_TIMEOUT_S = 3.0
+from soak.upstreams import LARGE_PATH
+
+# Time of a request, sent as `Deadline-Ms`, and how much longer its caller waits for a response.
+DEADLINE_S = 3.0
+PATIENCE_S = 2.0
+# Share of uses of a connection at which several requests are sent at once, and their number.
+PIPELINED_SHARE = 0.1
+PIPELINED_REQUESTS = (2, 5)
+# Share of connections that ask for large answers and read each only after a pause, in seconds, with
+# a receive buffer of this size.
+SLOW_READER_SHARE = 0.03
+SLOW_READ_S = 1.4
+SLOW_READER_BUFFER_BYTES = 16 * 1024
 # Maximum number of requests per connection, and maximum pause between them.
 MAX_REQUESTS_PER_CONNECTION = 12
 PAUSE_S = 0.03
@@ -26,6 +37,21 @@
     STREAM = "stream"
 
 
+class Ending(Enum):
+    """How an exchange has ended for its caller.
+
+    ``CLOSED`` is the end of the connection before the response to a request that was sent whole,
+    ``BROKEN`` within it; ``BEHIND`` is a request behind one whose response did not end.
+    """
+
+    NOT_SENT = "not sent"
+    ANSWERED = "answered"
+    CLOSED = "connection closed without a response"
+    BROKEN = "connection closed within the response"
+    TIMED_OUT = "no whole response in time"
+    BEHIND = "behind a response that did not end"
+
+
 @define
 class Response:
     """A response as the caller received it; ``complete`` if it was read to its end.
@@ -57,6 +83,13 @@
     version: int = 0
     ended: float = 0.0
     response: Response = field(factory=Response)
+    ending: Ending = Ending.NOT_SENT
+    is_large: bool = False
+
+    @property
+    def due(self) -> float:
+        """The end of the time that the request gave."""
+        return self.sent + DEADLINE_S
 
 
 @define
@@ -85,15 +118,14 @@
         """Send a single request over a new connection."""
         exchange = self._record_exchange(host, kind, 0)
         try:
-            async with asyncio.timeout(RESPONSE_TIMEOUT_S):
+            async with asyncio.timeout(DEADLINE_S):
                 reader, writer = await asyncio.open_connection(host.address, host.callers_port)
-                try:
-                    await _send_and_receive(reader, writer, exchange)
-                finally:
-                    writer.close()
+            try:
+                await _send_and_receive(reader, writer, [exchange])
+            finally:
+                writer.close()
         except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
             pass
-        exchange.ended = asyncio.get_running_loop().time()
         return exchange
 
     async def _resolve(self) -> SoakHost | None:
@@ -108,28 +140,30 @@
 
     async def _use_connection(self, host: SoakHost, until: float) -> None:
         loop = asyncio.get_running_loop()
+        is_slow = self.random.random() < SLOW_READER_SHARE
         async with asyncio.timeout(1.0):
-            reader, writer = await asyncio.open_connection(host.address, host.callers_port)
+            reader, writer = await _open_connection(host, is_slow)
         try:
             for _ in range(self.random.randint(1, MAX_REQUESTS_PER_CONNECTION)):
                 if loop.time() >= until:
                     return
-                kind = self.random.choice(list(RequestKind))
-                version = 0
-                if self.random.random() < NEW_ROUTE_SHARE:
-                    kind, version = RequestKind.SAFE, self.fleet.acknowledged_version
-                exchange = self._record_exchange(host, kind, version)
-                try:
-                    async with asyncio.timeout(RESPONSE_TIMEOUT_S):
-                        is_reusable = await _send_and_receive(reader, writer, exchange)
-                finally:
-                    exchange.ended = loop.time()
-                if not is_reusable:
+                count = 1
+                if self.random.random() < PIPELINED_SHARE:
+                    count = self.random.randint(*PIPELINED_REQUESTS)
+                exchanges = [self._draw_exchange(host, is_slow) for _ in range(count)]
+                if not await _send_and_receive(reader, writer, exchanges):
                     return
                 await asyncio.sleep(PAUSE_S * self.random.random())
         finally:
             writer.close()
 
+    def _draw_exchange(self, host: SoakHost, is_slow: bool) -> Exchange:
+        if self.random.random() < NEW_ROUTE_SHARE:
+            return self._record_exchange(host, RequestKind.SAFE, self.fleet.acknowledged_version)
+        exchange = self._record_exchange(host, self.random.choice(list(RequestKind)), 0)
+        exchange.is_large = is_slow
+        return exchange
+
     def _record_exchange(self, host: SoakHost, kind: RequestKind, version: int) -> Exchange:
         sent = asyncio.get_running_loop().time()
         request_id = f"r{next(self._ids):06d}"
@@ -138,17 +172,68 @@
         return exchange
 
 
+async def _open_connection(
+    host: SoakHost, is_slow: bool
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    connection = socket(AF_INET, SOCK_STREAM)
+    connection.setblocking(False)
+    if is_slow:
+        connection.setsockopt(SOL_SOCKET, SO_RCVBUF, SLOW_READER_BUFFER_BYTES)
+    try:
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(connection, (host.address, host.callers_port))
+        return await asyncio.open_connection(sock=connection)
+    except BaseException:
+        connection.close()
+        raise
+
+
 async def _send_and_receive(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, exchange: Exchange
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, exchanges: list[Exchange]
 ) -> bool:
-    """Send a request and read the response; return whether the connection is reusable."""
+    """Send requests at once and read their responses; return whether the connection is reusable.
+
+    The responses to pipelined requests are read to the last one, also behind one that ends the
+    connection, since the host had all requests by then.
+    """
+    loop = asyncio.get_running_loop()
+    writer.write(b"".join(_encode_request(exchange) for exchange in exchanges))
+    is_reusable = True
+    for exchange in exchanges:
+        exchange.sent = loop.time()
+        exchange.ending = Ending.BEHIND
+    for exchange in exchanges:
+        slow_s = SLOW_READ_S if exchange.is_large else 0.0
+        exchange.ending = Ending.CLOSED
+        try:
+            async with asyncio.timeout(DEADLINE_S + PATIENCE_S + slow_s):
+                is_reusable &= await _receive(reader, exchange, slow_s)
+            exchange.ending = Ending.ANSWERED
+        except TimeoutError:
+            exchange.ending = Ending.TIMED_OUT
+            raise
+        except (OSError, asyncio.IncompleteReadError):
+            if exchange.response.status:
+                exchange.ending = Ending.BROKEN
+            raise
+        finally:
+            exchange.ended = loop.time()
+    return is_reusable
+
+
+def _encode_request(exchange: Exchange) -> bytes:
     path = f"/v{exchange.version}/" if exchange.version else f"/{exchange.kind.value}/"
+    path += LARGE_PATH if exchange.is_large else ""
     method = "GET" if exchange.kind is RequestKind.SAFE else "POST"
     length = "" if method == "GET" else "Content-Length: 0\r\n"
-    writer.write(
+    return (
         f"{method} {path} HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: {exchange.id}\r\n"
-        f"Deadline-Ms: {int(RESPONSE_TIMEOUT_S * 1000)}\r\n{length}\r\n".encode()
+        f"Deadline-Ms: {int(DEADLINE_S * 1000)}\r\n{length}\r\n".encode()
     )
+
+
+async def _receive(reader: asyncio.StreamReader, exchange: Exchange, slow_s: float) -> bool:
+    """Read a response, its body after ``slow_s``; return whether the connection is reusable."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
     headers = dict(line.lower().split(": ", 1) for line in head[1:] if ": " in line)
     response = exchange.response
@@ -157,6 +242,7 @@
     response.signature = headers.get("server-seal", "")
     if "server-leaving" in headers:
         response.leaving_upstream = headers.get("soak-upstream", "")
+    await asyncio.sleep(slow_s)
     if headers.get("transfer-encoding") == "chunked":
         while size := int(await reader.readuntil(b"\r\n"), 16):
             response.body += (await reader.readexactly(size + 2))[:-2]
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -4,8 +4,16 @@
 
 from attrs import define, field
 
-from soak.callers import Exchange, RequestKind
-from soak.upstreams import EVENT_COUNT, SoakUpstream, make_response_body
+from soak.callers import Ending, Exchange, RequestKind
+from soak.fleet import STOP_GRACE_S
+from soak.silences import Silence
+from soak.upstreams import (
+    EVENT_COUNT,
+    LARGE_EVENT_BYTES,
+    SoakUpstream,
+    make_event,
+    make_response_body,
+)
 
 # Statuses that guarantee that a request was not executed and never will be.
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
@@ -20,10 +28,31 @@
 # Seconds after a refusal in which requests may be on their way, and how many may arrive later.
 BACKOFF_SLACK_S = 0.5
 MAX_DURING_BACKOFF = 2
+# Seconds for which a request may cross the end of a host, or suffer from a fault that has ended.
+CROSSING_S = 0.25
+AFTERMATH_S = 0.5
+# Seconds after SIGTERM in which a host finishes what it has accepted: five sixths of its grace.
+FINISHING_S = STOP_GRACE_S * 5 / 6
+# A request whose time has passed but for this many seconds may be ended for that.
+DUE_SLACK_S = 0.25
 # Exit code of a daemon after an orderly shutdown.
 EXIT_CLEAN = 0
 
 
+@define
+class Disturbance:
+    """A fault of ``target``, with the value of its kind; ``ended`` is None while it lasts."""
+
+    target: str
+    kind: str
+    began: float
+    ended: float | None = None
+
+    def overlaps(self, began: float, ended: float) -> bool:
+        """Return whether it was there, or its effects were, between two times."""
+        return self.began <= ended and (self.ended is None or began <= self.ended + AFTERMATH_S)
+
+
 @define
 class Observations:
     """Everything that was recorded during a soak; times are in seconds of one clock.
@@ -41,6 +70,8 @@
     exits: dict[str, list[int]] = field(factory=dict)
     unrecovered: list[str] = field(factory=list)
     upstreams: list[SoakUpstream] = field(factory=list)
+    silences: list[Silence] = field(factory=list)
+    disturbances: list[Disturbance] = field(factory=list)
 
 
 def find_violations(observed: Observations) -> list[str]:
@@ -50,6 +81,8 @@
         violations += check_response(exchange, observed.executions[exchange.id])
     violations += _check_versions(observed.history)
     violations += _check_retries(observed)
+    violations += _check_silences(observed)
+    violations += _check_endings(observed)
     for upstream in observed.upstreams:
         violations += _check_departures(observed.history, upstream)
         violations += _check_backoffs(observed.history, upstream)
@@ -81,16 +114,24 @@
             found.append("success without a signature")
         if not executions:
             found.append("success without an execution")
-        expected = _make_expected_body(exchange)
-        if response.body != expected:
-            found.append(f"success with an unexpected body: {response.body[:60]!r}")
+        if response.body != _make_expected_body(exchange):
+            found.append(f"success with an unexpected body: {_describe(response.body)}")
+    elif response.status == 200 and not _make_expected_body(exchange).startswith(response.body):
+        found.append(f"part of a success with an unexpected body: {_describe(response.body)}")
     return [f"{exchange.id} ({exchange.kind.value} at {exchange.host}): {text}" for text in found]
 
 
+def _describe(body: bytes) -> str:
+    """Return the begin of a body, without the long comments of large events."""
+    text = body.replace(b"x" * LARGE_EVENT_BYTES, b"(x)")
+    return f"{len(body)} bytes, {text[:200]!r}"
+
+
 def _make_expected_body(exchange: Exchange) -> bytes:
     if exchange.kind is not RequestKind.STREAM:
-        return make_response_body(exchange.id)
-    return b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, EVENT_COUNT + 1))
+        return make_response_body(exchange.id, is_large=exchange.is_large)
+    numbers = range(1, EVENT_COUNT + 1)
+    return b"".join(make_event(number, is_large=exchange.is_large) for number in numbers)
 
 
 def _check_versions(history: list[Exchange]) -> list[str]:
@@ -182,6 +223,103 @@
     return violations
 
 
+def _check_silences(observed: Observations) -> list[str]:
+    """Check that the answer of a sound upstream that was silent for a while arrives whole.
+
+    It need not if its caller's time was up, another upstream had begun to answer, or the process or
+    the link to the upstream was disturbed meanwhile.
+    """
+    by_id = {exchange.id: exchange for exchange in observed.history}
+    upstreams = {upstream.name: upstream for upstream in observed.upstreams}
+    violations = []
+    for silence in observed.silences:
+        exchange = by_id[silence.request_id]
+        if exchange.response.complete and 200 <= exchange.response.status < 300:
+            continue
+        others = [upstream for upstream in observed.upstreams if upstream.name != silence.upstream]
+        if (
+            exchange.ended < exchange.due - DUE_SLACK_S
+            and not any(exchange.id in upstream.answered for upstream in others)
+            and not _has_lost_link(observed, exchange, upstreams[silence.upstream])
+            and not _has_lost_host(observed, exchange)
+        ):
+            violations.append(
+                f"{exchange.id} ({exchange.kind.value} at {exchange.host}): {silence.upstream} was "
+                f"silent for {silence.seconds:.1f} s, and its answer was lost: "
+                f"{exchange.ending.value}, status {exchange.response.status} after "
+                f"{exchange.ended - exchange.sent:.1f} s"
+            )
+    return violations
+
+
+def _check_endings(observed: Observations) -> list[str]:
+    """Check that every whole request gets a whole response, whatever happens to its connection.
+
+    Only a stream may break off, and only if its time was up or an upstream or link has failed it.
+    """
+    violations = []
+    for exchange in observed.history:
+        match exchange.ending:
+            case Ending.CLOSED:
+                is_allowed = False
+            case Ending.BROKEN:
+                is_allowed = exchange.kind is RequestKind.STREAM and (
+                    exchange.ended >= exchange.due - DUE_SLACK_S
+                    or _has_failed_upstream(observed, exchange)
+                )
+            case Ending.TIMED_OUT:
+                is_allowed = _is_disturbed(observed, exchange, exchange.host, "host frozen")
+            case _:
+                continue
+        if not is_allowed and not _has_lost_host(observed, exchange):
+            violations.append(
+                f"{exchange.id} ({exchange.kind.value} at {exchange.host}): "
+                f"{exchange.ending.value}, after {exchange.ended - exchange.sent:.2f} s"
+            )
+    return violations
+
+
+def _has_failed_upstream(observed: Observations, exchange: Exchange) -> bool:
+    """Return whether an upstream that may have had the request misbehaved, or its link did."""
+    return any(
+        exchange.id in upstream.misbehaved or _has_lost_link(observed, exchange, upstream)
+        for upstream in observed.upstreams
+        if any(request_id == exchange.id for _, request_id in upstream.arrivals)
+    )
+
+
+def _has_lost_link(observed: Observations, exchange: Exchange, upstream: SoakUpstream) -> bool:
+    return _is_disturbed(observed, exchange, f"link {upstream.link_port}", "link to an upstream")
+
+
+def _has_lost_host(observed: Observations, exchange: Exchange) -> bool:
+    """Return whether the process was killed, or ended by the end of its grace.
+
+    A request may also cross the orderly end of a process that has not passed it on.
+    """
+    if _is_disturbed(observed, exchange, exchange.host, "host killed"):
+        return True
+    has_arrived = any(request_id == exchange.id for _, request_id in observed.arrivals)
+    is_crossing = exchange.ended - exchange.sent < CROSSING_S and not has_arrived
+    return any(
+        stop.overlaps(exchange.sent, exchange.ended)
+        and (
+            exchange.ended >= stop.began + FINISHING_S
+            or (is_crossing and exchange.sent >= stop.began)
+        )
+        for stop in observed.disturbances
+        if (stop.target, stop.kind) == (exchange.host, "host stopped")
+    )
+
+
+def _is_disturbed(observed: Observations, exchange: Exchange, target: str, kind: str) -> bool:
+    return any(
+        disturbance.overlaps(exchange.sent, exchange.ended)
+        for disturbance in observed.disturbances
+        if (disturbance.target, disturbance.kind) == (target, kind)
+    )
+
+
 def _check_processes(observed: Observations) -> list[str]:
     violations = [
         f"{host} stopped with exit code {code}" if code is not None else f"{host} did not stop"
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,7 +8,7 @@
 from attrs import define, field, frozen
 from logbook import Logger
 
-from soak.checks import DRAIN_S
+from soak.checks import DRAIN_S, Disturbance
 from soak.fleet import SoakFleet, SoakHost
 from soak.proxy import Link, LinkState
 from soak.upstreams import Behaviour
@@ -87,10 +87,12 @@
 class FaultInjector:
     """Injects faults into a fleet; ``stops`` records the exit codes of planned stops.
 
-    A code of None means that the daemon did not stop in time.
+    A code of None means that the daemon did not stop in time. ``disturbances`` are the faults that
+    an answer may suffer from.
     """
 
     fleet: SoakFleet
+    disturbances: list[Disturbance] = field(factory=list)
     stops: list[tuple[str, int | None]] = field(factory=list)
     _affected: set[str] = field(factory=set)
 
@@ -133,7 +135,9 @@
 
     async def _inject_host_fault(self, fault: Fault) -> None:
         host = self.fleet.hosts[fault.target % len(self.fleet.hosts)]
-        await self._run_exclusively(host.name, lambda: self._apply_host_fault(fault, host))
+        await self._run_exclusively(
+            host.name, lambda: self._apply_host_fault(fault, host), fault.kind.value
+        )
 
     async def _apply_host_fault(self, fault: Fault, host: SoakHost) -> None:
         match fault.kind:
@@ -154,11 +158,16 @@
     async def _kill_all(self, fault: Fault) -> None:
         hosts = [host for host in self.fleet.hosts if host.name not in self._affected]
         self._affected.update(host.name for host in hosts)
+        began, kind = asyncio.get_running_loop().time(), FaultKind.HOST_KILLED.value
+        disturbances = [Disturbance(host.name, kind, began) for host in hosts]
+        self.disturbances += disturbances
         for host in hosts:
             host.kill()
         await asyncio.sleep(fault.duration_s / 3)
         for host in hosts:
             host.start()
+        for disturbance in disturbances:
+            disturbance.ended = asyncio.get_running_loop().time()
         self._affected.difference_update(host.name for host in hosts)
 
     async def _inject_store_fault(self, fault: Fault) -> None:
@@ -194,7 +203,7 @@
             await asyncio.sleep(fault.duration_s)
             link.set_state(LinkState.PASS)
 
-        await self._run_exclusively(f"link {link.port}", apply)
+        await self._run_exclusively(f"link {link.port}", apply, fault.kind.value)
 
     async def _inject_upstream_fault(self, fault: Fault) -> None:
         upstream = self.fleet.upstreams[fault.target % len(self.fleet.upstreams)]
@@ -208,14 +217,19 @@
 
         await self._run_exclusively(upstream.name, apply)
 
-    async def _run_exclusively(self, name: str, inject: Callable[[], Awaitable[None]]) -> None:
+    async def _run_exclusively(
+        self, name: str, inject: Callable[[], Awaitable[None]], kind: str = ""
+    ) -> None:
         """Inject one fault at a time into a target; a fault that would overlap is skipped."""
         if name in self._affected:
             return
         self._affected.add(name)
+        disturbance = Disturbance(name, kind, asyncio.get_running_loop().time())
+        self.disturbances.append(disturbance)
         try:
             await inject()
         finally:
+            disturbance.ended = asyncio.get_running_loop().time()
             self._affected.discard(name)
 
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -172,6 +172,7 @@
     async def _register(self, upstream: SoakUpstream, service: str) -> None:
         link = await Link(upstream.scripted.port).open()
         self.upstream_links.append(link)
+        upstream.link_port = link.port
         registration = upstream.scripted.make_entry(
             service, address=f"127.0.0.1:{link.port}", slots=64
         )
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -12,6 +12,7 @@
 from soak.checks import Observations, find_violations
 from soak.faults import FaultInjector, draw_faults
 from soak.fleet import VERSION_INTERVAL_S, SoakFleet, SoakHost
+from soak.silences import Silences
 from soak.upstreams import SoakUpstream
 
 UPSTREAMS = 6
@@ -45,8 +46,9 @@
     random = Random(options.seed)
     faults = draw_faults(random, options.seconds)
     fleet = SoakFleet(work_dir)
+    silences = Silences(options.seed)
     upstreams = [
-        await SoakUpstream(f"i-{number}", Random(options.seed + number)).open()
+        await SoakUpstream(f"i-{number}", Random(options.seed + number), silences).open()
         for number in range(UPSTREAMS)
     ]
     callers = Callers(fleet, Random(options.seed))
@@ -73,12 +75,16 @@
         {host.name: host.exits for host in fleet.hosts},
         unrecovered,
         upstreams,
+        list(silences.by_request.values()),
+        injector.disturbances,
     )
     statuses = Counter(item.response.status for item in callers.history)
     status_counts = ", ".join(f"{status or 'none'}: {n}" for status, n in sorted(statuses.items()))
-    return SoakReport(
-        f"{len(faults)} faults, responses by status: {status_counts}", find_violations(observed)
+    summary = (
+        f"{len(faults)} faults, {len(observed.silences)} silences, "
+        f"responses by status: {status_counts}"
     )
+    return SoakReport(summary, find_violations(observed))
 
 
 async def _write_configurations(fleet: SoakFleet) -> None:
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -8,6 +8,8 @@
 
 from attrs import define, field
 
+from cherrylane.http.messages import encode_chunk
+from soak.silences import Silence, Silences
 from tests.wire import Call, ScriptedUpstream
 
 # Number of events of a stream, and the interval between them.
@@ -20,6 +22,11 @@
 # The pause that an upstream asks for, in seconds, and the size of the parts of endless bytes.
 BACK_OFF_S = 1.5
 ENDLESS_PART_BYTES = 16 * 1024
+# A request whose path ends so gets a large answer, of more than the buffers between the processes
+# hold; the numbers are those of repeated hashes, and of bytes in each event.
+LARGE_PATH = "large"
+LARGE_REPETITIONS = 60_000
+LARGE_EVENT_BYTES = 480_000
 
 
 class Behaviour(Enum):
@@ -55,9 +62,20 @@
         await call.writer.drain()
 
 
-def make_response_body(request_id: str) -> bytes:
+def _is_large(call: Call) -> bool:
+    return call.lines[0].split()[1].endswith(LARGE_PATH)
+
+
+def make_response_body(request_id: str, *, is_large: bool = False) -> bytes:
     """Return the expected response body of a request, which is a hash of its id."""
-    return sha256(request_id.encode()).hexdigest().encode()
+    repetitions = LARGE_REPETITIONS if is_large else 1
+    return sha256(request_id.encode()).hexdigest().encode() * repetitions
+
+
+def make_event(number: int, *, is_large: bool = False) -> bytes:
+    """Return an event of a stream; a large one begins with a long comment."""
+    comment = b":%s\n" % (b"x" * LARGE_EVENT_BYTES) if is_large else b""
+    return comment + b"id: %d\ndata: %d\n\n" % (number, number)
 
 
 @define
@@ -74,11 +92,16 @@
     """An upstream; ``executions`` counts how often it began to process each request.
 
     While ``is_leaving``, all its responses say so. ``rejoined_at`` are the times at which it came
-    back under a new incarnation.
+    back under a new incarnation. ``misbehaved`` are the requests that it has treated otherwise than
+    a sound upstream may, ``answered`` those to which it has sent an event or a whole success.
     """
 
     name: str
     random: Random
+    silences: Silences = field(factory=lambda: Silences(0))
+    misbehaved: set[str] = field(factory=set)
+    answered: set[str] = field(factory=set)
+    link_port: int = 0
     executions: Counter[str] = field(factory=Counter)
     arrivals: list[tuple[float, str]] = field(factory=list)
     refusals: list[Refusal] = field(factory=list)
@@ -101,11 +124,21 @@
             return
         self.arrivals.append((asyncio.get_running_loop().time(), request_id))
         behaviour = self.behaviour if self.random.random() < self.faulty_share else Behaviour.NORMAL
+        if self.silences.is_refused(request_id, self.name):
+            behaviour = Behaviour.DECLINE
         if behaviour in (Behaviour.DECLINE, Behaviour.BACK_OFF):
             self._refuse(call, behaviour)
             return
+        if behaviour is not Behaviour.NORMAL:
+            self.misbehaved.add(request_id)
         self.executions[request_id] += 1
         await asyncio.sleep(PROCESSING_S)
+        await self._respond(call, behaviour)
+
+    async def _respond(self, call: Call, behaviour: Behaviour) -> None:
+        silence = None
+        if behaviour is Behaviour.NORMAL:
+            silence = self.silences.draw(call.header("Attempt-Id"), self.name)
         match behaviour:
             case Behaviour.FAIL:
                 call.answer(b"failed", status=500)
@@ -117,16 +150,28 @@
             case Behaviour.ENDLESS_HEAD | Behaviour.ENDLESS_BODY:
                 await _send_without_end(call, behaviour)
             case _ if " /stream/" in call.lines[0]:
-                await self._stream(call, behaviour)
+                await self._stream(call, behaviour, silence)
             case Behaviour.TRUNCATE:
-                call.start_answer(len(make_response_body(request_id)))
-                call.writer.write(make_response_body(request_id)[:20])
+                body = make_response_body(call.header("Attempt-Id"))
+                call.start_answer(len(body))
+                call.writer.write(body[:20])
                 call.writer.close()
             case _:
-                call.answer(make_response_body(request_id), extra=self._make_headers())
+                await self._answer(call, silence)
                 if behaviour is Behaviour.SURPLUS:
                     call.answer(b"surplus")
 
+    async def _answer(self, call: Call, silence: Silence | None) -> None:
+        request_id = call.header("Attempt-Id")
+        body = make_response_body(request_id, is_large=_is_large(call))
+        if silence is not None and silence.after_events is None:
+            await asyncio.sleep(silence.seconds)
+        call.start_answer(len(body), extra=self._make_headers())
+        if silence is not None and silence.after_events is not None:
+            await asyncio.sleep(silence.seconds)
+        call.writer.write(body)
+        self.answered.add(request_id)
+
     def _refuse(self, call: Call, behaviour: Behaviour) -> None:
         extra = "Not-Executed: 1\r\n"
         if behaviour is Behaviour.BACK_OFF:
@@ -139,14 +184,18 @@
         leaving = "Server-Leaving: 1\r\n" if self.is_leaving else ""
         return f"{leaving}Soak-Upstream: {self.name}\r\n"
 
-    async def _stream(self, call: Call, behaviour: Behaviour) -> None:
+    async def _stream(self, call: Call, behaviour: Behaviour, silence: Silence | None) -> None:
         cut = behaviour in (Behaviour.CUT_STREAM, Behaviour.TRUNCATE)
         chunked = behaviour is not Behaviour.UNFRAMED
         ends_early = not chunked and self.random.random() < 0.5
+        if silence is not None and silence.after_events is None:
+            await asyncio.sleep(silence.seconds)
         call.start_events(self._make_headers(), chunked=chunked)
         first = int(call.header("Last-Event-Id") or 0) + 1
         for number in range(first, EVENT_COUNT + 1):
             await asyncio.sleep(EVENT_INTERVAL_S)
+            if silence is not None and silence.after_events == number - first:
+                await asyncio.sleep(silence.seconds)
             if cut and number == first + 2:
                 call.write_event(number, missing_bytes=3)
                 call.reset()
@@ -154,7 +203,9 @@
             if ends_early and number == first + 2:
                 call.write_event(number, missing_bytes=3, chunked=False)
                 break
-            call.write_event(number, chunked=chunked)
+            event = make_event(number, is_large=_is_large(call))
+            call.writer.write(encode_chunk(event) if chunked else event)
+            self.answered.add(call.header("Attempt-Id"))
         if chunked:
             call.end_events()
         else:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,11 +13,21 @@
 from testtools import TestCase
 from testtools.matchers import Contains
 
-from soak.callers import Exchange, RequestKind, Response
-from soak.checks import DRAIN_S, REGRESSION_GRACE_S, Observations, check_response, find_violations
+from soak.callers import DEADLINE_S, Ending, Exchange, RequestKind, Response
+from soak.checks import (
+    CROSSING_S,
+    DRAIN_S,
+    FINISHING_S,
+    REGRESSION_GRACE_S,
+    Disturbance,
+    Observations,
+    check_response,
+    find_violations,
+)
 from soak.faults import FaultKind, draw_faults
 from soak.runs import SoakOptions, run_soak
-from soak.upstreams import Refusal, SoakUpstream, make_response_body
+from soak.silences import Silence, Silences
+from soak.upstreams import Refusal, SoakUpstream, make_event, make_response_body
 from tests.test_platform_documents import BOOT
 from tests.wire import TEST_TIMEOUT_S
 
@@ -28,6 +38,8 @@
 #      request was sent; the check went by the time of sending.
 #   210: beside much load, a SIGHUP before the interpreter had reached the daemon (KNOWN-RED.txt).
 #   3: a SIGHUP during start-up ended the daemon, because its handler was not installed yet.
+#   400: a silent upstream's connection was closed before another one had begun to answer, a slow
+#      caller got an event twice, and responses were cut that a slow caller had not read yet.
 
 
 class SoakTest(TestCase):
@@ -42,6 +54,24 @@
         self.assertEqual(first, repeated)
         self.assertEqual(set(FaultKind), {fault.kind for fault in draw_faults(Random(7), 300.0)})
 
+    def test_the_same_seed_draws_the_same_silences(self) -> None:
+        ids = [f"r{number:06d}" for number in range(1000)]
+        first, repeated = (
+            [silences.draw(request_id, "i-1") for request_id in ids]
+            for silences in (Silences(7), Silences(7))
+        )
+        self.assertEqual(first, repeated)
+        drawn = [silence for silence in first if silence is not None]
+        self.assertEqual({None, 0, 3}, {silence.after_events for silence in drawn})
+        self.assertEqual({True, False}, {silence.is_refused_elsewhere for silence in drawn})
+
+    def test_only_one_upstream_is_silent_on_a_request_and_others_may_refuse_it(self) -> None:
+        silences = Silences(7)
+        silences.by_request["r1"] = Silence("r1", "i-1", 1.0, None, is_refused_elsewhere=True)
+        self.assertIsNone(silences.draw("r1", "i-2"))
+        self.assertEqual([False, True], [silences.is_refused("r1", n) for n in ("i-1", "i-2")])
+        self.assertFalse(silences.is_refused("r2", "i-2"))
+
 
 class SignalAtStartTest(TestCase):
     def test_sighup_during_start_up_does_not_end_the_daemon(self) -> None:
@@ -81,6 +111,7 @@
             (RequestKind.UNSAFE, Response(503, "r1", "", b"no_upstream\n", True), 0),
             (RequestKind.UNSAFE, Response(502, "r1", "", b"outcome_unknown\n", True), 1),
             (RequestKind.UNSAFE, Response(), 1),
+            (RequestKind.STREAM, Response(200, "r1", "s", make_event(1) + make_event(2)), 1),
         ):
             self.assertEqual([], check_response(make_exchange(kind, response), executions))
 
@@ -104,6 +135,12 @@
                 1,
                 "unexpected body",
             ),
+            (
+                RequestKind.STREAM,
+                Response(200, "r1", "s", make_event(1) + make_event(1)),
+                1,
+                "part of a success with an unexpected body",
+            ),
         ):
             found = check_response(make_exchange(kind, response), executions)
             self.assertThat("; ".join(found), Contains(text))
@@ -158,3 +195,107 @@
         self.assertEqual([], find_violations(observed))
         upstream.arrivals.append((1.2, "r2"))
         self.assertThat(find_violations(observed)[0], Contains("reached i-1 too soon"))
+
+    def test_a_lost_answer_of_a_sound_silent_upstream_is_found(self) -> None:
+        for kind, response in (
+            (RequestKind.STREAM, Response(200, "r1", "s", make_event(1))),
+            (RequestKind.SAFE, Response(502, "r1", "", b"outcome_unknown\n", True)),
+            (RequestKind.SAFE, Response(503, "r1", "", b"not_accepted\n", True)),
+            (RequestKind.UNSAFE, Response()),
+        ):
+            observed, _ = make_silent_exchange(kind, response)
+            self.assertThat(find_violations(observed)[0], Contains("its answer was lost"))
+
+    def test_the_answer_of_a_silent_upstream_may_be_lost_for_a_reason(self) -> None:
+        body = make_response_body("r1")
+        observed, exchange = make_silent_exchange(
+            RequestKind.SAFE, Response(200, "r1", "s", body, True)
+        )
+        self.assertEqual([], find_violations(observed))
+        observed, exchange = make_silent_exchange(RequestKind.SAFE, Response(502, complete=True))
+        exchange.ended = DEADLINE_S
+        self.assertEqual([], find_violations(observed))
+        observed, exchange = make_silent_exchange(RequestKind.SAFE, Response(502, complete=True))
+        observed.upstreams[1].answered.add("r1")
+        self.assertEqual([], find_violations(observed))
+        for target, kind, is_reason in (
+            ("link 1", "link to an upstream", True),
+            ("link 2", "link to an upstream", False),
+            ("host-1", "host killed", True),
+            ("host-2", "host killed", False),
+            ("host-1", "host stopped", False),
+            ("host-1", "host frozen", False),
+        ):
+            observed, _ = make_silent_exchange(RequestKind.SAFE, Response(502, complete=True))
+            observed.disturbances = [Disturbance(target, kind, 0.5, 0.6)]
+            self.assertEqual(is_reason, not find_violations(observed), target + kind)
+            observed.disturbances = [Disturbance(target, kind, 8.0, 9.0)]
+            self.assertNotEqual([], find_violations(observed))
+
+    def test_requests_without_a_whole_response_are_found(self) -> None:
+        for kind, ending, is_allowed in (
+            (RequestKind.SAFE, Ending.NOT_SENT, True),
+            (RequestKind.SAFE, Ending.BEHIND, True),
+            (RequestKind.SAFE, Ending.CLOSED, False),
+            (RequestKind.SAFE, Ending.BROKEN, False),
+            (RequestKind.STREAM, Ending.BROKEN, False),
+            (RequestKind.SAFE, Ending.TIMED_OUT, False),
+        ):
+            exchange = make_exchange(kind, Response(), ended=1.0)
+            exchange.ending = ending
+            observed = Observations([exchange], Counter(), [])
+            self.assertEqual(is_allowed, not find_violations(observed), ending.value)
+            observed.disturbances = [Disturbance("host-1", "host killed", 0.9)]
+            self.assertEqual([], find_violations(observed))
+
+    def test_a_stream_may_break_off_with_its_upstream_or_at_its_deadline(self) -> None:
+        for is_failed, ended, is_allowed in (
+            (False, 1.0, False),
+            (True, 1.0, True),
+            (False, DEADLINE_S, True),
+        ):
+            for kind in (RequestKind.STREAM, RequestKind.SAFE):
+                exchange = make_exchange(kind, Response(), ended=ended)
+                exchange.ending = Ending.BROKEN
+                upstream = SoakUpstream("i-1", Random(1), arrivals=[(0.0, "r1")])
+                upstream.misbehaved.update(["r1"] if is_failed else [])
+                observed = Observations([exchange], Counter(), [], upstreams=[upstream])
+                expected = is_allowed and kind is RequestKind.STREAM
+                self.assertEqual(expected, not find_violations(observed))
+
+    def test_a_request_may_be_lost_only_as_it_crosses_a_stop_or_when_its_grace_is_over(
+        self,
+    ) -> None:
+        for sent, ended, has_arrived, is_allowed in (
+            (1.1, 1.2, False, True),  # It crosses the end.
+            (1.1, 1.2, True, False),
+            (1.1, 1.2 + CROSSING_S, False, False),
+            (0.9, 1.1, False, False),  # Sent before the signal.
+            (1.1, 1.1 + FINISHING_S, True, True),
+        ):
+            exchange = make_exchange(RequestKind.SAFE, Response(), sent=sent, ended=ended)
+            exchange.ending = Ending.CLOSED
+            observed = Observations([exchange], Counter(), [(sent, "r1")] if has_arrived else [])
+            observed.disturbances = [Disturbance("host-1", "host stopped", 1.0, 5.0)]
+            self.assertEqual(is_allowed, not find_violations(observed))
+
+    def test_a_response_may_be_late_only_if_its_host_was_frozen(self) -> None:
+        exchange = make_exchange(RequestKind.SAFE, Response(), ended=5.0)
+        exchange.ending = Ending.TIMED_OUT
+        frozen = Disturbance("host-1", "host frozen", 1.0, 3.0)
+        observed = Observations([exchange], Counter(), [], disturbances=[frozen])
+        self.assertEqual([], find_violations(observed))
+        frozen.target = "host-2"
+        self.assertThat(find_violations(observed)[0], Contains("no whole response in time"))
+
+
+def make_silent_exchange(kind: RequestKind, response: Response) -> tuple[Observations, Exchange]:
+    """Return an exchange of 1.5 s at which i-1 was silent, with two sound upstreams."""
+    exchange = make_exchange(kind, response, ended=1.5)
+    upstreams = [SoakUpstream(f"i-{n}", Random(n), link_port=n) for n in (1, 2)]
+    silence = Silence("r1", "i-1", 1.2, None, is_refused_elsewhere=False)
+    executions = Counter({"r1": 0 if response.status == 503 else 1})
+    return (
+        Observations([exchange], executions, [], upstreams=upstreams, silences=[silence]),
+        exchange,
+    )
