Add a failing test: a stream that breaks off cuts the response before it

Traced: three answers of 3.8 MB and a stream are pipelined; the caller is still reading the third answer, which is complete, when the stream behind it reaches its deadline, and the reset that shows the stream as incomplete discards the rest of that answer. Test: ConnectionResetError instead of 20,000,000 bytes.

--- a/tests/test_inbound.py
+++ b/tests/test_inbound.py
@@ -4,7 +4,7 @@
 
 from attrs import evolve
 from testtools import ExpectedException, TestCase
-from testtools.matchers import Contains, StartsWith
+from testtools.matchers import Contains, EndsWith, StartsWith
 
 from cherrylane.http.framing import ReadFailure
 from cherrylane.http.inbound import LINGER_S, InboundServer
@@ -438,6 +438,34 @@
 
         run(scenario())
 
+    # Found by soak seed 310: the reset of a stream behind it took the unread rest of a response.
+    def test_a_whole_response_arrives_before_a_stream_that_breaks_off(self) -> None:
+        received = run(self.read_response_before_a_broken_stream("1.1"))
+        self.assertEqual(MANY_BYTES, received.count(b"x"))
+        self.assertThat(received, EndsWith(b"1\r\na\r\n"))
+
+    # The body of an HTTP/1.0 response would look complete at an orderly end.
+    def test_an_http_1_0_stream_that_breaks_off_behind_a_response_is_reset(self) -> None:
+        with ExpectedException(ConnectionResetError):
+            run(self.read_response_before_a_broken_stream("1.0"))
+
+    async def read_response_before_a_broken_stream(self, version: str) -> bytes:
+        """Return what a slow caller gets of a whole response and a stream that breaks off."""
+
+        async def respond(request: Request, responder: Responder) -> None:
+            if request.head.path == "/broken":
+                await self.recorder.handle(request, responder)
+            else:
+                responder.send(Response(200, (), b"x" * MANY_BYTES))
+
+        server = InboundServer(respond, InboundLimits())
+        await server.listen(open_listener())
+        reader, writer = await open_slow_caller(server.port)
+        for line in ("GET / HTTP/1.1", f"GET /broken HTTP/{version}"):
+            writer.write(f"{line}\r\nHost: h\r\n\r\n".encode())
+        await wait_for(lambda: len(self.recorder.requests) == 1)
+        return await reader.read()
+
 
 class InvalidRequestTest(InboundCase):
     def assert_refused(self, data: bytes, status: int) -> None:
