Let the responses before a stream that breaks off arrive

Cause: a stream that breaks off is shown by a reset, and a reset also discards what the caller has not received yet of the responses before it. Ruled out: the upstreams (the response was complete 3 s before), idle and linger times, stops of the host. Change: while bytes of earlier responses are on their way (the write buffer and TIOCOUTQ against the bytes of the current response), the connection is closed in order instead; a chunked body without its last chunk shows that it is incomplete. HTTP/1.0 is reset as before, and so is every stream with nothing before it. Before: the test ends with ConnectionResetError. Conclusion: fixed for HTTP/1.1. Open: behind an HTTP/1.0 request at the end of a pipeline, the reset still takes what is unread.

--- a/src/cherrylane/http/inbound.py
+++ b/src/cherrylane/http/inbound.py
@@ -7,10 +7,12 @@
 import asyncio
 from collections import deque
 from collections.abc import Awaitable, Callable
+from fcntl import ioctl
 from http import HTTPStatus
 from select import POLLIN, poll
 from socket import SO_LINGER, SOL_SOCKET, socket
-from struct import pack
+from struct import pack, unpack
+from termios import TIOCOUTQ
 from typing import Any
 
 from attrs import define, field
@@ -146,6 +148,8 @@
         self._idle_since = 0.0
         # The part of a response that had not left this process when the timer was started.
         self._unsent_bytes = 0
+        # Bytes written of the current response.
+        self._response_bytes = 0
         self.is_busy = False
         self.is_lost = False
         self.served = 0
@@ -347,8 +351,27 @@
             sock.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
         self._transport.abort()
 
+    def break_off(self, *, is_visible: bool) -> None:
+        """End the connection within a response; ``is_visible`` if its framing shows that.
+
+        A reset discards what the caller has not received yet, also of the responses before. While
+        that is some, the connection is closed instead, if the caller can tell.
+        """
+        if is_visible and not self.is_lost and self._unreceived_bytes > self._response_bytes:
+            self.close()
+        else:
+            self.abort()
+
+    @property
+    def _unreceived_bytes(self) -> int:
+        """The bytes written that have not been received by the other end's kernel."""
+        sock = self._transport.get_extra_info("socket")
+        (in_kernel,) = unpack("i", ioctl(sock.fileno(), TIOCOUTQ, bytes(4)))
+        return int(in_kernel) + self._transport.get_write_buffer_size()
+
     def write(self, data: bytes) -> None:
         """Queue bytes of a response."""
+        self._response_bytes += len(data)
         self._transport.write(data)
 
     async def drain(self) -> None:
@@ -374,6 +397,7 @@
     async def _handle(self, request: Request) -> None:
         self.is_busy = True
         self.served += 1
+        self._response_bytes = 0
         if self._timeout_handle is not None:
             self._timeout_handle.cancel()
         # While another request is there, the connection is closed only after that one's response.
--- a/src/cherrylane/http/responder.py
+++ b/src/cherrylane/http/responder.py
@@ -23,8 +23,8 @@
     async def drain(self) -> None:
         """Wait until the other end has read enough of the queued bytes."""
 
-    def abort(self) -> None:
-        """Reset the connection."""
+    def break_off(self, *, is_visible: bool) -> None:
+        """End the connection within a response; ``is_visible`` if its framing shows that."""
 
 
 class Responder:
@@ -76,9 +76,9 @@
             self._connection.write(LAST_CHUNK)
 
     def abort(self) -> None:
-        """Reset the connection in the middle of the body."""
+        """End the connection in the middle of the body."""
         self.keeps_connection = False
-        self._connection.abort()
+        self._connection.break_off(is_visible=not self._head.http_1_0)
 
     def _add_connection_header(self, headers: list[Header]) -> list[Header]:
         if self._is_draining():
