Send nothing more to a process that is gone in the fault soak

Cause: a slow caller went on, after its response, on the connection to a process that was gone. No process has read such a request. Change: a caller leaves a connection once the host's process has been started again. The check is as it was.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -141,11 +141,13 @@
     async def _use_connection(self, host: SoakHost, until: float) -> None:
         loop = asyncio.get_running_loop()
         is_slow = self.random.random() < SLOW_READER_SHARE
+        incarnation = host.incarnation
         async with asyncio.timeout(1.0):
             reader, writer = await _open_connection(host, is_slow)
         try:
             for _ in range(self.random.randint(1, MAX_REQUESTS_PER_CONNECTION)):
-                if loop.time() >= until:
+                # After a slow response, the process that sent it may be gone.
+                if loop.time() >= until or host.incarnation != incarnation:
                     return
                 count = 1
                 if self.random.random() < PIPELINED_SHARE:
