Judge the return of an upstream from when it said that it leaves, in the fault soak

Traced in host-3's log: i-3 said that it leaves at 31.69, in the head of an answer (r000705) that then was silent for 2.0 s; it was listed as ready again at 32.47, the answer ended at 33.66, and r000809 went there at 36.54. Cause: the check went by the end of the response, so that the return was taken for one before the leaving. Change: a return counts from the moment at which the upstream said in that response that it leaves. The time from which a process must keep away is as before, and a return before the upstream said so still excuses nothing; the test shows both.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -179,21 +179,23 @@
     """Check that a process sends nothing to an upstream whose leaving it has passed on.
 
     Requests that a caller sent up to ``DRAIN_S`` after that may still arrive, and so may all that
-    arrive after the upstream has come back.
+    arrive after the upstream has come back. It may have come back before a response ends in which
+    it has said that it leaves.
     """
-    passed_on: dict[tuple[str, int], float] = {}
+    passed_on: dict[tuple[str, int], tuple[float, float]] = {}
     for exchange in history:
         if exchange.response.leaving_upstream == upstream.name and exchange.ended:
             process = (exchange.host, exchange.incarnation)
-            passed_on.setdefault(process, exchange.ended)
+            said = upstream.said_leaving.get(exchange.id, exchange.ended)
+            passed_on.setdefault(process, (said, exchange.ended))
     by_id = {exchange.id: exchange for exchange in history}
     violations = []
     for arrived, request_id in upstream.arrivals:
         exchange = by_id[request_id]
-        left = passed_on.get((exchange.host, exchange.incarnation))
-        if left is None or exchange.sent <= left + DRAIN_S:
+        said, left = passed_on.get((exchange.host, exchange.incarnation), (0.0, arrived))
+        if exchange.sent <= left + DRAIN_S:
             continue
-        if not any(left < at < arrived for at in upstream.rejoined_at):
+        if not any(said < at < arrived for at in upstream.rejoined_at):
             violations.append(
                 f"{request_id} at {exchange.host}: sent to {upstream.name}, which left"
             )
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -92,7 +92,8 @@
     """An upstream; ``executions`` counts how often it began to process each request.
 
     While ``is_leaving``, all its responses say so. ``rejoined_at`` are the times at which it came
-    back under a new incarnation. ``misbehaved`` are the requests that it has treated otherwise than
+    back under a new incarnation, ``said_leaving`` those at which each response has said so first.
+    ``misbehaved`` are the requests that it has treated otherwise than
     a sound upstream may, ``answered`` those to which it has sent an event or a whole success.
     """
 
@@ -101,6 +102,7 @@
     silences: Silences = field(factory=lambda: Silences(0))
     misbehaved: set[str] = field(factory=set)
     answered: set[str] = field(factory=set)
+    said_leaving: dict[str, float] = field(factory=dict)
     link_port: int = 0
     executions: Counter[str] = field(factory=Counter)
     arrivals: list[tuple[float, str]] = field(factory=list)
@@ -166,7 +168,7 @@
         body = make_response_body(request_id, is_large=_is_large(call))
         if silence is not None and silence.after_events is None:
             await asyncio.sleep(silence.seconds)
-        call.start_answer(len(body), extra=self._make_headers())
+        call.start_answer(len(body), extra=self._make_headers(call))
         if silence is not None and silence.after_events is not None:
             await asyncio.sleep(silence.seconds)
         call.writer.write(body)
@@ -180,7 +182,10 @@
             extra += f"Retry-After: {BACK_OFF_S}\r\n"
         call.answer(b"", status=503, extra=extra)
 
-    def _make_headers(self) -> str:
+    def _make_headers(self, call: Call) -> str:
+        if self.is_leaving:
+            now = asyncio.get_running_loop().time()
+            self.said_leaving.setdefault(call.header("Attempt-Id"), now)
         leaving = "Server-Leaving: 1\r\n" if self.is_leaving else ""
         return f"{leaving}Soak-Upstream: {self.name}\r\n"
 
@@ -190,7 +195,7 @@
         ends_early = not chunked and self.random.random() < 0.5
         if silence is not None and silence.after_events is None:
             await asyncio.sleep(silence.seconds)
-        call.start_events(self._make_headers(), chunked=chunked)
+        call.start_events(self._make_headers(call), chunked=chunked)
         first = int(call.header("Last-Event-Id") or 0) + 1
         for number in range(first, EVENT_COUNT + 1):
             await asyncio.sleep(EVENT_INTERVAL_S)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -181,6 +181,12 @@
         # Sent while the upstream was away, tried elsewhere first, and there after its return.
         upstream.arrivals[2] = (5.1, "r3")
         self.assertEqual([], find_violations(observed))
+        # Back before the end of the response in which it said that it leaves, or before it said so.
+        upstream.arrivals[2], upstream.rejoined_at = (history[2].sent, "r3"), [0.5]
+        upstream.said_leaving["r1"] = 0.6
+        self.assertEqual(2, len(find_violations(observed)))
+        upstream.said_leaving["r1"] = 0.4
+        self.assertEqual([], find_violations(observed))
 
     def test_requests_to_an_upstream_that_wanted_none_are_found(self) -> None:
         upstream = SoakUpstream("i-1", Random(1))
