Don't take a process that starts slowly for one that doesn't answer, in the fault soak

Traced: the log of the host was made at 09:58.2 and its first line, "started", is of 10:05.18; the daemon listens before it imports the rest of itself, so that the request lay in the kernel's queue until its caller had left. No process had read it. Change: a response may be missing until the process has sent its first response to anyone.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,6 +1,7 @@
 """The guarantees that a soak checks, on what callers and upstreams have recorded."""
 
 from collections import Counter
+from math import inf
 
 from attrs import define, field
 
@@ -260,6 +261,7 @@
     Only a stream may break off, and only if its time was up or an upstream or link has failed it.
     """
     violations = []
+    served_from = _find_first_responses(observed.history)
     for exchange in observed.history:
         match exchange.ending:
             case Ending.CLOSED:
@@ -270,7 +272,11 @@
                     or _has_failed_upstream(observed, exchange)
                 )
             case Ending.TIMED_OUT:
-                is_allowed = _is_disturbed(observed, exchange, exchange.host, "host frozen")
+                # A process whose first response comes later was still starting.
+                process = (exchange.host, exchange.incarnation)
+                is_allowed = exchange.ended < served_from.get(process, 0.0) or _is_disturbed(
+                    observed, exchange, exchange.host, "host frozen"
+                )
             case _:
                 continue
         if not is_allowed and not _has_lost_host(observed, exchange):
@@ -281,6 +287,16 @@
     return violations
 
 
+def _find_first_responses(history: list[Exchange]) -> dict[tuple[str, int], float]:
+    """Return when the first response of each process had arrived."""
+    first: dict[tuple[str, int], float] = {}
+    for exchange in history:
+        if exchange.response.status:
+            process = (exchange.host, exchange.incarnation)
+            first[process] = min(exchange.ended, first.get(process, inf))
+    return first
+
+
 def _has_failed_upstream(observed: Observations, exchange: Exchange) -> bool:
     """Return whether an upstream that may have had the request misbehaved, or its link did."""
     return any(
