Tell peers first of the whole requests sent last, whatever their prompts

Callers would see a deadly chat request with a short prompt end engine after engine (BUDGET) when each end is seen by another host and six or more requests with longer prompts are in progress there. Cause: a crash report has six places for whole requests, ranked by the number of crashes, then by depth, then by the time of sending. The depth of a whole request is the number of parts of its prompt, which says nothing of what it causes; with one crash known at each host it decided. Evidence, before: after three crashes seen by three of five hosts, [True, True, True, True, True] != [False, False, False, False, False] (refused at each host). Change: the depth counts for parts only; of whole requests at as many crashes the one sent last comes first, as the comment said.

--- a/src/cherrylane/gateway/announcements.py
+++ b/src/cherrylane/gateway/announcements.py
@@ -72,8 +72,10 @@
         """Tell the peers of a crash, with the suspects that were at most other crashes."""
 
         def rank(suspect: Suspect) -> tuple[int, int, float]:
-            # Of whole requests, what ends an upstream as it begins is the one sent last.
-            return -self.quarantine.count_crashes(suspect.part), -suspect.depth, suspect.lead_s
+            # Of whole requests, what ends an upstream as it begins is the one sent last, however
+            # many parts its prompt has.
+            depth = 0 if is_whole_request(suspect.part) else suspect.depth
+            return -self.quarantine.count_crashes(suspect.part), -depth, suspect.lead_s
 
         ranked = sorted(crash.suspects, key=rank)
         parts = [suspect for suspect in ranked if not is_whole_request(suspect.part)]
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -152,6 +152,24 @@
 
         self.assertTrue(run(scenario()).issuperset({*PARTS, "r:dead"}))
 
+    # Guards against a deadly request that no peer hears of, beside others with longer prompts.
+    def test_the_whole_requests_sent_last_are_told_first_however_long_their_prompts(self) -> None:
+        async def scenario() -> list[bool]:
+            hosts = [make_announcements(f"h{number}") for number in range(HOSTS)]
+            for number in range(3):
+                now = float(number)
+                long = [Suspect(f"r:{number}-{n}", 5, 3.0) for n in range(MAX_WHOLE_REQUESTS)]
+                suspects = (*long, Suspect("r:dead", 1, 0.05))
+                crash = UpstreamCrash(f"i-{number}", 1, 0.0, suspects)
+                hosts[number].quarantine.note_crash(crash, now)
+                hosts[number].note_crash(crash, now)
+                heartbeat = send_heartbeat(hosts[number], now + 0.1)
+                for host in hosts:
+                    host.handle_heartbeat(heartbeat, now + 0.1)
+            return [host.quarantine.find(("r:dead",), 3.0) is not None for host in hosts]
+
+        self.assertEqual([True] * HOSTS, run(scenario()))
+
     # Guards against a request that many send being refused where it was never seen answered.
     def test_a_host_learns_with_a_crash_what_the_sender_has_seen_answered_before(self) -> None:
         async def scenario() -> tuple[bool, bool]:
