Keep places for whole requests among the suspects of a crash

Callers would see one chat request go on ending engines (BUDGET) that have requests with long prompts in progress. Cause: a host keeps the first 256 suspects of a crash. Each request brings up to 64 parts and, last, itself as a whole; after four such requests none that broke later has a place, so the deadly one was at no crash and could not be counted, held or refused. Evidence, before: three crashes, each with five prompts of 64 parts before the deadly request: count_crashes is 0 in place of 3 (3 != 0). Change: 256 places for parts and 256 for whole requests, as answers have since. A crash may so have twice the suspects; the figure of memory in docs/CAPACITY.md (0.67 MB at the most) was measured with 256 and has not been measured again.

--- a/src/cherrylane/limits/quarantine.py
+++ b/src/cherrylane/limits/quarantine.py
@@ -12,6 +12,7 @@
 part all of whose crashes are also those of such requests is not quarantined for them.
 """
 
+from collections import Counter
 from collections.abc import Callable, Collection, Iterable, Sequence
 from operator import attrgetter
 
@@ -34,7 +35,8 @@
 # Number of crashes and verdicts that are remembered; the oldest ones are dropped.
 MAX_CRASHES = 64
 MAX_VERDICTS = 64
-# Number of suspects of one crash; callers choose how many parts their prompts have.
+# Number of suspects of one crash that are parts, and that are whole requests; callers choose how
+# many parts their prompts have.
 MAX_SUSPECTS = 256
 # Number of parts, and of whole requests, of which it is remembered when they were answered.
 MAX_ANSWERED = 4096
@@ -153,6 +155,7 @@
         known = self._crashes.setdefault(
             (crash.upstream, crash.incarnation), _Crash(now - crash.age_s, now)
         )
+        counts = Counter(map(is_whole_request, known.suspects))
         for suspect in crash.suspects:
             verdict = self._verdicts.get(suspect.part)
             if self._was_answered_since(suspect.part, known.at):
@@ -160,8 +163,11 @@
             if verdict is not None and verdict.is_lifted and known.at <= verdict.since:
                 continue
             other = known.suspects.get(suspect.part)
-            if other is None and len(known.suspects) >= MAX_SUSPECTS:
-                continue
+            if other is None:
+                is_whole = is_whole_request(suspect.part)
+                if counts[is_whole] >= MAX_SUSPECTS:
+                    continue
+                counts[is_whole] += 1
             merged = suspect if other is None else _merge(other, suspect)
             if merged != other:
                 known.suspects[suspect.part] = merged
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -339,6 +339,18 @@
         now = self.crash_with(quarantine, 3, ("system", "part", "r:second"))
         self.assertEqual("part", quarantine.find(("system", "part", "r:x"), now).part)  # type: ignore[union-attr]
 
+    # Guards against a deadly request having no place among the suspects beside long prompts.
+    def test_the_parts_of_others_take_no_places_of_whole_requests(self) -> None:
+        quarantine = RequestQuarantine()
+        for number in range(3):
+            prompts = [
+                (*(f"{number}-{prompt}-{part}" for part in range(64)), f"r:{number}-{prompt}")
+                for prompt in range(MAX_SUSPECTS // 64 + 1)
+            ]
+            now = self.crash_with(quarantine, number, *prompts, self.DEADLY)
+        self.assertEqual(3, quarantine.count_crashes("r:dead"))
+        self.assertIsNotNone(quarantine.find(self.DEADLY, now))
+
     # Guards against streams losing their retry because an engine with many of them crashed.
     def test_it_is_retried_after_one_crash_and_not_after_two(self) -> None:
         quarantine = RequestQuarantine()
