Keep the held requests over answers that change nothing for them

Callers would see all requests slow down at a host after a storm of crashes, for as long as the last ones wait to be judged (1.5 s at most). Cause: each answer that clears a suspect made the host find the causes of all known crashes again with the next request; after a storm each answered request clears itself. Evidence, before: {'r:dead'} is not {'r:dead'} (found again).

--- a/src/cherrylane/limits/quarantine.py
+++ b/src/cherrylane/limits/quarantine.py
@@ -413,6 +413,8 @@
         ]
         for crash in suspected:
             del crash.suspects[part]
+        # What explains no crash changes nothing for the others.
+        if suspected and ((self._held and part in self._held) or self._is_in_force(part)):
             self._held = None
         return bool(suspected)
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -244,6 +244,21 @@
         quarantine.note_answered(self.OTHER[0], now + 0.1)
         self.assertIsNone(quarantine.find(self.OTHER, now + 0.2))
 
+    # Guards against each answer after a storm of crashes costing a look at all their suspects.
+    def test_answers_to_what_is_not_held_do_not_find_the_causes_again(self) -> None:
+        quarantine = RequestQuarantine(settle_s=1.0)
+        bystanders = [f"r:{number}" for number in range(20)]
+        self.crash_at_once(quarantine, 2, *self.DEADLY)
+        now = self.crash_at_once(quarantine, 1, *self.DEADLY, *bystanders, *PARTS, start=0.06)
+        self.assertIsNotNone(quarantine.find(self.DEADLY, now))
+        held = quarantine._held
+        for part in (*bystanders, *PARTS):
+            self.assertTrue(quarantine.note_answered(part, now + 0.1))
+            self.assertIsNotNone(quarantine.find(self.DEADLY, now + 0.2))
+            self.assertIs(held, quarantine._held)
+        quarantine.note_answered(self.DEADLY[0], now + 0.1)
+        self.assertIsNone(quarantine.find(self.DEADLY, now + 0.2))
+
     def test_of_two_at_the_same_crashes_the_one_at_more_of_them_explains_them(self) -> None:
         for settle_s in (0.0, 1.0):
             quarantine = RequestQuarantine(settle_s=settle_s)
