Drop verdicts from a heartbeat that is too long without anything else to drop

Callers would see requests fail while a host is taken for dead: it could make no heartbeat at all (RecursionError) while six verdicts are in force on parts whose names have no ASCII. Callers choose these names, up to 32 characters, each of which takes six bytes in a datagram. Cause: a heartbeat that is too long is halved until it fits, and verdicts were never dropped; with nothing else left it was copied without end. Evidence, before: RecursionError: maximum recursion depth exceeded while encoding a JSON object. Change: verdicts are halved last, so each step makes the heartbeat smaller until its fixed fields and the upstreams that leave are left.

--- a/src/cherrylane/gossip/messages.py
+++ b/src/cherrylane/gossip/messages.py
@@ -123,7 +123,7 @@
         """Return the datagram.
 
         Above ``MAX_DATAGRAM_BYTES``, the least important parts are dropped first: cached parts,
-        then hosts, then backoffs, then loads, then crashes.
+        then hosts, then backoffs, then loads, then crashes, then verdicts.
         """
         data = self._to_json()
         if len(data) <= MAX_DATAGRAM_BYTES:
@@ -138,6 +138,8 @@
             return evolve(self, hosts=self.hosts[: len(self.hosts) // 2])
         if self.backing_off:
             return evolve(self, backing_off=self.backing_off[: len(self.backing_off) // 2])
+        if not self.loads and not self.crashes and not self.answered:
+            return evolve(self, verdicts=self.verdicts[: len(self.verdicts) // 2])
         if not self.loads:
             answered = self.answered[: len(self.answered) // 2]
             return evolve(self, crashes=self.crashes[: len(self.crashes) // 2], answered=answered)
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -95,6 +95,14 @@
         self.assertTrue(len(data) <= MAX_DATAGRAM_BYTES)
         self.assertEqual([], list(decode_heartbeat(data).crashes))
 
+    # Guards against a host that sends no heartbeat because of the names that callers give to parts.
+    def test_a_heartbeat_that_is_full_of_verdicts_fits_a_datagram(self) -> None:
+        names = ["\xe9" * 31 + chr(0xE0 + number) for number in range(6)]
+        verdicts = tuple(PartVerdict(name, 1, False, 12_345) for name in names)
+        data = make_heartbeat(host="host-1", boot_id="b" * 16, verdicts=verdicts).encode()
+        self.assertTrue(len(data) <= MAX_DATAGRAM_BYTES)
+        self.assertEqual(verdicts[:3], decode_heartbeat(data).verdicts)
+
     def test_oversized_heartbeat_keeps_the_largest_loads(self) -> None:
         loads = tuple((f"i-{number:08x}", Load(number)) for number in range(200))
         data = make_heartbeat(loads=loads, confirmation_age_ms=120).encode()
