Forget crashes without suspects before those that are evidence

Cause: a host remembers 64 crashes and forgets the oldest, also for crashes whose suspects were all answered since and which tell nothing any more. Evidence, before: two crashes of a request, 64 whose only suspect was answered, a third crash of the request: find gives None (None matches Is(None)). Change: crashes without suspects are forgotten first. What is held is found anew when a crash is forgotten; that was left out when the new crash had no suspects. 64 crashes with suspects of their own still push out older evidence.

--- a/src/cherrylane/limits/quarantine.py
+++ b/src/cherrylane/limits/quarantine.py
@@ -32,7 +32,8 @@
 # Seconds for which a crash counts, and for which a verdict is kept after the last crash.
 EVIDENCE_LIFETIME_S = 600.0
 VERDICT_LIFETIME_S = 2 * MAX_TRIAL_INTERVAL_S
-# Number of crashes and verdicts that are remembered; the oldest ones are dropped.
+# Number of crashes and verdicts that are remembered; those that tell nothing any more, and then the
+# oldest ones, are dropped.
 MAX_CRASHES = 64
 MAX_VERDICTS = 64
 # Number of suspects of one crash that are parts, and that are whole requests; callers choose how
@@ -178,7 +179,8 @@
             if other is None and verdict is not None and not verdict.is_lifted:
                 self._note_further_crash(suspect, known, verdict, now)
         while len(self._crashes) > MAX_CRASHES:
-            del self._crashes[next(iter(self._crashes))]
+            self._held = None
+            del self._crashes[min(self._crashes, key=lambda key: bool(self._crashes[key].suspects))]
 
     def note_answered(self, part: str, answered_at: float) -> bool:
         """Record that a prompt with this part was answered, from ``answered_at`` on.
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -237,6 +237,17 @@
             quarantine.note_answered(self.OTHER[0], now + 0.2)
             self.assertIsNone(quarantine.find(self.OTHER, now + 0.3))
 
+    # Guards against crashes whose suspects were all answered taking the place of evidence.
+    def test_crashes_without_suspects_are_forgotten_first(self) -> None:
+        quarantine = RequestQuarantine()
+        self.crash_at_once(quarantine, 2, *self.DEADLY)
+        for number in range(MAX_CRASHES):
+            now = self.crash_at_once(quarantine, 1, *self.OTHER, start=1.0 + number)
+            quarantine.note_answered(self.OTHER[0], now + 0.2)
+        now = self.crash_at_once(quarantine, 1, *self.DEADLY, start=100.0)
+        self.assertEqual(MAX_CRASHES, len(quarantine._crashes))
+        self.assertIsNotNone(quarantine.find(self.DEADLY, now))
+
     def test_an_answer_ends_a_hold(self) -> None:
         quarantine = RequestQuarantine(settle_s=1.0)
         now = self.crash_at_once(quarantine, 3, *self.OTHER)
