Show that a stream that crashes engines soon after its first events goes on

Callers see their streams break at engine after engine (BUDGET) while one request ends each within 0.25 to 1 s of its first event. Cause: an answer that has gone on for 0.25 s clears its parts and its request of earlier crashes (UNDER_WAY_S), while a crash still counts as one at the beginning up to 1 s (BEGINNING_S). Each attempt so clears the crashes before it, and the host retries it as answered.

--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -5,9 +5,10 @@
 from testtools import TestCase
 from testtools.matchers import LessThan
 
+from cherrylane.limits.quarantine import MIN_CRASHES_ANSWERED_BEFORE
 from cherrylane.relay.forwarding import SAFE_PATIENCE_SHARE
 from cherrylane.routing.routes import RequestKind, Route
-from tests.relay_fixture import SAFE, UNSAFE, RelayFixture
+from tests.relay_fixture import SAFE, STREAM, UNSAFE, RelayFixture
 from tests.wire import Call, Script, ScriptedUpstream, make_configuration, make_route, run
 
 DEADLY, SOUND = "deadly", "sound"
@@ -108,6 +109,31 @@
             answers += await asyncio.gather(*repeats)
         return count_crashed(fixture), answers
 
+    # Guards against the beginning of an answer that ends in a crash being taken for a sound one.
+    def test_one_that_crashes_upstreams_soon_after_its_first_events_reaches_no_more(self) -> None:
+        by_index: dict[int, ScriptedUpstream] = {}
+
+        def crash_after_events(index: int) -> Script:
+            async def script(call: Call) -> None:
+                call.start_events()
+                for number in range(1, 7):
+                    call.write_event(number)
+                    await asyncio.sleep(0.08)
+                by_index[index].crash()
+
+            return script
+
+        async def scenario() -> int:
+            scripts = tuple(map(crash_after_events, range(UPSTREAMS)))
+            fixture = await RelayFixture(scripts, make_configuration(STREAM)).open()
+            by_index.update(enumerate(fixture.upstreams))
+            for number in range(UPSTREAMS):
+                await ask(fixture, DEADLY, number)
+            return count_crashed(fixture)
+
+        # Five, as for what was answered before.
+        self.assertThat(run(scenario()), LessThan(MIN_CRASHES_ANSWERED_BEFORE + 1))
+
     # Guards against sound requests being refused, or finding no upstream, beside deadly ones.
     def test_other_requests_are_served(self) -> None:
         async def scenario() -> list[bytes]:
