Show that a request quarantined with its part is tried by no host

Callers see a sound request refused for up to two hours when it and a part of its prompt were both quarantined, and nobody else sends that part. Cause: find lets a trial pass only at a host that is the chosen one for all that is in force of a request; the hosts are chosen for each name apart.

--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -412,6 +412,16 @@
         self.assertIsNotNone(self.quarantine.find(PARTS, due))
         self.assertIsNone(self.quarantine.find(PARTS, due + TRIAL_TIMEOUT_S))
 
+    # Guards against a request that no host ever tries since each waits for the other.
+    def test_what_is_quarantined_with_its_part_is_tried_by_one_of_the_hosts(self) -> None:
+        trials = 0
+        for own in ("part", "r:whole"):
+            host = RequestQuarantine(is_trial_host=own.__eq__)
+            for part in ("part", "r:whole"):
+                host.apply_verdict(Verdict(part, 1, False, 0.0), 0.0)
+            trials += host.find(("part", "r:whole"), FIRST_TRIAL_S + 1) is None
+        self.assertEqual(1, trials)
+
     # Guards against trials that go on crashing engines at the same pace.
     def test_trials_that_fail_become_rarer(self) -> None:
         trials = []
