Show that a verdict lifted long ago clears crashes since

Cause: a verdict in force of a host without memory has generation 1, and a lifted one of generation 1 replaces it and clears all crashes up to now, though the answer that lifted it came before them.

--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -466,6 +466,14 @@
             quarantine.note_crash(make_crash(number, *PARTS, age_s=3.0 - number), now + 1.0)
         self.assertIsNone(quarantine.find(PARTS, now + 1.0))
 
+    # Guards against a host that starts forgetting crashes because of an answer long before them.
+    def test_a_verdict_that_was_lifted_long_ago_clears_no_crashes_since(self) -> None:
+        quarantine = RequestQuarantine()
+        now = crash_often(quarantine, 3, *PARTS, start=1000.0)
+        self.assertIsNotNone(quarantine.find(PARTS, now))
+        quarantine.apply_verdict(Verdict(TAINTED, 1, True, age_s=500.0), now + 0.1)
+        self.assertIsNotNone(quarantine.find(PARTS, now + 0.2))
+
     # Guards against a host refusing for all what another one has seen answered.
     def test_a_verdict_on_a_part_that_was_answered_since_its_last_crash_is_lifted(self) -> None:
         quarantine = RequestQuarantine()
