Clear a whole request of crashes with a complete answer only

Cause: an answer that has gone on for 0.25 s cleared its parts and its request of earlier crashes, while a crash counts as one at the beginning up to 1 s, so each attempt cleared the crashes before it. Change: such an answer clears the parts, which sound requests share; the request itself is cleared by its complete answer.

--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -164,7 +164,7 @@
     def check_request() -> None:
         request = make_request()
         guard.find_refusal(request, 1.0)
-        guard.note_answered(request, 0.5)
+        guard.note_complete(request, 0.5)
 
     check = _time_call(check_request, 5_000) - _time_call(make_request, 5_000)
     choice = _time_call(lambda: chooser.choose_by_load(candidates), 5_000)
--- a/src/cherrylane/relay/crashes.py
+++ b/src/cherrylane/relay/crashes.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from operator import attrgetter
 
 from attrs import define, field, frozen
@@ -79,11 +79,17 @@
         if answered_at is None and not request.prompt.shared_parts:
             answered_at = asyncio.get_running_loop().time()
         if answered_at is not None:
-            self.note_answered(request, answered_at)
+            self._note_answered(identify_suspects(request), answered_at)
 
-    def note_answered(self, request: CallerRequest, answered_at: float) -> None:
-        """Record that an answer which began at ``answered_at`` has gone on or is complete."""
-        for part in identify_suspects(request):
+    def note_under_way(self, request: CallerRequest, answered_at: float) -> None:
+        """Record that an answer which began at ``answered_at`` has gone on.
+
+        That tells of the parts of the prompt; the request itself may still crash the upstream.
+        """
+        self._note_answered(identify_parts(request), answered_at)
+
+    def _note_answered(self, parts: Sequence[str], answered_at: float) -> None:
+        for part in parts:
             if self.quarantine.note_answered(part, answered_at):
                 self.on_cleared(part, answered_at)
 
--- a/src/cherrylane/relay/forwarding.py
+++ b/src/cherrylane/relay/forwarding.py
@@ -67,7 +67,7 @@
             claim=lambda: race.claim(attempt),
             note_progress=attempt.note_progress,
             note_first_event=lambda: self._note_first_event(request, attempt),
-            note_under_way=lambda at: self.crash_guard.note_answered(request, at),
+            note_under_way=lambda at: self.crash_guard.note_under_way(request, at),
         )
         try:
             outcome = await relay.relay(answer)
