Let one host try all that is quarantined of a request

Cause: the host that tries is chosen for each name apart, and a request was let pass only at a host that is the chosen one for all. Change: the host chosen for the first part in force, which most others share, tries the request. Before: no trial at either host (1 != 0).

--- a/src/cherrylane/limits/quarantine.py
+++ b/src/cherrylane/limits/quarantine.py
@@ -213,8 +213,11 @@
             if (verdict := self._verdicts.get(part)) is not None and not verdict.is_lifted
         ]
         for part, verdict in in_force:
-            if now < verdict.trial_at or not self.is_trial_host(part):
+            if now < verdict.trial_at:
                 return Quarantined(part, max(verdict.trial_at - now, TRIAL_TIMEOUT_S))
+        # One host tries all that is in force of a request: the one for the part that most share.
+        if in_force and not self.is_trial_host(in_force[0][0]):
+            return Quarantined(in_force[0][0], TRIAL_TIMEOUT_S)
         for part, verdict in in_force:
             verdict.trial_at = now + TRIAL_TIMEOUT_S
             log.notice("trial of a quarantined part", extra={"part": part})
