Keep a verdict against one that was lifted before its crashes

Cause: a lifted verdict of the same generation replaced one in force and cleared all crashes up to now, though it was lifted before them.

--- a/src/cherrylane/limits/quarantine.py
+++ b/src/cherrylane/limits/quarantine.py
@@ -251,6 +251,9 @@
         if known is not None and verdict.order <= (known.generation, known.is_lifted):
             return
         if verdict.is_lifted:
+            if known is not None and self._has_crashed_since(known, verdict, now):
+                known.generation = verdict.generation + 1
+                return
             self._clear(verdict.part, now)
         self._set_verdict(verdict, now)
         if not verdict.is_lifted and self._was_answered_since(verdict.part, now - verdict.age_s):
@@ -264,6 +267,11 @@
             },
         )
 
+    def _has_crashed_since(self, known: _VerdictState, lifted: Verdict, now: float) -> bool:
+        """Return whether a verdict in force rests on crashes that a lifted one does not know."""
+        last_crash_at = now - lifted.age_s
+        return not known.is_lifted and known.crashed_at > last_crash_at + DATING_ERROR_S
+
     def list_verdicts(self, now: float) -> list[Verdict]:
         """Return the verdicts to tell peers, and drop those that have expired.
 
