--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -10,6 +10,8 @@
 from cherrylane.limits.quarantine import (
     MAX_ANSWERED,
     MAX_CRASHES,
+    MAX_SUSPECTS,
+    WHOLE_REQUEST,
     RequestQuarantine,
     Suspect,
     UpstreamCrash,
@@ -182,6 +184,20 @@
     return quarantine
 
 
+def _make_full_quarantine() -> RequestQuarantine:
+    """Return one that holds as much of all as it may."""
+    quarantine = RequestQuarantine()
+    for number in range(MAX_CRASHES):
+        names = [f"{number:04x}{n:04x}" for n in range(MAX_SUSPECTS)]
+        suspects = [Suspect(name, 1, 0.1) for name in names]
+        suspects += [Suspect(f"{WHOLE_REQUEST}{name:0>16}", 2, 0.1) for name in names]
+        quarantine.note_crash(UpstreamCrash(f"i-{number}", 1, 0.0, tuple(suspects)), now=0.0)
+    for number in range(MAX_ANSWERED):
+        quarantine.note_answered(f"{number:016x}", -1.0)
+        quarantine.note_answered(f"{WHOLE_REQUEST}{number:016x}", -1.0)
+    return quarantine
+
+
 def _measure_memory() -> list[Figure]:
     def make_accounts() -> object:
         return RouteTable(_make_configuration(1, ACCOUNTS))
@@ -209,7 +225,7 @@
         ),
         Figure(
             "gateway memory: a full quarantine",
-            _measure_retained_bytes(lambda: _make_quarantine(MAX_CRASHES)),
+            _measure_retained_bytes(_make_full_quarantine),
             "bytes",
         ),
     ]
