--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -21,8 +21,8 @@
 from cherrylane.gossip.members import Members
 from cherrylane.gossip.messages import Heartbeat, HostState
 from cherrylane.gossip.node import HEARTBEAT_INTERVAL_S, GossipNode
-from cherrylane.http.inbound import InboundServer
 from cherrylane.http.limits import InboundLimits
+from cherrylane.http.listener import InboundServer
 from cherrylane.http.messages import Request
 from cherrylane.http.outbound import ConnectionPool
 from cherrylane.http.responder import Responder
--- a/src/cherrylane/http/inbound.py
+++ b/src/cherrylane/http/inbound.py
@@ -10,12 +10,11 @@
 from fcntl import ioctl
 from http import HTTPStatus
 from select import POLLIN, poll
-from socket import SO_LINGER, SOL_SOCKET, socket
+from socket import SO_LINGER, SOL_SOCKET
 from struct import pack, unpack
 from termios import TIOCOUTQ
-from typing import Any
+from typing import Protocol
 
-from attrs import define, field
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 from logbook import Logger
 
@@ -46,82 +45,29 @@
 FailureListener = Callable[[ReadFailure], None]
 
 
-@define
-class InboundServer:
-    """A listener, with the handler, limits and state that all of its connections share."""
+class ConnectionOwner(Protocol):
+    """What all connections of a listener share: handler, limits and state."""
 
-    handle: Handler
     limits: InboundLimits
-    on_read_failure: FailureListener = lambda failure: None
-    connections: set["InboundConnection"] = field(factory=set)
-    draining: bool = False
-    # Chosen by the kernel if port 0 was requested; known also when the listener is closed.
-    port: int = 0
-    _listener: asyncio.Server | None = None
-    _listening: socket | None = None
-    _accepting: set[asyncio.Task[Any]] = field(factory=set)
-
-    async def listen(self, listening: socket) -> None:
-        """Accept connections on a socket that is already listening."""
-        loop = asyncio.get_running_loop()
-        self._listening = listening
-        self.port = int(listening.getsockname()[1])
-        self._listener = await loop.create_server(lambda: InboundConnection(self), sock=listening)
-
-    def stop_accepting(self) -> None:
-        """Close the listener; connections that are open or wait to be accepted are served."""
-        if self._listening is not None and self._listening.fileno() >= 0:
-            loop = asyncio.get_running_loop()
-            loop.remove_reader(self._listening)
-            # By the next turn of the loop, those that it has just accepted are set up, which fails
-            # once the listener is closed.
-            loop.call_soon(self._close_listener, self._listening)
-
-    def _close_listener(self, listening: socket) -> None:
-        loop = asyncio.get_running_loop()
-        # The kernel resets what still waits when the listener is closed.
-        while (connection := _accept(listening)) is not None:
-            work = loop.connect_accepted_socket(lambda: InboundConnection(self), connection)
-            task = loop.create_task(work)
-            self._accepting.add(task)
-            task.add_done_callback(self._accepting.discard)
-        if self._listener is not None:
-            self._listener.close()
-
-    def close_idle(self) -> None:
-        """Close every connection on which no request is being read or handled."""
-        for connection in list(self.connections):
-            connection.close_if_idle()
-
-    def abort_all(self) -> None:
-        """Reset all remaining connections."""
-        for connection in list(self.connections):
-            connection.abort()
+    draining: bool
 
     @property
-    def unfinished(self) -> int:
-        """The number of connections with a request that is read, handled or being answered."""
-        return sum(1 for connection in self.connections if connection.is_unfinished)
+    def connections(self) -> set["InboundConnection"]:
+        """The open connections, which add and remove themselves."""
 
     @property
-    def busy(self) -> int:
-        """The number of connections on which a request is being handled."""
-        return sum(1 for connection in self.connections if connection.is_busy)
+    def handle(self) -> Handler:
+        """The function that handles a request."""
 
-
-def _accept(listening: socket) -> socket | None:
-    try:
-        connection, _ = listening.accept()
-    except OSError:
-        return None
-    connection.setblocking(False)
-    return connection
+    @property
+    def on_read_failure(self) -> FailureListener:
+        """The function that is told of requests that could not be read."""
 
 
 class InboundConnection(asyncio.Protocol):
     """A connection from a caller."""
 
-    def __init__(self, server: InboundServer) -> None:
+    def __init__(self, server: ConnectionOwner) -> None:
         self._server = server
         self._loop = asyncio.get_running_loop()
         self._parser = HttpRequestParser(self)
--- a/tests/relay_fixture.py
+++ b/tests/relay_fixture.py
@@ -5,8 +5,8 @@
 
 from attrs import define, field
 
-from cherrylane.http.inbound import InboundServer
 from cherrylane.http.limits import InboundLimits
+from cherrylane.http.listener import InboundServer
 from cherrylane.http.outbound import ConnectionPool
 from cherrylane.limits.outliers import OutlierDetector
 from cherrylane.limits.retries import HostRetryBudget
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -21,8 +21,8 @@
 from cherrylane.gateway.peer_sync import _decompress
 from cherrylane.gossip.messages import decode_heartbeat
 from cherrylane.http.framing import FramingMeter
-from cherrylane.http.inbound import InboundServer
 from cherrylane.http.limits import InboundLimits, ResponseLimits
+from cherrylane.http.listener import InboundServer
 from cherrylane.http.messages import Request, Response
 from cherrylane.http.outbound import open_connection
 from cherrylane.http.responder import Responder
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -21,8 +21,8 @@
     decode_heartbeat,
 )
 from cherrylane.gossip.node import HEARTBEAT_INTERVAL_S, GossipNode
-from cherrylane.http.inbound import InboundServer
 from cherrylane.http.limits import InboundLimits
+from cherrylane.http.listener import InboundServer
 from cherrylane.http.messages import Request
 from cherrylane.http.responder import Responder
 from cherrylane.placement.caches import CachedPart, CacheMap
--- a/tests/test_inbound.py
+++ b/tests/test_inbound.py
@@ -7,8 +7,9 @@
 from testtools.matchers import Contains, EndsWith, StartsWith
 
 from cherrylane.http.framing import ReadFailure
-from cherrylane.http.inbound import LINGER_S, InboundServer
+from cherrylane.http.inbound import LINGER_S
 from cherrylane.http.limits import InboundLimits
+from cherrylane.http.listener import InboundServer
 from cherrylane.http.messages import LAST_CHUNK, Request, Response, encode_chunk
 from cherrylane.http.responder import Responder
 from tests.wire import LOOPBACK, open_listener, run, send_raw, wait_for
--- a/tests/test_operators_faults.py
+++ b/tests/test_operators_faults.py
@@ -13,8 +13,8 @@
 from cherrylane.gateway import tasks
 from cherrylane.gateway.endpoints import ADDRESS_LIFETIME_S
 from cherrylane.gateway.tasks import keep_running
-from cherrylane.http.inbound import InboundServer
 from cherrylane.http.limits import InboundLimits
+from cherrylane.http.listener import InboundServer
 from cherrylane.http.messages import Request
 from cherrylane.http.responder import Responder
 from cherrylane.platform.async_watcher import AsyncWatcher
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -8,8 +8,8 @@
 from cherrylane.gateway.recovery import LISTING_HOSTS, CacheRecovery
 from cherrylane.gateway.routing_state import RoutingState
 from cherrylane.gossip.members import Members
-from cherrylane.http.inbound import InboundServer
 from cherrylane.http.limits import InboundLimits
+from cherrylane.http.listener import InboundServer
 from cherrylane.http.messages import Request
 from cherrylane.http.responder import Responder
 from cherrylane.placement.caches import CacheMap
