--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -7,15 +7,8 @@
 from bench.figures import Figure
 from cherrylane.gossip.messages import Heartbeat, HostState, PeerLiveness, decode_heartbeat
 from cherrylane.http.limits import InboundLimits
-from cherrylane.limits.quarantine import (
-    MAX_ANSWERED,
-    MAX_CRASHES,
-    MAX_SUSPECTS,
-    WHOLE_REQUEST,
-    RequestQuarantine,
-    Suspect,
-    UpstreamCrash,
-)
+from cherrylane.limits.crash_evidence import WHOLE_REQUEST, Suspect, UpstreamCrash
+from cherrylane.limits.quarantine import MAX_ANSWERED, MAX_CRASHES, MAX_SUSPECTS, RequestQuarantine
 from cherrylane.placement.caches import CachedPart, CacheMap
 from cherrylane.placement.choice import Candidate, Chooser
 from cherrylane.placement.loads import Load
--- a/src/cherrylane/gateway/announcements.py
+++ b/src/cherrylane/gateway/announcements.py
@@ -14,13 +14,8 @@
 )
 from cherrylane.gossip.updates import UpdateQueue
 from cherrylane.limits.backoff import BackoffTracker
-from cherrylane.limits.quarantine import (
-    RequestQuarantine,
-    Suspect,
-    UpstreamCrash,
-    Verdict,
-    is_whole_request,
-)
+from cherrylane.limits.crash_evidence import Suspect, UpstreamCrash, Verdict, is_whole_request
+from cherrylane.limits.quarantine import RequestQuarantine
 from cherrylane.placement.caches import CacheMap
 from cherrylane.placement.loads import LoadTracker
 from cherrylane.platform.client import AsyncPlatformClient
--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -28,8 +28,9 @@
 from cherrylane.http.responder import Responder
 from cherrylane.limits.backoff import BackoffTracker
 from cherrylane.limits.connections import share_idle_connections
+from cherrylane.limits.crash_evidence import UpstreamCrash
 from cherrylane.limits.outliers import OutlierDetector
-from cherrylane.limits.quarantine import RequestQuarantine, UpstreamCrash
+from cherrylane.limits.quarantine import RequestQuarantine
 from cherrylane.limits.retries import HostRetryBudget
 from cherrylane.placement.caches import CacheMap
 from cherrylane.placement.choice import Chooser
--- a/src/cherrylane/gossip/messages.py
+++ b/src/cherrylane/gossip/messages.py
@@ -78,7 +78,7 @@
 
 @frozen
 class PartVerdict:
-    """What the sender knows of such a part or request; see ``limits.quarantine.Verdict``."""
+    """What the sender knows of such a part or request; see ``limits.crash_evidence.Verdict``."""
 
     part: str
     generation: int
--- a/src/cherrylane/limits/quarantine.py
+++ b/src/cherrylane/limits/quarantine.py
@@ -13,22 +13,26 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Collection, Iterable, Sequence
-from operator import attrgetter
+from collections.abc import Callable, Collection, Sequence
 
-from attrs import define, evolve, field, frozen
+from attrs import define, field, frozen
 from logbook import Logger
 
-# Successive crashes after which a part is quarantined, and one that has been answered before.
-MIN_CRASHES = 3
-MIN_CRASHES_ANSWERED_BEFORE = 5
+from cherrylane.limits.crash_evidence import (
+    DATING_ERROR_S,
+    Suspect,
+    UpstreamCrash,
+    Verdict,
+    has_enough_crashes,
+    is_whole_request,
+    merge_suspects,
+)
+
 # Seconds until the first trial of a quarantined part; they double with each trial that fails.
 FIRST_TRIAL_S = 30.0
 MAX_TRIAL_INTERVAL_S = 3600.0
 # Seconds that a trial may take before another one is allowed.
 TRIAL_TIMEOUT_S = 10.0
-# Largest difference in seconds between the times at which hosts date one crash.
-DATING_ERROR_S = 0.05
 # Seconds for which a crash counts, and for which a verdict is kept after the last crash.
 EVIDENCE_LIFETIME_S = 600.0
 VERDICT_LIFETIME_S = 2 * MAX_TRIAL_INTERVAL_S
@@ -48,57 +52,9 @@
 # Seconds in which all hosts hear of a new verdict.
 NEWS_S = 30.0
 
-# Begins the name of a whole request; the names of parts of prompts begin otherwise.
-WHOLE_REQUEST = "r:"
-
 log = Logger("cherrylane.limits")
 
 
-@frozen
-class Suspect:
-    """A part of a prompt, or a whole request, that was about to be answered at a crash.
-
-    ``part`` names it; a whole request is named by its fingerprint. ``depth`` is the position of the
-    part in its prompt, and ``lead_s`` how many seconds before the crash the request was sent.
-    ``was_answered`` is whether a host that saw the crash knows of an earlier answer; it counts for
-    whole requests only.
-    """
-
-    part: str
-    depth: int
-    lead_s: float
-    was_answered: bool = False
-
-
-@frozen
-class UpstreamCrash:
-    """A crash of one incarnation of an upstream, as one host saw it ``age_s`` seconds ago."""
-
-    upstream: str
-    incarnation: int
-    age_s: float
-    suspects: tuple[Suspect, ...]
-
-
-@frozen
-class Verdict:
-    """What the fleet knows of a part; a higher generation replaces a lower one.
-
-    Of one generation, a lifted verdict replaces one in force. ``age_s`` is the time since the last
-    crash that the part caused.
-    """
-
-    part: str
-    generation: int
-    is_lifted: bool
-    age_s: float
-
-    @property
-    def order(self) -> tuple[int, bool]:
-        """The order in which verdicts on one part replace each other."""
-        return self.generation, self.is_lifted
-
-
 @frozen
 class Quarantined:
     """A part for which a request is refused, and the seconds until its next trial."""
@@ -169,7 +125,7 @@
                 if counts[is_whole] >= MAX_SUSPECTS:
                     continue
                 counts[is_whole] += 1
-            merged = suspect if other is None else _merge(other, suspect)
+            merged = suspect if other is None else merge_suspects(other, suspect)
             if merged != other:
                 known.suspects[suspect.part] = merged
                 self._held = None
@@ -363,7 +319,7 @@
         return {
             part: (0 if are_whole else depths[part], len(spans))
             for part, spans in times.items()
-            if part in unexplained and _has_enough_crashes(part, spans, part in answered)
+            if part in unexplained and has_enough_crashes(part, spans, part in answered)
         }
 
     def _condemn(self, part: str, crashes: list[_Crash], now: float) -> None:
@@ -439,49 +395,5 @@
         return verdict is not None and not verdict.is_lifted
 
 
-def _merge(known: Suspect, told: Suspect) -> Suspect:
-    # The request sent last is the least likely to be at another crash by chance.
-    last = min(known, told, key=attrgetter("lead_s"))
-    return evolve(last, was_answered=known.was_answered or told.was_answered)
-
-
-def _has_enough_crashes(
-    part: str, spans: Collection[tuple[float, float]], was_answered: bool
-) -> bool:
-    """Return whether the crashes at which a part was a suspect suffice to quarantine it.
-
-    ``spans`` are the times from the sending of a request with it to the crash.
-    """
-    if was_answered:
-        return count_successive(spans) >= MIN_CRASHES_ANSWERED_BEFORE
-    # The same request at several upstreams that crash is no chance, unless many callers send it.
-    count = len(spans) if is_whole_request(part) else count_successive(spans)
-    return count >= MIN_CRASHES
-
-
-def is_whole_request(part: str) -> bool:
-    """Return whether a suspect or a verdict names a whole request, not a part of a prompt."""
-    return part.startswith(WHOLE_REQUEST)
-
-
-def count_successive(spans: Iterable[tuple[float, float]]) -> int:
-    """Return the largest number of time spans (start, end) that follow each other.
-
-    Hosts date one crash differently by up to ``DATING_ERROR_S``, so spans may overlap by that, and
-    ends that are no further apart count as one.
-
-    Example::
-
-        count_successive([(0.0, 1.0), (0.5, 1.0), (1.2, 1.5)])  # 2
-    """
-    count = 0
-    last_end = float("-inf")
-    for start, end in sorted(spans, key=lambda span: span[1]):
-        if start >= last_end - DATING_ERROR_S and end > last_end + DATING_ERROR_S:
-            count += 1
-            last_end = end
-    return count
-
-
 def _find_trial_interval(generation: int) -> float:
     return min(MAX_TRIAL_INTERVAL_S, FIRST_TRIAL_S * 2.0 ** (generation - 1))
--- a/src/cherrylane/relay/crashes.py
+++ b/src/cherrylane/relay/crashes.py
@@ -14,14 +14,8 @@
 
 from cherrylane.errors import ConnectError
 from cherrylane.http.outbound import open_connection
-from cherrylane.limits.quarantine import (
-    WHOLE_REQUEST,
-    Quarantined,
-    RequestQuarantine,
-    Suspect,
-    UpstreamCrash,
-    is_whole_request,
-)
+from cherrylane.limits.crash_evidence import WHOLE_REQUEST, Suspect, UpstreamCrash, is_whole_request
+from cherrylane.limits.quarantine import Quarantined, RequestQuarantine
 from cherrylane.relay.request import CallerRequest
 from cherrylane.routing.upstreams import Upstream
 
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -15,7 +15,8 @@
     decode_heartbeat,
 )
 from cherrylane.limits.backoff import BackoffTracker
-from cherrylane.limits.quarantine import RequestQuarantine, Suspect, UpstreamCrash, Verdict
+from cherrylane.limits.crash_evidence import Suspect, UpstreamCrash, Verdict
+from cherrylane.limits.quarantine import RequestQuarantine
 from cherrylane.placement.caches import CacheMap
 from cherrylane.placement.loads import LoadTracker
 from cherrylane.platform.client import AsyncPlatformClient
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -2,7 +2,8 @@
 
 from testtools import TestCase
 
-from cherrylane.limits.quarantine import RequestQuarantine, UpstreamCrash
+from cherrylane.limits.crash_evidence import UpstreamCrash
+from cherrylane.limits.quarantine import RequestQuarantine
 from cherrylane.relay.crashes import (
     BEGINNING_S,
     MAX_PARTS,
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -5,7 +5,7 @@
 from testtools import TestCase
 from testtools.matchers import LessThan
 
-from cherrylane.limits.quarantine import MIN_CRASHES_ANSWERED_BEFORE
+from cherrylane.limits.crash_evidence import MIN_CRASHES_ANSWERED_BEFORE
 from cherrylane.relay.forwarding import SAFE_PATIENCE_SHARE
 from cherrylane.routing.routes import RequestKind, Route
 from tests.relay_fixture import SAFE, STREAM, UNSAFE, RelayFixture
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -2,6 +2,13 @@
 
 from testtools import TestCase
 
+from cherrylane.limits.crash_evidence import (
+    MIN_CRASHES_ANSWERED_BEFORE,
+    Suspect,
+    UpstreamCrash,
+    Verdict,
+    count_successive,
+)
 from cherrylane.limits.quarantine import (
     EVIDENCE_LIFETIME_S,
     FIRST_TRIAL_S,
@@ -9,14 +16,9 @@
     MAX_CRASHES,
     MAX_SUSPECTS,
     MAX_VERDICTS,
-    MIN_CRASHES_ANSWERED_BEFORE,
     TRIAL_TIMEOUT_S,
     VERDICT_LIFETIME_S,
     RequestQuarantine,
-    Suspect,
-    UpstreamCrash,
-    Verdict,
-    count_successive,
 )
 
 SYSTEM, ACCOUNT, TAINTED = "5c1e", "91bd", "dead"
