Bound the comments that an upstream sends before its first event

After: as for an event, 1 MB without a whole event ends the attempt, which is retried where that is allowed.

--- a/src/cherrylane/relay/streams.py
+++ b/src/cherrylane/relay/streams.py
@@ -58,9 +58,9 @@
         try:
             while (part := await connection.read_part()) is not None:
                 events = splitter.feed(part)
-                if splitter.is_oversized:
+                if splitter.is_oversized or len(comments) > MAX_EVENT_BYTES:
                     connection.close()
-                    return Broken(f"an event of more than {MAX_EVENT_BYTES} bytes")
+                    return Broken(f"more than {MAX_EVENT_BYTES} bytes without a whole event")
                 if not has_event(events):
                     # Comments keep a connection alive; they are no progress, and no begin.
                     comments += events
--- a/tests/test_silent_upstreams.py
+++ b/tests/test_silent_upstreams.py
@@ -12,6 +12,7 @@
 from cherrylane.limits.outliers import OutlierDetector
 from cherrylane.limits.quarantine import Quarantined
 from cherrylane.relay.crashes import CrashGuard
+from cherrylane.relay.events import MAX_EVENT_BYTES
 from cherrylane.relay.forwarding import Forwarder, find_patience
 from cherrylane.relay.outcomes import NotRun, Outcome
 from cherrylane.relay.race import Attempt, AttemptRace
@@ -276,6 +277,29 @@
         answer, calls = run(scenario())
         self.assertEqual(([1, 2, 3], [1, 1]), (events(answer), calls))
 
+    # Guards against a host that runs out of memory by an upstream that sends comments without end.
+    def test_comments_without_end_are_no_answer(self) -> None:
+        async def scenario() -> tuple[bytes, int]:
+            sent = 0
+
+            async def send_comments(call: Call) -> None:
+                nonlocal sent
+                call.start_events()
+                comment = b": " + b"." * 60_000 + b"\n\n"
+                while sent < 64 * MAX_EVENT_BYTES:
+                    call.writer.write(encode_chunk(comment))
+                    await call.writer.drain()
+                    sent += len(comment)
+                await asyncio.sleep(60)
+
+            fixture = await open_fixture(send_comments, stream(1, 3))
+            return await fixture.fetch("POST"), sent
+
+        answer, sent = run(scenario())
+        self.assertEqual([1, 2, 3], events(answer))
+        # What is read, and what the buffers between the processes hold.
+        self.assertThat(sent, LessThan(16 * MAX_EVENT_BYTES))
+
     def test_comments_of_a_stream_are_passed_on_in_their_place(self) -> None:
         parts = (b": a\n\n", b"id: 1\n\n", b": b\n\n", b"id: 2\n\n", b": c\n\n")
 
