Judge a request behind a response that did not end by that response, in the fault soak

Traced: host-1 was killed while the request was in progress (its log ends with the dispatch at 15:29:04.67, the next line is 'started' with another boot at 15:29:05.46). The check of silences asks whether the host was lost until the exchange ended, and a request behind another one has no end of its own. Change: it is left to the check of endings, which judges the response before it. As strict: that one is reported (the test shows it, and that nothing else is).

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -239,6 +239,9 @@
         exchange = by_id[silence.request_id]
         if exchange.response.complete and 200 <= exchange.response.status < 300:
             continue
+        # What ended the response before it is judged by _check_endings.
+        if exchange.ending is Ending.BEHIND:
+            continue
         others = [upstream for upstream in observed.upstreams if upstream.name != silence.upstream]
         if (
             exchange.ended < exchange.due - DUE_SLACK_S
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,7 +11,7 @@
 from tempfile import TemporaryDirectory
 
 from testtools import TestCase
-from testtools.matchers import Contains
+from testtools.matchers import Contains, StartsWith
 
 from soak.callers import DEADLINE_S, Ending, Exchange, RequestKind, Response
 from soak.checks import (
@@ -212,6 +212,16 @@
             observed, _ = make_silent_exchange(kind, response)
             self.assertThat(find_violations(observed)[0], Contains("its answer was lost"))
 
+    # Seed 600: the host was killed, and the request behind the one that ended by that was reported.
+    def test_a_request_behind_one_that_did_not_end_is_judged_by_that_one(self) -> None:
+        observed, behind = make_silent_exchange(RequestKind.UNSAFE, Response())
+        behind.ending, behind.ended = Ending.BEHIND, 0.0
+        before = make_exchange(RequestKind.SAFE, Response(), ended=1.5)
+        before.id, before.ending = "r0", Ending.CLOSED
+        observed.history.insert(0, before)
+        self.assertThat(find_violations(observed)[0], StartsWith("r0 "))
+        self.assertEqual(1, len(find_violations(observed)))
+
     def test_the_answer_of_a_silent_upstream_may_be_lost_for_a_reason(self) -> None:
         body = make_response_body("r1")
         observed, exchange = make_silent_exchange(
