Bound how long a caller may take for the rest of a response

Ruled out: handlers, whose waits end with the request's deadline. The new test fails before ( >= bytes taken) and passes now; the tests of slow but sound readers hold.

--- a/src/cherrylane/http/inbound.py
+++ b/src/cherrylane/http/inbound.py
@@ -96,6 +96,8 @@
         self._unsent_bytes = 0
         # Bytes written of the current response.
         self._response_bytes = 0
+        # Until when a caller may take the rest of the last response.
+        self._response_due_at = 0.0
         self.is_busy = False
         self.is_lost = False
         self.served = 0
@@ -365,6 +367,7 @@
             self._end_failed(responder, error)
         finally:
             self.is_busy = False
+            self._response_due_at = self._loop.time() + self._server.limits.body_timeout_s
         if not responder.keeps_connection:
             self.close()
             return
@@ -433,12 +436,13 @@
         self._restart_timer(self._server.limits.idle_timeout_s if is_sending else LINGER_S)
 
     @property
-    def _has_sent_more(self) -> bool:
-        """Whether the caller has taken some of a response since the timer was started."""
-        return self._transport.get_write_buffer_size() != self._unsent_bytes
+    def _is_response_read(self) -> bool:
+        """Whether the caller has taken some of a response since the timer was started, in time."""
+        has_sent_more = self._transport.get_write_buffer_size() != self._unsent_bytes
+        return has_sent_more and self._loop.time() < self._response_due_at
 
     def _on_timeout(self) -> None:
-        if self._lingering and self._has_sent_more:
+        if self._lingering and self._is_response_read:
             self._linger()
         elif self._lingering:
             self._transport.abort()
@@ -452,7 +456,7 @@
             self._end_idle()
 
     def _end_idle(self) -> None:
-        if self._has_sent_more:
+        if self._is_response_read:
             self._start_idle_timer()
             return
         # The limits may have been replaced since the timer was started.
--- a/src/cherrylane/http/limits.py
+++ b/src/cherrylane/http/limits.py
@@ -12,7 +12,7 @@
     """Size and time limits of requests; replaced when the configuration changes.
 
     ``read_timeout_s`` is for a whole head, and for the time between two parts of a body;
-    ``body_timeout_s`` is for a whole body.
+    ``body_timeout_s`` is for a whole body, and for the rest of a response to leave.
     """
 
     max_header_bytes: int = 16 * 1024
--- a/tests/test_inbound.py
+++ b/tests/test_inbound.py
@@ -4,7 +4,7 @@
 
 from attrs import evolve
 from testtools import ExpectedException, TestCase
-from testtools.matchers import Contains, EndsWith, StartsWith
+from testtools.matchers import Contains, EndsWith, LessThan, StartsWith
 
 from cherrylane.http.framing import ReadFailure
 from cherrylane.http.inbound import LINGER_S
@@ -439,6 +439,13 @@
 
         run(scenario())
 
+    # Guards against callers that hold a connection, or a server that drains, by reading slowly.
+    def test_a_caller_that_takes_a_response_without_end_is_cut(self) -> None:
+        limits = evolve(InboundLimits(), idle_timeout_s=0.3, body_timeout_s=0.6)
+        for extra in (b"", b"Connection: close\r\n"):
+            received = run(self.read_slowly(extra, limits, 0.2))
+            self.assertThat(received, LessThan(MANY_BYTES))
+
     # Found by soak seed 310: the reset of a stream behind it took the unread rest of a response.
     def test_a_whole_response_arrives_before_a_stream_that_breaks_off(self) -> None:
         received = run(self.read_response_before_a_broken_stream("1.1"))
