Ask once more whether a request may crash upstreams before an unreachable one is replaced

Change: the question is asked for every attempt that is started beside another one. The new test fails before ([1, 0, 0] != [1, 0, 1]) and passes now.

--- a/src/cherrylane/relay/attempts.py
+++ b/src/cherrylane/relay/attempts.py
@@ -175,12 +175,11 @@
             and not self.selector.throughput_of(state.request.service).is_overloaded(now)
             and running < MAX_CONCURRENT
             and state.times_sent + running < route.max_attempts
-            and self.crash_guard.may_retry(state.request)
         )
 
     def _start_hedge(self, state: RequestState, responder: Responder, race: AttemptRace) -> bool:
-        """Start an attempt beside the one in progress; returns False if no upstream is left."""
-        if state.unreachable >= MAX_UNREACHABLE:
+        """Start an attempt beside the one in progress, if the request may have another one."""
+        if state.unreachable >= MAX_UNREACHABLE or not self.crash_guard.may_retry(state.request):
             return False
         choice = self._choose_upstream(state)
         if not isinstance(choice, Choice):
--- a/tests/test_silent_upstreams.py
+++ b/tests/test_silent_upstreams.py
@@ -10,7 +10,7 @@
 from cherrylane.http.messages import LAST_CHUNK, encode_chunk
 from cherrylane.http.responder import Responder
 from cherrylane.limits.outliers import OutlierDetector
-from cherrylane.limits.quarantine import Quarantined
+from cherrylane.limits.quarantine import Quarantined, RequestQuarantine
 from cherrylane.relay.crashes import CrashGuard
 from cherrylane.relay.events import MAX_EVENT_BYTES
 from cherrylane.relay.forwarding import Forwarder, find_patience
@@ -405,6 +405,19 @@
         self.assertThat(answer, Contains(b"done"))
         self.assertEqual([0, 1, 0], calls)
 
+    # Guards against a request that may have crashed an upstream meanwhile being sent to one more.
+    def test_an_unreachable_upstream_is_not_replaced_for_a_suspect_of_a_crash(self) -> None:
+        async def scenario() -> tuple[bytes, list[int]]:
+            fixture = await open_fixture(answer_late, succeed, succeed, route=SAFE)
+            fixture.upstreams[1].crash()
+            verdicts = iter([True, False])
+            self.patch(RequestQuarantine, "may_retry", lambda self, parts: next(verdicts, False))
+            return await fixture.fetch(), fixture.calls
+
+        answer, calls = run(scenario())
+        self.assertThat(answer, Contains(b"done"))
+        self.assertEqual([1, 0, 0], calls)
+
     def test_a_caller_that_leaves_ends_the_request_at_both_upstreams(self) -> None:
         async def scenario() -> None:
             fixture = await open_fixture(stream(1, 1, then=wait_until_closed), wait_until_closed)
