--- a/src/cherrylane/http/inbound.py
+++ b/src/cherrylane/http/inbound.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-from collections import deque
 from collections.abc import Awaitable, Callable
 from fcntl import ioctl
 from http import HTTPStatus
@@ -15,25 +14,21 @@
 from termios import TIOCOUTQ
 from typing import Protocol
 
-from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 from logbook import Logger
 
-from cherrylane.http.framing import FramingMeter, ReadFailure, find_framing_problem, measure_head
+from cherrylane.http.framing import ReadFailure
 from cherrylane.http.limits import InboundLimits
 from cherrylane.http.messages import (
-    Header,
     Request,
-    RequestHead,
     Response,
     encode_response_head,
 )
+from cherrylane.http.request_reader import RequestReader
 from cherrylane.http.responder import Responder
 
 # Seconds for which a connection is still read after the last response has left; closing it with
 # unread data would send a reset, and the caller could lose that response.
 LINGER_S = 1.0
-# Requests that may be queued behind the one being handled; RFC 9112 lets a server limit pipelining.
-MAX_PIPELINED = 16
 # SO_LINGER with a timeout of zero: closing the socket resets the connection.
 RESET_ON_CLOSE = pack("ii", 1, 0)
 # Bytes of unsent response above which a handler waits for the caller to read.
@@ -70,26 +65,17 @@
     def __init__(self, server: ConnectionOwner) -> None:
         self._server = server
         self._loop = asyncio.get_running_loop()
-        self._parser = HttpRequestParser(self)
-        self._requests: deque[Request | ReadFailure] = deque()
+        self._reader = RequestReader(
+            lambda: server.limits,
+            on_queued=self._notify_request,
+            on_due=self._restart_timer,
+            on_continue=self._send_continue,
+        )
         self._request_queued: asyncio.Future[None] | None = None
         self._writable: asyncio.Future[None] | None = None
         self._transport: asyncio.Transport
         self._task: asyncio.Task[None] | None = None
         self._timeout_handle: asyncio.TimerHandle | None = None
-        self._target = b""
-        self._headers: list[Header] = []
-        self._head: RequestHead | None = None
-        self._body: list[bytes] = []
-        self._body_bytes = 0
-        self._head_bytes = 0
-        self._body_started_at = 0.0
-        # Set while a body is read.
-        self._meter: FramingMeter | None = None
-        self._reading = False
-        self._stopped_reading = False
-        # Whether a caller waits for leave to send the body of its request.
-        self._owes_continue = False
         self._lingering = False
         self._idle_since = 0.0
         # The part of a response that had not left this process when the timer was started.
@@ -111,51 +97,7 @@
         self._task = self._loop.create_task(self._serve())
 
     def data_received(self, data: bytes) -> None:
-        if self._stopped_reading:
-            return
-        if not self._reading:
-            self._reading = True
-            self._head_bytes = 0
-            self._restart_timer(self._server.limits.read_timeout_s)
-        if self._head is None:
-            self._head_bytes += len(data)
-        elif self._meter is not None:
-            self._meter.received += len(data)
-        try:
-            self._parse(data)
-        except HttpParserError as error:
-            self._fail(ReadFailure(HTTPStatus.BAD_REQUEST, str(error)))
-        if self._head is None and self._head_bytes > self._server.limits.max_header_bytes:
-            self._fail(
-                ReadFailure(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "request head too large")
-            )
-        if self._meter is not None and self._meter.is_excessive:
-            self._fail(ReadFailure(HTTPStatus.BAD_REQUEST, "more framing than data in the body"))
-        if len(self._requests) > MAX_PIPELINED:
-            self._fail(
-                ReadFailure(HTTPStatus.BAD_REQUEST, f"more than {MAX_PIPELINED} pipelined requests")
-            )
-
-    def _parse(self, data: bytes) -> None:
-        while not self._stopped_reading and len(self._requests) <= MAX_PIPELINED:
-            try:
-                self._parser.feed_data(data)
-                return
-            except HttpParserUpgrade as upgrade:
-                data = self._restart_without_upgrade() + data[upgrade.args[0] :]
-
-    def _restart_without_upgrade(self) -> bytes:
-        """Return the head that was read without its Upgrade, and start a new parser for it.
-
-        A server may ignore an Upgrade; the parser takes all that follows for another protocol.
-        """
-        version = self._parser.get_http_version().encode()
-        lines = [self._parser.get_method() + b" " + self._target + b" HTTP/" + version]
-        lines += [
-            name + b": " + value for name, value in self._headers if name.lower() != b"upgrade"
-        ]
-        self._parser = HttpRequestParser(self)
-        return b"\r\n".join(lines) + b"\r\n\r\n"
+        self._reader.feed(data)
 
     def eof_received(self) -> bool:
         # A caller that closed its sending side counts as disconnected: nobody reads the response.
@@ -181,94 +123,24 @@
             self._writable.set_result(None)
         self._writable = None
 
-    def on_message_begin(self) -> None:
-        # Also if it begins behind another request in the same bytes.
-        self._reading = True
-        self._target = b""
-        self._headers = []
-        self._head = None
-        self._body = []
-        self._body_bytes = 0
-
-    def on_url(self, url: bytes) -> None:
-        self._target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers.append((name, value))
-
-    def on_headers_complete(self) -> None:
-        if self._parser.should_upgrade() and self._parser.get_method() != b"CONNECT":
-            return
-        head = RequestHead(
-            headers=tuple(self._headers),
-            method=self._parser.get_method(),
-            target=self._target,
-            keep_alive=self._parser.should_keep_alive(),
-            http_1_0=self._parser.get_http_version() == "1.0",
-        )
-        self._head = head
-        self._meter = FramingMeter(self._server.limits.max_header_bytes)
-        self._body_started_at = self._loop.time()
-        problem = find_framing_problem(head)
-        if problem:
-            self._fail(ReadFailure(HTTPStatus.BAD_REQUEST, problem))
-            return
-        limits = self._server.limits
-        if (
-            self._head_bytes > limits.max_header_bytes
-            and measure_head(head) > limits.max_header_bytes
-        ):
-            self._fail(
-                ReadFailure(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "request head too large")
-            )
-        elif int(head.find(b"content-length") or 0) > limits.max_body_bytes:
-            self._fail(ReadFailure(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "request body too large"))
-        elif head.find_text(b"expect").lower() == "100-continue":
-            self._owes_continue = True
-            self._send_continue()
-
     def _send_continue(self) -> None:
         """Ask for the body of a request, if that is due and all requests before are answered."""
-        if self._owes_continue and not self.is_busy and not self._requests:
-            self._owes_continue = False
+        if self._reader.owes_continue and not self.is_busy and not self._reader.requests:
+            self._reader.owes_continue = False
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def on_body(self, data: bytes) -> None:
-        if self._stopped_reading:
-            return
-        self._body.append(data)
-        self._body_bytes += len(data)
-        if self._meter is not None:
-            self._meter.data += len(data)
-        limits = self._server.limits
-        time_left_s = self._body_started_at + limits.body_timeout_s - self._loop.time()
-        self._restart_timer(max(0.0, min(limits.read_timeout_s, time_left_s)))
-        if self._body_bytes > self._server.limits.max_body_bytes:
-            self._fail(ReadFailure(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "request body too large"))
-
-    def on_message_complete(self) -> None:
-        if self._stopped_reading or self._head is None:
-            return
-        self._reading = False
-        self._head_bytes = 0
-        self._requests.append(Request(self._head, b"".join(self._body)))
-        self._head = None
-        self._meter = None
-        self._owes_continue = False
-        self._notify_request()
-
     @property
     def is_unfinished(self) -> bool:
         """Whether a request arrives, is read or handled, or its answer has not left yet."""
         has_unsent_data = bool(self._transport.get_write_buffer_size())
         if self.is_busy or has_unsent_data:
             return True
-        return not self._stopped_reading and (self._has_request or self._has_unread_data())
+        return not self._reader.is_stopped and (self._has_request or self._has_unread_data())
 
     @property
     def _has_request(self) -> bool:
         """Whether a request waits behind the one being handled, or has begun to arrive."""
-        return self._reading or bool(self._requests)
+        return self._reader.is_reading or bool(self._reader.requests)
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request arrives, is being read or is handled on it."""
@@ -287,7 +159,7 @@
         if self.is_lost or self._lingering:
             return
         self._lingering = True
-        self._stopped_reading = True
+        self._reader.stop()
         if self._transport.can_write_eof():
             self._transport.write_eof()
         self._linger()
@@ -371,7 +243,7 @@
         if not responder.keeps_connection:
             self.close()
             return
-        if self._reading:
+        if self._reader.is_reading:
             self._send_continue()
             self._restart_timer(self._server.limits.read_timeout_s)
         else:
@@ -396,10 +268,10 @@
             responder.send(Response(HTTPStatus.BAD_GATEWAY))
 
     async def _next_request(self) -> Request | ReadFailure:
-        while not self._requests:
+        while not self._reader.requests:
             self._request_queued = self._loop.create_future()
             await self._request_queued
-        return self._requests.popleft()
+        return self._reader.requests.popleft()
 
     def _respond_to_failure(self, failure: ReadFailure) -> None:
         self._server.on_read_failure(failure)
@@ -410,13 +282,6 @@
         self.write(encode_response_head(failure.status, headers))
         self.close()
 
-    def _fail(self, failure: ReadFailure) -> None:
-        if self._stopped_reading:
-            return
-        self._stopped_reading = True
-        self._requests.append(failure)
-        self._notify_request()
-
     def _notify_request(self) -> None:
         if self._request_queued is not None and not self._request_queued.done():
             self._request_queued.set_result(None)
@@ -446,10 +311,10 @@
             self._linger()
         elif self._lingering:
             self._transport.abort()
-        elif self.is_busy or self._requests:
+        elif self.is_busy or self._reader.requests:
             return
-        elif self._reading:
-            self._fail(
+        elif self._reader.is_reading:
+            self._reader.fail(
                 ReadFailure(HTTPStatus.REQUEST_TIMEOUT, "timed out while reading the request")
             )
         else:
@@ -465,4 +330,4 @@
         if time_left_s > 0 or self._has_unread_data():
             self._restart_timer(max(0.0, time_left_s))
         else:
-            self._fail(ReadFailure(HTTPStatus.REQUEST_TIMEOUT, "idle", silent=True))
+            self._reader.fail(ReadFailure(HTTPStatus.REQUEST_TIMEOUT, "idle", silent=True))
--- /dev/null
+++ b/src/cherrylane/http/request_reader.py
@@ -0,0 +1,181 @@
+"""Incremental reading of the requests on one connection, within their limits of size and time."""
+
+from collections import deque
+from collections.abc import Callable
+from http import HTTPStatus
+from time import monotonic
+
+from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
+
+from cherrylane.http.framing import FramingMeter, ReadFailure, find_framing_problem, measure_head
+from cherrylane.http.limits import InboundLimits
+from cherrylane.http.messages import Header, Request, RequestHead
+
+# Requests that may be queued behind the one being handled; RFC 9112 lets a server limit pipelining.
+MAX_PIPELINED = 16
+
+
+class RequestReader:
+    """Reads whole requests from the bytes of a connection, and queues them in ``requests``.
+
+    What cannot be read is queued as a :class:`ReadFailure`, and nothing is read after it.
+    ``on_queued`` is called when something was queued, ``on_due`` with the seconds in which more of
+    a request has to arrive, and ``on_continue`` when the caller waits for leave to send a body.
+    """
+
+    def __init__(
+        self,
+        get_limits: Callable[[], InboundLimits],
+        on_queued: Callable[[], None],
+        on_due: Callable[[float], None],
+        on_continue: Callable[[], None],
+    ) -> None:
+        self._get_limits = get_limits
+        self._on_queued = on_queued
+        self._on_due = on_due
+        self._on_continue = on_continue
+        self._parser = HttpRequestParser(self)
+        self._target = b""
+        self._headers: list[Header] = []
+        self._head: RequestHead | None = None
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self._body_started_at = 0.0
+        # Set while a body is read.
+        self._meter: FramingMeter | None = None
+        self.requests: deque[Request | ReadFailure] = deque()
+        self.is_reading = False
+        self.is_stopped = False
+        # Whether the caller waits for leave to send the body of the request being read.
+        self.owes_continue = False
+
+    def stop(self) -> None:
+        """Ignore what arrives from now on."""
+        self.is_stopped = True
+
+    def feed(self, data: bytes) -> None:
+        """Read the next bytes."""
+        if self.is_stopped:
+            return
+        if not self.is_reading:
+            self.is_reading = True
+            self._head_bytes = 0
+            self._on_due(self._get_limits().read_timeout_s)
+        if self._head is None:
+            self._head_bytes += len(data)
+        elif self._meter is not None:
+            self._meter.received += len(data)
+        try:
+            self._parse(data)
+        except HttpParserError as error:
+            self.fail(ReadFailure(HTTPStatus.BAD_REQUEST, str(error)))
+        if self._head is None and self._head_bytes > self._get_limits().max_header_bytes:
+            self.fail(
+                ReadFailure(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "request head too large")
+            )
+        if self._meter is not None and self._meter.is_excessive:
+            self.fail(ReadFailure(HTTPStatus.BAD_REQUEST, "more framing than data in the body"))
+        if len(self.requests) > MAX_PIPELINED:
+            self.fail(
+                ReadFailure(HTTPStatus.BAD_REQUEST, f"more than {MAX_PIPELINED} pipelined requests")
+            )
+
+    def _parse(self, data: bytes) -> None:
+        while not self.is_stopped and len(self.requests) <= MAX_PIPELINED:
+            try:
+                self._parser.feed_data(data)
+                return
+            except HttpParserUpgrade as upgrade:
+                data = self._restart_without_upgrade() + data[upgrade.args[0] :]
+
+    def _restart_without_upgrade(self) -> bytes:
+        """Return the head that was read without its Upgrade, and start a new parser for it.
+
+        A server may ignore an Upgrade; the parser takes all that follows for another protocol.
+        """
+        version = self._parser.get_http_version().encode()
+        lines = [self._parser.get_method() + b" " + self._target + b" HTTP/" + version]
+        lines += [
+            name + b": " + value for name, value in self._headers if name.lower() != b"upgrade"
+        ]
+        self._parser = HttpRequestParser(self)
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
+    def on_message_begin(self) -> None:
+        # Also if it begins behind another request in the same bytes.
+        self.is_reading = True
+        self._target = b""
+        self._headers = []
+        self._head = None
+        self._body = []
+        self._body_bytes = 0
+
+    def on_url(self, url: bytes) -> None:
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        if self._parser.should_upgrade() and self._parser.get_method() != b"CONNECT":
+            return
+        head = RequestHead(
+            headers=tuple(self._headers),
+            method=self._parser.get_method(),
+            target=self._target,
+            keep_alive=self._parser.should_keep_alive(),
+            http_1_0=self._parser.get_http_version() == "1.0",
+        )
+        self._head = head
+        self._meter = FramingMeter(self._get_limits().max_header_bytes)
+        self._body_started_at = monotonic()
+        problem = find_framing_problem(head)
+        if problem:
+            self.fail(ReadFailure(HTTPStatus.BAD_REQUEST, problem))
+            return
+        limits = self._get_limits()
+        if (
+            self._head_bytes > limits.max_header_bytes
+            and measure_head(head) > limits.max_header_bytes
+        ):
+            self.fail(
+                ReadFailure(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "request head too large")
+            )
+        elif int(head.find(b"content-length") or 0) > limits.max_body_bytes:
+            self.fail(ReadFailure(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "request body too large"))
+        elif head.find_text(b"expect").lower() == "100-continue":
+            self.owes_continue = True
+            self._on_continue()
+
+    def on_body(self, data: bytes) -> None:
+        if self.is_stopped:
+            return
+        self._body.append(data)
+        self._body_bytes += len(data)
+        if self._meter is not None:
+            self._meter.data += len(data)
+        limits = self._get_limits()
+        time_left_s = self._body_started_at + limits.body_timeout_s - monotonic()
+        self._on_due(max(0.0, min(limits.read_timeout_s, time_left_s)))
+        if self._body_bytes > self._get_limits().max_body_bytes:
+            self.fail(ReadFailure(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "request body too large"))
+
+    def on_message_complete(self) -> None:
+        if self.is_stopped or self._head is None:
+            return
+        self.is_reading = False
+        self._head_bytes = 0
+        self.requests.append(Request(self._head, b"".join(self._body)))
+        self._head = None
+        self._meter = None
+        self.owes_continue = False
+        self._on_queued()
+
+    def fail(self, failure: ReadFailure) -> None:
+        """Queue a failure and read nothing more."""
+        if self.is_stopped:
+            return
+        self.is_stopped = True
+        self.requests.append(failure)
+        self._on_queued()
