--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -68,7 +68,7 @@
     caches = CacheMap()
     chooser = Chooser("a", 2.0, caches)
     prompt = Prompt("m", tuple(PromptPart(f"{n:08x}", 500) for n in range(3)))
-    caches.note_run(upstreams[0].name, prompt.shared_parts, 100_000)
+    caches.record_run(upstreams[0].name, prompt.shared_parts, 100_000)
     calls = max(10, 20_000 // engines)
     choice = _time_call(lambda: chooser.choose_for_chat(prompt, candidates, upstreams), calls)
     by_load = _time_call(lambda: chooser.choose_by_load(candidates), calls)
@@ -131,7 +131,7 @@
     def check_request() -> None:
         quarantine.find(parts, now=1.0)
         for part in parts:
-            quarantine.note_answered(part, 0.5)
+            quarantine.record_answered(part, 0.5)
 
     check = _time_call(check_request, 5_000)
     choice = _time_call(lambda: chooser.choose_for_chat(prompt, candidates, upstreams), 5_000)
@@ -159,7 +159,7 @@
     def check_request() -> None:
         request = make_request()
         guard.find_refusal(request, 1.0)
-        guard.note_complete(request, 0.5)
+        guard.record_complete(request, 0.5)
 
     check = _time_call(check_request, 5_000) - _time_call(make_request, 5_000)
     choice = _time_call(lambda: chooser.choose_by_load(candidates), 5_000)
@@ -171,9 +171,9 @@
     quarantine = RequestQuarantine()
     for number in range(crashes):
         suspects = tuple(Suspect(f"{number:04x}{n:04x}", 1, 0.1) for n in range(SUSPECTS))
-        quarantine.note_crash(UpstreamCrash(f"i-{number}", 1, 0.0, suspects), now=0.0)
+        quarantine.record_crash(UpstreamCrash(f"i-{number}", 1, 0.0, suspects), now=0.0)
     for number in range(MAX_ANSWERED):
-        quarantine.note_answered(f"{number:016x}", -1.0)
+        quarantine.record_answered(f"{number:016x}", -1.0)
     return quarantine
 
 
@@ -184,10 +184,10 @@
         names = [f"{number:04x}{n:04x}" for n in range(MAX_SUSPECTS)]
         suspects = [Suspect(name, 1, 0.1) for name in names]
         suspects += [Suspect(f"{WHOLE_REQUEST}{name:0>16}", 2, 0.1) for name in names]
-        quarantine.note_crash(UpstreamCrash(f"i-{number}", 1, 0.0, tuple(suspects)), now=0.0)
+        quarantine.record_crash(UpstreamCrash(f"i-{number}", 1, 0.0, tuple(suspects)), now=0.0)
     for number in range(MAX_ANSWERED):
-        quarantine.note_answered(f"{number:016x}", -1.0)
-        quarantine.note_answered(f"{WHOLE_REQUEST}{number:016x}", -1.0)
+        quarantine.record_answered(f"{number:016x}", -1.0)
+        quarantine.record_answered(f"{WHOLE_REQUEST}{number:016x}", -1.0)
     return quarantine
 
 
@@ -201,7 +201,7 @@
     def make_caches() -> object:
         caches = CacheMap()
         for n in range(CHATS):
-            caches.note_peer(CachedPart("i-1", f"{n:08x}", 500), 10**9)
+            caches.record_peer(CachedPart("i-1", f"{n:08x}", 500), 10**9)
         return caches
 
     return [
--- a/src/cherrylane/delivery/relay.py
+++ b/src/cherrylane/delivery/relay.py
@@ -167,7 +167,7 @@
         """Return the events that are now complete."""
         events = self.splitter.feed(self.decoder.decode(data))
         if events:
-            self.stream.note_progress()
+            self.stream.record_progress()
             self.tail = events if len(events) >= TAIL_BYTES else (self.tail + events)[-TAIL_BYTES:]
             self._record_timing()
         return events
--- a/src/cherrylane/delivery/streams.py
+++ b/src/cherrylane/delivery/streams.py
@@ -44,7 +44,7 @@
     last_progress_at: float = field(factory=monotonic)
     is_blocked: bool = False
 
-    def note_progress(self) -> None:
+    def record_progress(self) -> None:
         """Record that an event was completed, or that the caller has taken data."""
         self.last_progress_at = monotonic()
 
@@ -98,7 +98,7 @@
         """Resume reading from the upstream."""
         stream.is_blocked = False
         # The upstream was not read meanwhile, so its silence begins now.
-        stream.note_progress()
+        stream.record_progress()
         self._epoll.register(stream.upstream.fileno(), EPOLLIN)
         self._epoll.modify(stream.caller.fileno(), EPOLLRDHUP)
 
@@ -124,7 +124,7 @@
         elif events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR):
             self._resume(stream, WakeReason.CALLER_DISCONNECTED)
         else:
-            stream.note_progress()
+            stream.record_progress()
             self._resume(stream, WakeReason.WRITABLE)
 
     def _register_new(self) -> None:
--- a/src/cherrylane/gateway/announcements.py
+++ b/src/cherrylane/gateway/announcements.py
@@ -59,12 +59,12 @@
     _turn: int = 0
     _heartbeats: int = 0
 
-    def note_leaving(self, upstream: Upstream) -> None:
+    def record_leaving(self, upstream: Upstream) -> None:
         """Send nothing more to an upstream that says that it leaves, and tell the peers."""
-        if self.routing_state.note_leaving(upstream.name, upstream.incarnation, source="answer"):
+        if self.routing_state.record_leaving(upstream.name, upstream.incarnation, source="answer"):
             self._leaving.add(UpstreamLeaving(upstream.name, upstream.incarnation))
 
-    def note_crash(self, crash: UpstreamCrash, now: float) -> None:
+    def record_crash(self, crash: UpstreamCrash, now: float) -> None:
         """Tell the peers of a crash, with the suspects that were at most other crashes."""
 
         def rank(suspect: Suspect) -> tuple[int, int, float]:
@@ -83,7 +83,7 @@
         reported = evolve(crash, suspects=(*parts[:MAX_SUSPECTS], *whole[:MAX_WHOLE_REQUESTS]))
         self._crashes.add(_NotedCrash(reported, now))
 
-    def note_answered(self, part: str, answered_at: float) -> None:
+    def record_answered(self, part: str, answered_at: float) -> None:
         """Tell the peers that a part that was suspected of a crash has been answered since."""
         self._answered.add((part, answered_at))
 
@@ -146,15 +146,15 @@
     def handle_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
         """Take over a newer era of the store, and what a peer has heard from upstreams."""
         if heartbeat.upstreams_version != NO_VERSION:
-            self.store.note_era(heartbeat.upstreams_version.era)
+            self.store.record_era(heartbeat.upstreams_version.era)
         for upstream in heartbeat.leaving:
-            self.routing_state.note_leaving(upstream.name, upstream.incarnation, source="peer")
+            self.routing_state.record_leaving(upstream.name, upstream.incarnation, source="peer")
         for backoff in heartbeat.backing_off:
-            self.backoffs.note_peer(backoff.name, backoff.remaining_ms / 1000, now)
+            self.backoffs.record_peer(backoff.name, backoff.remaining_ms / 1000, now)
         for report in heartbeat.crashes:
-            self.quarantine.note_crash(_read_report(report), now)
+            self.quarantine.record_crash(_read_report(report), now)
         for answered in heartbeat.answered:
-            self.quarantine.note_answered(answered.part, now - answered.age_ms / 1000)
+            self.quarantine.record_answered(answered.part, now - answered.age_ms / 1000)
         for told in heartbeat.verdicts:
             verdict = Verdict(told.part, told.generation, told.is_lifted, told.age_ms / 1000)
             self.quarantine.apply_verdict(verdict, now)
--- a/src/cherrylane/gateway/peer_sync.py
+++ b/src/cherrylane/gateway/peer_sync.py
@@ -97,7 +97,7 @@
         for part in cached:
             kv_cache_tokens = self.routing_state.snapshot.get_kv_cache_tokens(part.upstream)
             if kv_cache_tokens:
-                self.caches.note_peer(part, kv_cache_tokens)
+                self.caches.record_peer(part, kv_cache_tokens)
 
     async def broadcast_cached_parts(self, cached: Iterable[CachedPart], members: Members) -> None:
         """Send cached parts to all live hosts."""
--- a/src/cherrylane/gateway/registry.py
+++ b/src/cherrylane/gateway/registry.py
@@ -61,7 +61,7 @@
                 log.info("cannot read the host registry", extra={"reason": str(error)})
                 await asyncio.sleep(RETRY_INTERVAL_S * self._random.uniform(0.5, 1.5))
 
-    def note_restored(self) -> None:
+    def record_restored(self) -> None:
         """Write the entry again, since the store came back from a copy that may lack it."""
         self._restored.set()
 
--- a/src/cherrylane/gateway/routing_state.py
+++ b/src/cherrylane/gateway/routing_state.py
@@ -110,7 +110,7 @@
         if version > self.snapshot.upstreams_version:
             self._replace_entries(entries, version, source="peer")
 
-    def note_leaving(self, name: str, incarnation: int, *, source: str) -> bool:
+    def record_leaving(self, name: str, incarnation: int, *, source: str) -> bool:
         """Send nothing more to an upstream that has said that it leaves.
 
         Returns whether that is new. Its running requests continue.
@@ -118,7 +118,7 @@
         now = asyncio.get_running_loop().time()
         if self._departures.is_leaving(name, incarnation):
             return False
-        self._departures.note_leaving(name, incarnation, now)
+        self._departures.record_leaving(name, incarnation, now)
         log.info("upstream says that it leaves", extra={"upstream": name, "source": source})
         known = self._known.get(name)
         if known is not None and known.upstream.incarnation == incarnation:
@@ -136,7 +136,7 @@
         if version.era < known_version.era:
             return
         if known_version != NO_VERSION and version.era > known_version.era:
-            self._note_restored(known_version, version, source)
+            self._record_restored(known_version, version, source)
         for name in [name for name in self._known if name not in entries]:
             self._schedule_removal(name)
         for name, spec in entries.items():
@@ -147,7 +147,7 @@
         )
         self._publish_upstreams(max(version, known_version))
 
-    def _note_restored(self, known: StoreVersion, version: StoreVersion, source: str) -> None:
+    def _record_restored(self, known: StoreVersion, version: StoreVersion, source: str) -> None:
         """Distrust what the older copy of a restored store lacks or lists again, for a while."""
         self._restored_until = asyncio.get_running_loop().time() + REMOVAL_GRACE_S
         log.warning(
@@ -196,7 +196,7 @@
         """Return an upstream that leaves as draining, whatever its entry says."""
         name, incarnation = upstream.name, upstream.incarnation
         if not upstream.accepts_requests:
-            self._departures.note_leaving(name, incarnation, asyncio.get_running_loop().time())
+            self._departures.record_leaving(name, incarnation, asyncio.get_running_loop().time())
             return upstream, spec
         if incarnation and self._departures.is_leaving(name, incarnation):
             return evolve(upstream, state=UpstreamState.DRAINING), mark_draining(spec)
@@ -248,7 +248,7 @@
     def _remove(self, name: str) -> None:
         incarnation = self._known.pop(name).upstream.incarnation
         self.entries.pop(name, None)
-        self._departures.note_deleted(name, incarnation, asyncio.get_running_loop().time())
+        self._departures.record_deleted(name, incarnation, asyncio.get_running_loop().time())
         self.on_upstream_reset(name)
         log.info("upstream gone", extra={"upstream": name})
 
--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -277,14 +277,14 @@
             chooser, self.load_tracker, self.outliers, self.backoffs, self.chat_heat
         )
         crash_guard = CrashGuard(
-            self.quarantine, self._announce_crash, self._announcements.note_answered
+            self.quarantine, self._announce_crash, self._announcements.record_answered
         )
         forwarder = Forwarder(
             ExchangeClient(self.pool),
             selector,
             crash_guard,
             lambda: self.routing_state.snapshot,
-            self._announcements.note_leaving,
+            self._announcements.record_leaving,
         )
         attempt_runner = AttemptRunner(
             selector,
@@ -303,7 +303,7 @@
         )
         return Listeners(
             callers=InboundServer(
-                self._relay.handle, InboundLimits(), self._relay.note_read_failure
+                self._relay.handle, InboundLimits(), self._relay.record_read_failure
             ),
             readiness=InboundServer(endpoints.handle_readiness, InboundLimits()),
             directory=InboundServer(endpoints.handle_directory, InboundLimits()),
@@ -350,9 +350,9 @@
             "this host wrote is written again",
             extra={"era": era},
         )
-        self._registry.note_restored()
+        self._registry.record_restored()
         for watcher in self._watchers:
-            watcher.note_era(era)
+            watcher.record_era(era)
 
     def _on_snapshot(self, snapshot: Snapshot) -> None:
         self._peer_sync.reset_lag_timer()
@@ -385,7 +385,7 @@
         return budget
 
     def _announce_crash(self, crash: UpstreamCrash) -> None:
-        self._announcements.note_crash(crash, asyncio.get_running_loop().time())
+        self._announcements.record_crash(crash, asyncio.get_running_loop().time())
         self._gossip.send_round()
 
     def _is_trial_host(self, part: str) -> bool:
--- a/src/cherrylane/limits/backoff.py
+++ b/src/cherrylane/limits/backoff.py
@@ -22,21 +22,21 @@
 
     Example::
 
-        backoffs.note("i-7", 1, seconds=2.5, now=10.0)
+        backoffs.record("i-7", 1, seconds=2.5, now=10.0)
         backoffs.is_backing_off("i-7", 1, now=12.0)  # True
     """
 
     _until: dict[tuple[str, int], float] = field(factory=dict)
     _peers_until: dict[str, float] = field(factory=dict)
 
-    def note(self, name: str, incarnation: int, seconds: float, now: float) -> None:
+    def record(self, name: str, incarnation: int, seconds: float, now: float) -> None:
         """Record that an upstream wants nothing from this host for ``seconds``."""
         key = (name, incarnation)
         until = now + min(seconds, MAX_BACKOFF_S)
         self._until = {other: end for other, end in self._until.items() if end > now}
         self._until[key] = max(until, self._until.get(key, until))
 
-    def note_peer(self, name: str, seconds: float, now: float) -> None:
+    def record_peer(self, name: str, seconds: float, now: float) -> None:
         """Record that an upstream wants nothing from a peer for ``seconds``."""
         self._peers_until = {other: end for other, end in self._peers_until.items() if end > now}
         self._peers_until[name] = now + min(seconds, MAX_BACKOFF_S)
--- a/src/cherrylane/limits/health.py
+++ b/src/cherrylane/limits/health.py
@@ -49,7 +49,7 @@
                 record.flaps = self._decayed_flaps(record, now) + 1.0
                 record.flaps_at = now
         for name in listed:
-            self._note_listed(name, now, first=first)
+            self._record_listed(name, now, first=first)
         self._drop_stale(now)
 
     def report(self, name: str, outcome: GrantOutcome, now: float) -> None:
@@ -95,7 +95,7 @@
             return 1.0
         return max(self.settings.slow_start_share, (now - ramp_start) / self.settings.slow_start_s)
 
-    def _note_listed(self, name: str, now: float, *, first: bool) -> None:
+    def _record_listed(self, name: str, now: float, *, first: bool) -> None:
         record = self._records.get(name)
         if record is None:
             joined_at = now - self.settings.slow_start_s if first else now
--- a/src/cherrylane/limits/outliers.py
+++ b/src/cherrylane/limits/outliers.py
@@ -33,14 +33,14 @@
 
     _records: dict[str, UpstreamRecord] = field(factory=dict)
 
-    def note_success(self, name: str, now: float) -> None:
+    def record_success(self, name: str, now: float) -> None:
         """Record a complete, successful answer."""
         record = self._record(name)
         record.failure_share *= 1 - EWMA_WEIGHT
         if record.avoided_until < now:
             record.avoidance_s = INITIAL_AVOIDANCE_S
 
-    def note_failure(self, name: str, peers: Iterable[str], now: float) -> bool:
+    def record_failure(self, name: str, peers: Iterable[str], now: float) -> bool:
         """Record a failed request; returns whether the upstream is now avoided.
 
         ``peers`` are all upstreams of its service. When all fail alike, none is avoided.
@@ -54,7 +54,7 @@
         self._avoid(record, now)
         return True
 
-    def note_unreachable(self, name: str, now: float) -> None:
+    def record_unreachable(self, name: str, now: float) -> None:
         """Record a failed connection attempt; the upstream is avoided at once."""
         self._avoid(self._record(name), now)
 
--- a/src/cherrylane/limits/overload.py
+++ b/src/cherrylane/limits/overload.py
@@ -57,13 +57,13 @@
     tokens_per_s: float = INITIAL_TOKENS_PER_S
     refused_at: float = float("-inf")
 
-    def note_end(self, seconds: float) -> None:
+    def record_end(self, seconds: float) -> None:
         """Add a sample: the seconds of one request from its dispatch to its end."""
         if not self.seconds_per_request:
             self.seconds_per_request = seconds
         self.seconds_per_request += EWMA_WEIGHT * (seconds - self.seconds_per_request)
 
-    def note_refusal(self, now: float) -> None:
+    def record_refusal(self, now: float) -> None:
         """Record that a request was refused."""
         self.refused_at = now
 
@@ -71,7 +71,7 @@
         """Return whether requests queue, so that a silent upstream is likely a busy one."""
         return now - self.refused_at <= QUIET_S
 
-    def note_first_event(self, unread_tokens: int, seconds: float) -> None:
+    def record_first_event(self, unread_tokens: int, seconds: float) -> None:
         """Add a sample: the seconds to the first event, with ``unread_tokens`` to prefill."""
         if unread_tokens >= MIN_SAMPLE_TOKENS and seconds > 0:
             self.tokens_per_s += EWMA_WEIGHT * (unread_tokens / seconds - self.tokens_per_s)
--- a/src/cherrylane/limits/quarantine.py
+++ b/src/cherrylane/limits/quarantine.py
@@ -89,7 +89,7 @@
 
     Example::
 
-        quarantine.note_crash(UpstreamCrash("i-7", 1, 0.0, (Suspect("5c1e", 2, 0.3),)), now=10.0)
+        quarantine.record_crash(UpstreamCrash("i-7", 1, 0.0, (Suspect("5c1e", 2, 0.3),)), now=10.0)
         quarantine.find(["91bd", "5c1e"], now=10.0)  # None until the part has crashed three
     """
 
@@ -107,7 +107,7 @@
     # The whole requests that would be quarantined by all crashes; None once these have changed.
     _held: set[str] | None = None
 
-    def note_crash(self, crash: UpstreamCrash, now: float) -> None:
+    def record_crash(self, crash: UpstreamCrash, now: float) -> None:
         """Record a crash that this host or a peer has seen; repeated reports change nothing."""
         known = self._crashes.setdefault(
             (crash.upstream, crash.incarnation), _Crash(now - crash.age_s, now)
@@ -133,12 +133,12 @@
                 self._settled_at = max(self._settled_at, settles_at)
                 self._next_judgement = min(self._next_judgement, settles_at)
             if other is None and verdict is not None and not verdict.is_lifted:
-                self._note_further_crash(suspect, known, verdict, now)
+                self._record_further_crash(suspect, known, verdict, now)
         while len(self._crashes) > MAX_CRASHES:
             self._held = None
             del self._crashes[min(self._crashes, key=lambda key: bool(self._crashes[key].suspects))]
 
-    def note_answered(self, part: str, answered_at: float) -> bool:
+    def record_answered(self, part: str, answered_at: float) -> bool:
         """Record that a prompt with this part was answered, from ``answered_at`` on.
 
         Returns whether it was a suspect of a crash before.
@@ -333,7 +333,7 @@
             extra={"part": part, "crashes": len(caused), "generation": generation},
         )
 
-    def _note_further_crash(
+    def _record_further_crash(
         self, suspect: Suspect, crash: _Crash, verdict: _VerdictState, now: float
     ) -> None:
         """Put off the next trial; a request sent since the verdict was a trial that has failed."""
--- a/src/cherrylane/membership/departures.py
+++ b/src/cherrylane/membership/departures.py
@@ -25,14 +25,14 @@
 
     Example::
 
-        departures.note_leaving("i-7", incarnation=1700000000000, now=12.0)
+        departures.record_leaving("i-7", incarnation=1700000000000, now=12.0)
         departures.is_leaving("i-7", incarnation=1700000000000)  # True
     """
 
     _leaving: dict[str, _Departure] = field(factory=dict)
     _deleted: dict[str, _Departure] = field(factory=dict)
 
-    def note_leaving(self, name: str, incarnation: int, now: float) -> None:
+    def record_leaving(self, name: str, incarnation: int, now: float) -> None:
         """Record that an upstream has said that it leaves."""
         self._leaving[name] = _Departure(incarnation, now)
 
@@ -41,7 +41,7 @@
         departure = self._leaving.get(name)
         return departure is not None and departure.incarnation == incarnation
 
-    def note_deleted(self, name: str, incarnation: int, now: float) -> None:
+    def record_deleted(self, name: str, incarnation: int, now: float) -> None:
         """Record that an upstream's entry is gone; forgets departures of long ago."""
         self._deleted[name] = _Departure(incarnation, now)
         for departures in (self._leaving, self._deleted):
--- a/src/cherrylane/placement/caches.py
+++ b/src/cherrylane/placement/caches.py
@@ -34,13 +34,13 @@
     _tokens: dict[str, int] = field(factory=dict)
     _updates: UpdateQueue[CachedPart] = field(factory=UpdateQueue)
 
-    def note_run(self, upstream: str, parts: Iterable[PromptPart], kv_cache_tokens: int) -> None:
+    def record_run(self, upstream: str, parts: Iterable[PromptPart], kv_cache_tokens: int) -> None:
         """Record that an engine has cached the ``parts`` of one of this host's requests."""
         for part in parts:
             if self._add(upstream, part.key, part.tokens, kv_cache_tokens):
                 self._updates.add(CachedPart(upstream, part.key, part.tokens))
 
-    def note_peer(self, cached: CachedPart, kv_cache_tokens: int) -> None:
+    def record_peer(self, cached: CachedPart, kv_cache_tokens: int) -> None:
         """Record an update from a peer; it is not forwarded to others."""
         self._add(cached.upstream, cached.key, cached.tokens, kv_cache_tokens)
 
--- a/src/cherrylane/placement/heat.py
+++ b/src/cherrylane/placement/heat.py
@@ -21,15 +21,15 @@
     Example::
 
         heat = ChatHeat(window_s=1.75, peers=72)
-        heat.note("chat-7", now=1.0)  # 0
-        heat.note("chat-7", now=1.2)  # 72
+        heat.record("chat-7", now=1.0)  # 0
+        heat.record("chat-7", now=1.2)  # 72
     """
 
     window_s: float = 0.0
     peers: int = 0
     _asked_at: dict[str, deque[float]] = field(factory=dict)
 
-    def note(self, chat: str, now: float) -> int:
+    def record(self, chat: str, now: float) -> int:
         """Record a request; returns how many the peers have likely got within the window."""
         asked_at = self._asked_at.setdefault(chat, deque())
         asked_at.append(now)
--- a/src/cherrylane/placement/loads.py
+++ b/src/cherrylane/placement/loads.py
@@ -43,7 +43,7 @@
     load: Load
     answered_at: float | None = None
 
-    def note_answer_started(self, now: float) -> None:
+    def record_answer_started(self, now: float) -> None:
         """Record that the upstream has started its answer, so it has prefilled the prompt."""
         self.answered_at = now
         self._set_load(Load(requests=1))
@@ -67,7 +67,7 @@
 
         in_flight = tracker.begin("i-7", Load(1, unread_tokens=1200))
         ...
-        in_flight.note_answer_started(now=2.5)
+        in_flight.record_answer_started(now=2.5)
         ...
         in_flight.end()
     """
--- a/src/cherrylane/platform/async_watcher.py
+++ b/src/cherrylane/platform/async_watcher.py
@@ -74,7 +74,7 @@
         """Whether this host is watching the store."""
         return self._task is not None
 
-    def note_era(self, era: int) -> None:
+    def record_era(self, era: int) -> None:
         """List again at once if the store was restored; a pending watch may learn of it late."""
         if self._version is not None and self._version.era < era:
             self.restart()
--- a/src/cherrylane/platform/client.py
+++ b/src/cherrylane/platform/client.py
@@ -79,7 +79,7 @@
         self.era: int | None = None
         self.on_new_era: Callable[[int], None] = lambda era: None
 
-    def note_era(self, era: int) -> None:
+    def record_era(self, era: int) -> None:
         """Take over a newer era; an older one is ignored."""
         if self.era is not None and era <= self.era:
             return
@@ -162,7 +162,7 @@
                 f"({type(error).__name__})",
                 remedy="check that the platform is running and its URL in the settings is correct",
             ) from error
-        self.note_era(response.era)
+        self.record_era(response.era)
         raise_for_status(call, response)
         return response
 
--- a/src/cherrylane/relay/attempts.py
+++ b/src/cherrylane/relay/attempts.py
@@ -139,7 +139,7 @@
                 elif state.unreachable >= MAX_UNREACHABLE:
                     return self._give_up(state, responder, Cause.NO_UPSTREAM)
             case _:
-                state.note(outcome)
+                state.record(outcome)
                 if race.running:
                     return None
                 if not self._may_retry(state, outcome):
@@ -217,7 +217,7 @@
             is_late = attempt.stalls > 0 or len(cancelled) == 1
             outcome = late if is_late else Superseded("the deadline came first", has_stalled=False)
             self._record_attempt(state, attempt, outcome)
-            state.note(outcome)
+            state.record(outcome)
         return self._give_up(state, responder, Cause.TIMED_OUT)
 
     def _give_up_without_choice(
@@ -261,14 +261,14 @@
         now = asyncio.get_running_loop().time()
         delay_s = self.retry_delays.choose_delay(request.deadline - now, now)
         throughput = self.selector.throughput_of(request.service)
-        throughput.note_refusal(now)
+        throughput.record_refusal(now)
         log_overload(request, overload, throughput, delay_s, self.read_snapshot())
         return Rejection(Cause.OVERLOADED, retry_after_s=delay_s)
 
     def _record_superseded(self, state: RequestState, attempt: Attempt) -> None:
         outcome = Superseded("another attempt went on first", has_stalled=attempt.stalls > 0)
         self._record_attempt(state, attempt, outcome)
-        state.note(outcome)
+        state.record(outcome)
 
     def _record_attempt(self, state: RequestState, attempt: Attempt, outcome: Outcome) -> None:
         if not isinstance(outcome, NotRun) or outcome.was_sent:
@@ -280,10 +280,10 @@
         match outcome:
             case Answered() | Completed():
                 service = state.request.service
-                self.selector.throughput_of(service).note_end(now - attempt.started_at)
-                self.crash_guard.note_complete(state.request, answered_at)
+                self.selector.throughput_of(service).record_end(now - attempt.started_at)
+                self.crash_guard.record_complete(state.request, answered_at)
             case Unknown() | Broken():
-                self.crash_guard.note_broken(
+                self.crash_guard.record_broken(
                     BrokenAttempt(state.request, upstream, attempt.started_at, answered_at)
                 )
         seconds = now - attempt.started_at
@@ -299,15 +299,15 @@
         outliers = self.selector.outliers
         match outcome:
             case Answered() | Completed():
-                outliers.note_success(upstream, now)
+                outliers.record_success(upstream, now)
             case NotRun(was_sent=False) | NotRun(was_misdirected=True):
-                outliers.note_unreachable(upstream, now)
+                outliers.record_unreachable(upstream, now)
             case Superseded(has_stalled=False):
                 pass
             case _:
                 listed = self.read_snapshot().list_upstreams(request.service)
                 peers = [known.upstream.name for known in listed]
-                outliers.note_failure(upstream, peers, now)
+                outliers.record_failure(upstream, peers, now)
 
 
 def _read_outcome(
--- a/src/cherrylane/relay/crashes.py
+++ b/src/cherrylane/relay/crashes.py
@@ -68,26 +68,26 @@
         """Return whether a request that an upstream may have run can be sent to another one."""
         return self.quarantine.may_retry(identify_suspects(request))
 
-    def note_complete(self, request: CallerRequest, answered_at: float | None) -> None:
+    def record_complete(self, request: CallerRequest, answered_at: float | None) -> None:
         """Record a complete answer, of which the beginning may not have been noted."""
         if answered_at is None and not request.prompt.shared_parts:
             answered_at = asyncio.get_running_loop().time()
         if answered_at is not None:
-            self._note_answered(identify_suspects(request), answered_at)
+            self._record_answered(identify_suspects(request), answered_at)
 
-    def note_under_way(self, request: CallerRequest, answered_at: float) -> None:
+    def record_under_way(self, request: CallerRequest, answered_at: float) -> None:
         """Record that an answer which began at ``answered_at`` has gone on.
 
         That tells of the parts of the prompt; the request itself may still crash the upstream.
         """
-        self._note_answered(identify_parts(request), answered_at)
+        self._record_answered(identify_parts(request), answered_at)
 
-    def _note_answered(self, parts: Sequence[str], answered_at: float) -> None:
+    def _record_answered(self, parts: Sequence[str], answered_at: float) -> None:
         for part in parts:
-            if self.quarantine.note_answered(part, answered_at):
+            if self.quarantine.record_answered(part, answered_at):
                 self.on_cleared(part, answered_at)
 
-    def note_broken(self, attempt: BrokenAttempt) -> None:
+    def record_broken(self, attempt: BrokenAttempt) -> None:
         """Find out in the background whether the upstream of a broken attempt has crashed."""
         now = asyncio.get_running_loop().time()
         if attempt.answered_at is not None and now - attempt.answered_at > BEGINNING_S:
@@ -115,11 +115,11 @@
             connection.close()
         except ConnectError as error:
             if error.was_refused:
-                self._note_crash(upstream, broke_at, self._probes[key].suspects)
+                self._record_crash(upstream, broke_at, self._probes[key].suspects)
         finally:
             del self._probes[key]
 
-    def _note_crash(
+    def _record_crash(
         self, upstream: Upstream, broke_at: float, suspects: dict[str, Suspect]
     ) -> None:
         now = asyncio.get_running_loop().time()
@@ -134,7 +134,7 @@
                 "suspects": [suspect.part for suspect in crash.suspects],
             },
         )
-        self.quarantine.note_crash(crash, now)
+        self.quarantine.record_crash(crash, now)
         self.on_crash(crash)
 
 
--- a/src/cherrylane/relay/forwarding.py
+++ b/src/cherrylane/relay/forwarding.py
@@ -51,12 +51,12 @@
         """
         request = state.request
         upstream = attempt.choice.upstream
-        attempt.note_progress(find_patience(request))
+        attempt.record_progress(find_patience(request))
         answer = await self.client.begin(request, upstream, _make_dispatch(state, attempt.choice))
         if not isinstance(answer, OpenAnswer):
             return answer
         state.framing = answer.head.framing
-        self._note_upstream_state(upstream, answer.head)
+        self._record_upstream_state(upstream, answer.head)
         if not _has_events(request, answer.head):
             return await self.client.finish(request, upstream, answer)
         self._record_cached(request, upstream.name)
@@ -65,9 +65,9 @@
             responder,
             state.progress,
             claim=lambda: race.claim(attempt),
-            note_progress=attempt.note_progress,
-            note_first_event=lambda: self._note_first_event(request, attempt),
-            note_under_way=lambda at: self.crash_guard.note_under_way(request, at),
+            record_progress=attempt.record_progress,
+            record_first_event=lambda: self._record_first_event(request, attempt),
+            record_under_way=lambda at: self.crash_guard.record_under_way(request, at),
         )
         try:
             outcome = await relay.relay(answer)
@@ -80,15 +80,15 @@
             return Unknown(f"stream ended before its first event: {outcome}")
         return outcome
 
-    def _note_first_event(self, request: CallerRequest, attempt: Attempt) -> None:
+    def _record_first_event(self, request: CallerRequest, attempt: Attempt) -> None:
         now = asyncio.get_running_loop().time()
         choice = attempt.choice
-        self.selector.throughput_of(request.service).note_first_event(
+        self.selector.throughput_of(request.service).record_first_event(
             choice.load.unread_tokens + choice.unread_tokens, now - attempt.started_at
         )
-        attempt.in_flight.note_answer_started(now)
+        attempt.in_flight.record_answer_started(now)
 
-    def _note_upstream_state(self, upstream: Upstream, head: ResponseHead) -> None:
+    def _record_upstream_state(self, upstream: Upstream, head: ResponseHead) -> None:
         """Take over what an upstream says of itself beside its answer."""
         if is_leaving(head):
             self.on_leaving(upstream)
@@ -96,7 +96,7 @@
         if backoff_s is None:
             return
         now = asyncio.get_running_loop().time()
-        self.selector.backoffs.note(upstream.name, upstream.incarnation, backoff_s, now)
+        self.selector.backoffs.record(upstream.name, upstream.incarnation, backoff_s, now)
         log_backoff(upstream.name, backoff_s)
 
     def _record_cached(self, request: CallerRequest, upstream: str) -> None:
@@ -106,7 +106,7 @@
         service = snapshot.table.configuration.services.get(request.service)
         if service is not None and service.engine is not None:
             parts = request.prompt.shared_parts
-            self.selector.chooser.caches.note_run(upstream, parts, service.engine.kv_cache_tokens)
+            self.selector.chooser.caches.record_run(upstream, parts, service.engine.kv_cache_tokens)
 
 
 def find_patience(request: CallerRequest) -> float:
--- a/src/cherrylane/relay/race.py
+++ b/src/cherrylane/relay/race.py
@@ -34,7 +34,7 @@
     stalls: int = 0
     task: asyncio.Task[Outcome] = field(init=False)
 
-    def note_progress(self, patience_s: float | None) -> None:
+    def record_progress(self, patience_s: float | None) -> None:
         """Record progress; the next is due in ``patience_s`` seconds, None if at any time."""
         self.stalls = 0
         if patience_s is None:
--- a/src/cherrylane/relay/selection.py
+++ b/src/cherrylane/relay/selection.py
@@ -69,7 +69,7 @@
             for known in listed
             if not self.outliers.is_avoided(known.upstream.name, now)
         ]
-        heat = 0 if tried else self.chat_heat.note(request.prompt.chat_key, now)
+        heat = 0 if tried else self.chat_heat.record(request.prompt.chat_key, now)
         return self.chooser.choose_for_chat(request.prompt, candidates, holders, heat=heat)
 
     def _is_backing_off(self, known: KnownUpstream, now: float) -> bool:
--- a/src/cherrylane/relay/service.py
+++ b/src/cherrylane/relay/service.py
@@ -83,7 +83,7 @@
                 extra={"waited_s": STARTUP_WAIT_S},
             )
 
-    def note_read_failure(self, failure: ReadFailure) -> None:
+    def record_read_failure(self, failure: ReadFailure) -> None:
         """Log a request that could not be read."""
         if failure.silent:
             return
--- a/src/cherrylane/relay/state.py
+++ b/src/cherrylane/relay/state.py
@@ -33,7 +33,7 @@
     failure: Failed | None = None
     framing: str = ""
 
-    def note(self, outcome: Outcome) -> None:
+    def record(self, outcome: Outcome) -> None:
         """Record the outcome of an attempt that was sent but did not answer the request."""
         match outcome:
             case Failed():
--- a/src/cherrylane/relay/streams.py
+++ b/src/cherrylane/relay/streams.py
@@ -34,18 +34,18 @@
     """Relays one answer of a caller's stream; a broken one is resumed after its last whole event.
 
     ``claim`` is called before anything is sent to the caller: other attempts at the request end
-    then. ``note_progress`` is called with the seconds until the next event is due, None if none
-    is. ``note_first_event`` is called when the first complete event has arrived from the upstream,
-    and ``note_under_way`` with the time of that when later ones have come for ``UNDER_WAY_S``.
+    then. ``record_progress`` is called with the seconds until the next event is due, None if none
+    is. ``record_first_event`` is called when the first complete event has arrived, and
+    ``record_under_way`` with the time of that when later ones have come for ``UNDER_WAY_S``.
     """
 
     request: CallerRequest
     responder: Responder
     progress: StreamProgress
     claim: Callable[[], None] = lambda: None
-    note_progress: Callable[[float | None], None] = lambda patience_s: None
-    note_first_event: Callable[[], None] = lambda: None
-    note_under_way: Callable[[float], None] = lambda answered_at: None
+    record_progress: Callable[[float | None], None] = lambda patience_s: None
+    record_first_event: Callable[[], None] = lambda: None
+    record_under_way: Callable[[float], None] = lambda answered_at: None
     _started_at: float | None = None
     _is_under_way: bool = False
 
@@ -70,11 +70,11 @@
                     continue
                 self.claim()
                 # A caller that reads slowly is no silence of the upstream.
-                self.note_progress(None)
+                self.record_progress(None)
                 self.progress.last_id = splitter.last_id
                 await self._forward(answer.head, comments + events)
                 comments = b""
-                self._note_event()
+                self._record_event()
             # A body of the announced length is whole, whatever it contains; it may still not be the
             # rest of a stream.
             if splitter.is_inside_event and (is_resumed or answer.head.framing != "length"):
@@ -103,17 +103,17 @@
             return
         await self.responder.write(data)
 
-    def _note_event(self) -> None:
+    def _record_event(self) -> None:
         now = asyncio.get_running_loop().time()
         if self._started_at is None:
             self._started_at = now
-            self.note_first_event()
+            self.record_first_event()
         elif not self._is_under_way and now - self._started_at >= UNDER_WAY_S:
             self._is_under_way = True
-            self.note_under_way(self._started_at)
+            self.record_under_way(self._started_at)
         event_gap_s = self.request.route.target_event_gap_s
         if event_gap_s is not None:
-            self.note_progress(max(MIN_PATIENCE_S, event_gap_s * EVENT_GAPS_TOLERATED))
+            self.record_progress(max(MIN_PATIENCE_S, event_gap_s * EVENT_GAPS_TOLERATED))
 
 
 def _describe_unfinished_event(head: ResponseHead, splitter: EventSplitter) -> str:
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -67,8 +67,8 @@
         async def scenario() -> list[bool]:
             hosts = [make_announcements(f"h{number}") for number in range(HOSTS)]
             for number in range(3):
-                hosts[number].quarantine.note_crash(make_crash(number), float(number))
-                hosts[number].note_crash(make_crash(number), float(number))
+                hosts[number].quarantine.record_crash(make_crash(number), float(number))
+                hosts[number].record_crash(make_crash(number), float(number))
                 heartbeat = send_heartbeat(hosts[number], number + 0.1)
                 for host in hosts:
                     host.handle_heartbeat(heartbeat, number + 0.1)
@@ -81,14 +81,14 @@
         async def scenario() -> tuple[bool, bool, bool]:
             old, new = make_announcements("old"), make_announcements("new")
             for number in range(3):
-                old.quarantine.note_crash(make_crash(number), float(number))
+                old.quarantine.record_crash(make_crash(number), float(number))
             old.quarantine.find(PARTS, 2.0)
             new.quarantine.is_trial_host = lambda part: False
             new.handle_heartbeat(send_heartbeat(old, 300.0), 300.0)
             is_refused = new.quarantine.find(("dead",), 300.0) is not None
             new.quarantine.is_trial_host = lambda part: True
             is_tried = new.quarantine.find(("dead",), 300.0) is None
-            new.quarantine.note_answered("dead", answered_at=301.0)
+            new.quarantine.record_answered("dead", answered_at=301.0)
             old.handle_heartbeat(send_heartbeat(new, 302.0), 302.0)
             return is_refused, is_tried, old.quarantine.find(("dead",), 302.0) is None
 
@@ -101,9 +101,9 @@
             for number in range(10):
                 now = float(number)
                 for host in hosts:
-                    host.quarantine.note_crash(make_crash(number), now)
-                hosts[0].quarantine.note_answered("5c1e", now + 0.1)
-                hosts[0].note_answered("5c1e", now + 0.1)
+                    host.quarantine.record_crash(make_crash(number), now)
+                hosts[0].quarantine.record_answered("5c1e", now + 0.1)
+                hosts[0].record_answered("5c1e", now + 0.1)
                 for host in hosts:
                     host.handle_heartbeat(send_heartbeat(hosts[0], now + 0.2), now + 0.2)
             return [host.quarantine.find(("5c1e",), now + 0.3) is None for host in hosts]
@@ -128,8 +128,8 @@
             others = tuple(f"chat-{number}" for number in range(3 * MAX_SUSPECTS))
             for number in range(2):
                 crash = make_crash(number, (*PARTS, *others) if number else PARTS)
-                host.quarantine.note_crash(crash, float(number))
-            host.note_crash(crash, 1.0)
+                host.quarantine.record_crash(crash, float(number))
+            host.record_crash(crash, 1.0)
             (report,) = send_heartbeat(host, 1.0).crashes
             self.assertEqual(MAX_SUSPECTS, len(report.suspects))
             return {part for part, _, _ in report.suspects}
@@ -146,8 +146,8 @@
                 crash = make_crash(
                     number, (*PARTS, "r:dead", *others) if number else (*PARTS, "r:dead")
                 )
-                host.quarantine.note_crash(crash, float(number))
-            host.note_crash(crash, 1.0)
+                host.quarantine.record_crash(crash, float(number))
+            host.record_crash(crash, 1.0)
             (report,) = send_heartbeat(host, 1.0).crashes
             self.assertEqual(MAX_SUSPECTS + MAX_WHOLE_REQUESTS, len(report.suspects))
             return {part for part, _, _ in report.suspects}
@@ -162,7 +162,7 @@
                 name = f"r:{number:016x}"
                 host.quarantine.apply_verdict(Verdict(name, 1, False, 1.0), 0.0)
             for number in range(MAX_ANSWERED):
-                host.note_answered(f"r:{number:016x}", 0.0)
+                host.record_answered(f"r:{number:016x}", 0.0)
             for number in range(2):
                 parts = [f"{number}{part:015x}" for part in range(MAX_SUSPECTS)]
                 whole = [f"r:{number}{part:015x}" for part in range(MAX_WHOLE_REQUESTS)]
@@ -172,8 +172,8 @@
                     0.0,
                     tuple(Suspect(part, 4, 1.234) for part in (*parts, *whole)),
                 )
-                host.quarantine.note_crash(crash, 0.0)
-                host.note_crash(crash, 0.0)
+                host.quarantine.record_crash(crash, 0.0)
+                host.record_crash(crash, 0.0)
             heartbeats = [send_heartbeat(host, 1.0 + number / 4) for number in range(20)]
             crashes = {crash.upstream for sent in heartbeats for crash in sent.crashes}
             return crashes, len({told.part for sent in heartbeats for told in sent.answered})
@@ -190,8 +190,8 @@
                 long = [Suspect(f"r:{number}-{n}", 5, 3.0) for n in range(MAX_WHOLE_REQUESTS)]
                 suspects = (*long, Suspect("r:dead", 1, 0.05))
                 crash = UpstreamCrash(f"i-{number}", 1, 0.0, suspects)
-                hosts[number].quarantine.note_crash(crash, now)
-                hosts[number].note_crash(crash, now)
+                hosts[number].quarantine.record_crash(crash, now)
+                hosts[number].record_crash(crash, now)
                 heartbeat = send_heartbeat(hosts[number], now + 0.1)
                 for host in hosts:
                     host.handle_heartbeat(heartbeat, now + 0.1)
@@ -203,14 +203,14 @@
     def test_a_host_learns_with_a_crash_what_the_sender_has_seen_answered_before(self) -> None:
         async def scenario() -> tuple[bool, bool]:
             old, new = make_announcements("old"), make_announcements("new")
-            old.quarantine.note_answered("r:07e2", -1.0)
+            old.quarantine.record_answered("r:07e2", -1.0)
             for number in range(3):
                 for crash in (
                     make_crash(number, ("r:07e2",)),
                     make_crash(10 + number, ("r:dead",)),
                 ):
-                    old.quarantine.note_crash(crash, number / 100)
-                    old.note_crash(crash, number / 100)
+                    old.quarantine.record_crash(crash, number / 100)
+                    old.record_crash(crash, number / 100)
             for now in range(1, 12):
                 new.handle_heartbeat(send_heartbeat(old, now), now)
             popular, deadly = (new.quarantine.find((name,), now) for name in ("r:07e2", "r:dead"))
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -38,7 +38,7 @@
     def choose(self, chat: str, loads: dict[str, int]) -> tuple[str, str]:
         prompt = make_prompt(chat)
         choice = self.chooser.choose_for_chat(prompt, make_candidates(loads), self.holders)
-        self.caches.note_run(choice.upstream.name, prompt.shared_parts, MEMORY)
+        self.caches.record_run(choice.upstream.name, prompt.shared_parts, MEMORY)
         return choice.upstream.name, choice.cache_source.name if choice.cache_source else ""
 
     def test_every_host_chooses_the_same_engine_for_a_new_chat(self) -> None:
@@ -55,7 +55,7 @@
         The chat's rendezvous order changes then, but its cache does not move.
         """
         elsewhere = rank_names("chat", NAMES)[-1]
-        self.caches.note_run(elsewhere, make_prompt("chat").shared_parts, MEMORY)
+        self.caches.record_run(elsewhere, make_prompt("chat").shared_parts, MEMORY)
         self.assertEqual((elsewhere, ""), self.choose("chat", dict.fromkeys(NAMES, 5)))
 
     def test_a_hot_chat_overflows_to_another_engine_that_fetches_its_cache(self) -> None:
@@ -135,15 +135,15 @@
         self.parts = make_prompt("chat").shared_parts
 
     def test_a_part_counts_only_if_all_parts_before_it_are_cached(self) -> None:
-        self.caches.note_run("i", self.parts[1:], MEMORY)
+        self.caches.record_run("i", self.parts[1:], MEMORY)
         self.assertEqual(0, self.caches.count_cached("i", self.parts))
-        self.caches.note_run("i", self.parts, MEMORY)
+        self.caches.record_run("i", self.parts, MEMORY)
         self.assertEqual(10_500, self.caches.count_cached("i", self.parts))
 
     def test_the_least_recently_used_parts_are_evicted_first(self) -> None:
         for number in range(10):
-            self.caches.note_run("i", (PromptPart(str(number), 10_000),), MEMORY)
-            self.caches.note_run("i", (PromptPart("0", 10_000),), MEMORY)
+            self.caches.record_run("i", (PromptPart(str(number), 10_000),), MEMORY)
+            self.caches.record_run("i", (PromptPart("0", 10_000),), MEMORY)
         cached = [
             number
             for number in range(10)
@@ -152,19 +152,19 @@
         self.assertEqual([0, 3, 4, 5, 6, 7, 8, 9], cached)
 
     def test_each_update_is_sent_in_several_rounds(self) -> None:
-        self.caches.note_run("i", self.parts, MEMORY)
-        self.caches.note_run("i", self.parts, MEMORY)
+        self.caches.record_run("i", self.parts, MEMORY)
+        self.caches.record_run("i", self.parts, MEMORY)
         batches = [self.caches.take_updates() for _ in range(MIN_GOSSIP_ROUNDS + 1)]
         expected = tuple(CachedPart("i", part.key, part.tokens) for part in self.parts)
         self.assertEqual([expected] * MIN_GOSSIP_ROUNDS + [()], batches)
 
     def test_updates_from_peers_are_not_forwarded(self) -> None:
-        self.caches.note_peer(CachedPart("i", "k", 5), MEMORY)
+        self.caches.record_peer(CachedPart("i", "k", 5), MEMORY)
         self.assertEqual((), self.caches.take_updates())
         self.assertEqual([CachedPart("i", "k", 5)], self.caches.list_all())
 
     def test_forget_drops_all_parts_of_an_engine(self) -> None:
-        self.caches.note_run("i", self.parts, MEMORY)
+        self.caches.record_run("i", self.parts, MEMORY)
         self.caches.forget("i")
         self.assertEqual(0, self.caches.count_cached("i", self.parts))
 
--- a/tests/test_cli_generations.py
+++ b/tests/test_cli_generations.py
@@ -162,12 +162,12 @@
         self.second = self.read_current()
         self.generations: list[int] = []
         self.hint_keys: list[str] = []
-        fleet = FleetWatcher(PlatformClient(self.settings), self.note_view)
+        fleet = FleetWatcher(PlatformClient(self.settings), self.record_view)
         fleet.start()
         self.addCleanup(fleet.stop)
         wait_until(lambda: self.generations[-1:] == [2], "the second generation")
 
-    def note_view(self, view: FleetView) -> None:
+    def record_view(self, view: FleetView) -> None:
         self.generations.append(view.configuration.generation)
         self.hint_keys.append(view.configuration.hint_keys.get("ga-south", ""))
 
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -35,7 +35,7 @@
     crashes: list[UpstreamCrash] = []
     guard = CrashGuard(RequestQuarantine(), crashes.append)
     for attempt in attempts:
-        guard.note_broken(attempt)
+        guard.record_broken(attempt)
     for attempt in attempts:
         await guard.wait_for_probe(attempt.upstream)
     assert not guard._probes
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -203,7 +203,7 @@
 
     def test_cached_part_reaches_every_host(self) -> None:
         caches = CacheMap()
-        caches.note_run("i", (PromptPart("p", 90),), 1000)
+        caches.record_run("i", (PromptPart("p", 90),), 1000)
         node = self.make_node()
         reached: set[str] = set()
         rounds = node.rounds_to_reach_all * 2
@@ -231,7 +231,7 @@
             up_to_date.apply_peer_entries({"i": ENTRY}, StoreVersion(1, 12))
             source_caches, caches = CacheMap(), CacheMap()
             parts = (PromptPart("chat", 90),)
-            source_caches.note_run("i", parts, kv_cache_tokens=1000)
+            source_caches.record_run("i", parts, kv_cache_tokens=1000)
             source = PeerSync(up_to_date, LoadTracker(), source_caches, 0, has_full_cache_map=True)
 
             async def handle(request: Request, responder: Responder) -> None:
--- a/tests/test_heat.py
+++ b/tests/test_heat.py
@@ -29,14 +29,14 @@
 class ChatHeatTest(TestCase):
     def test_requests_within_the_window_are_scaled_up_beside_the_first(self) -> None:
         heat = ChatHeat(window_s=1.0, peers=72)
-        self.assertEqual([0, 72, 144], [heat.note("a", now) for now in (0.0, 0.5, 0.9)])
-        self.assertEqual(0, heat.note("b", 0.9))
-        self.assertEqual(72, heat.note("a", 1.8))
-        self.assertEqual(0, heat.note("a", 5.0))
+        self.assertEqual([0, 72, 144], [heat.record("a", now) for now in (0.0, 0.5, 0.9)])
+        self.assertEqual(0, heat.record("b", 0.9))
+        self.assertEqual(72, heat.record("a", 1.8))
+        self.assertEqual(0, heat.record("a", 5.0))
 
     def test_chats_without_requests_are_forgotten(self) -> None:
         heat = ChatHeat(window_s=1.0, peers=72)
-        heat.note("a", 0.0)
+        heat.record("a", 0.0)
         heat.forget_old(1.5)
         self.assertEqual({}, heat._asked_at)
 
@@ -84,7 +84,7 @@
                 candidates = [Candidate(one, loads[one.name]) for one in upstreams]
                 prompt = Prompt("m", parts)
                 choice = choosers[host].choose_for_chat(
-                    prompt, candidates, upstreams, heat=heats[host].note(chat, now)
+                    prompt, candidates, upstreams, heat=heats[host].record(chat, now)
                 )
                 name = choice.upstream.name
                 mean = sum(true_loads.values()) / ENGINES
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -53,7 +53,7 @@
 
     def record_failures(self, name: str, times: int, now: float = 0.0) -> None:
         for _ in range(times):
-            self.detector.note_failure(name, self.peers, now)
+            self.detector.record_failure(name, self.peers, now)
 
     def test_an_upstream_that_fails_more_than_the_others_is_avoided_temporarily(self) -> None:
         self.record_failures("a", 6)
@@ -71,15 +71,15 @@
         for _ in range(20):
             self.record_failures("a", 1)
             for _ in range(6):
-                self.detector.note_success("a", 0.0)
+                self.detector.record_success("a", 0.0)
         self.assertFalse(self.detector.is_avoided("a", 0.1))
 
     def test_avoidance_doubles_while_an_upstream_stays_unreachable(self) -> None:
-        self.detector.note_unreachable("a", 0.0)
-        self.detector.note_unreachable("a", 1.0)
+        self.detector.record_unreachable("a", 0.0)
+        self.detector.record_unreachable("a", 1.0)
         self.assertTrue(self.detector.is_avoided("a", 1.0 + 1.9 * INITIAL_AVOIDANCE_S))
-        self.detector.note_success("a", 10.0)
-        self.detector.note_unreachable("a", 11.0)
+        self.detector.record_success("a", 10.0)
+        self.detector.record_unreachable("a", 11.0)
         self.assertFalse(self.detector.is_avoided("a", 11.0 + 1.1 * INITIAL_AVOIDANCE_S))
 
 
@@ -90,7 +90,7 @@
         tracker.update_peer("p", {"i": Load(4, 100)}, 0.0)
         self.assertEqual({"i": Load(5, 1000)}, tracker.read(["i"], 0.0))
         self.assertEqual({"i": Load(1, 900)}, tracker.read(["i"], PEER_LOADS_LIFETIME_S + 0.1))
-        in_flight.note_answer_started(1.0)
+        in_flight.record_answer_started(1.0)
         self.assertEqual({"i": Load(1, 0)}, tracker.read(["i"], PEER_LOADS_LIFETIME_S + 0.1))
         in_flight.end()
         self.assertEqual({"i": Load()}, tracker.read(["i"], PEER_LOADS_LIFETIME_S + 0.1))
@@ -101,6 +101,6 @@
         first, second = tracker.begin("i", Load(1, 50)), tracker.begin("i", Load(1, 70))
         first.end()
         self.assertEqual({"i": Load(1, 70)}, tracker.own)
-        second.note_answer_started(1.0)
+        second.record_answer_started(1.0)
         second.end()
         self.assertEqual({}, tracker.own)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -75,8 +75,8 @@
     def test_throughput_follows_the_samples(self) -> None:
         throughput = Throughput()
         for _ in range(60):
-            throughput.note_first_event(10_000, 0.5)
-            throughput.note_end(1.5)
+            throughput.record_first_event(10_000, 0.5)
+            throughput.record_end(1.5)
         self.assertTrue(19_000 < throughput.tokens_per_s < 21_000, str(throughput.tokens_per_s))
         self.assertTrue(
             1.4 < throughput.seconds_per_request < 1.6, str(throughput.seconds_per_request)
@@ -85,7 +85,7 @@
     def test_short_prompts_do_not_change_the_prefill_rate(self) -> None:
         throughput = Throughput()
         before = throughput.tokens_per_s
-        throughput.note_first_event(50, 3.0)
+        throughput.record_first_event(50, 3.0)
         self.assertEqual(before, throughput.tokens_per_s)
 
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -37,15 +37,15 @@
 ) -> float:
     """Note successive crashes a second apart; returns the time of the last one."""
     for number in range(times):
-        quarantine.note_crash(make_crash(first + number, *parts), now=start + number)
+        quarantine.record_crash(make_crash(first + number, *parts), now=start + number)
     return start + times - 1
 
 
-def note_answered(
+def record_answered(
     quarantine: RequestQuarantine, parts: tuple[str, ...], answered_at: float
 ) -> None:
     for part in parts:
-        quarantine.note_answered(part, answered_at)
+        quarantine.record_answered(part, answered_at)
 
 
 class VerdictTest(TestCase):
@@ -62,15 +62,15 @@
         quarantine = RequestQuarantine()
         for number in range(10):
             now = float(number)
-            quarantine.note_crash(make_crash(number, *PARTS), now)
-            quarantine.note_crash(make_crash(number, SYSTEM, f"chat-{number}"), now)
+            quarantine.record_crash(make_crash(number, *PARTS), now)
+            quarantine.record_crash(make_crash(number, SYSTEM, f"chat-{number}"), now)
             quarantine.find(PARTS, now)
         self.assertEqual([TAINTED], [verdict.part for verdict in quarantine.list_verdicts(now)])
 
     def test_a_part_that_every_tainted_prompt_begins_with_is_found(self) -> None:
         quarantine = RequestQuarantine()
         for number in range(3):
-            quarantine.note_crash(make_crash(number, TAINTED, f"chat-{number}"), float(number))
+            quarantine.record_crash(make_crash(number, TAINTED, f"chat-{number}"), float(number))
         self.assertIsNotNone(quarantine.find((TAINTED, "chat-9"), 2.0))
         self.assertIsNone(quarantine.find((SYSTEM, "chat-0"), 2.0))
 
@@ -78,31 +78,31 @@
     def test_upstreams_that_end_together_count_once(self) -> None:
         quarantine = RequestQuarantine()
         for number in range(30):
-            quarantine.note_crash(make_crash(number, SYSTEM, "chat", lead_s=1.0), number / 100)
+            quarantine.record_crash(make_crash(number, SYSTEM, "chat", lead_s=1.0), number / 100)
         self.assertIsNone(quarantine.find((SYSTEM, "chat"), 1.0))
 
     # Guards against a prompt that all share being refused when engines crash for other reasons.
     def test_a_completed_answer_clears_the_parts_of_its_prompt(self) -> None:
         quarantine = RequestQuarantine()
         for number in range(20):
-            quarantine.note_crash(make_crash(number, SYSTEM, f"chat-{number}"), float(number))
-            note_answered(quarantine, (SYSTEM, "other"), answered_at=number + 0.5)
+            quarantine.record_crash(make_crash(number, SYSTEM, f"chat-{number}"), float(number))
+            record_answered(quarantine, (SYSTEM, "other"), answered_at=number + 0.5)
             self.assertIsNone(quarantine.find((SYSTEM, "other"), number + 0.6))
 
     def test_an_answer_that_began_before_a_crash_clears_nothing(self) -> None:
         quarantine = RequestQuarantine()
-        note_answered(quarantine, PARTS, answered_at=-1.0)
+        record_answered(quarantine, PARTS, answered_at=-1.0)
         now = crash_often(quarantine, MIN_CRASHES_ANSWERED_BEFORE, *PARTS)
-        note_answered(quarantine, PARTS, answered_at=-0.5)
+        record_answered(quarantine, PARTS, answered_at=-0.5)
         self.assertIsNotNone(quarantine.find(PARTS, now))
 
     # Guards against a system prompt being refused when engines crash before a tainted part does.
     def test_a_part_that_was_answered_before_needs_more_crashes(self) -> None:
         quarantine = RequestQuarantine()
-        note_answered(quarantine, (SYSTEM, ACCOUNT), answered_at=-1.0)
+        record_answered(quarantine, (SYSTEM, ACCOUNT), answered_at=-1.0)
         for number, parts in enumerate(((SYSTEM, "chat"), PARTS, PARTS, PARTS, PARTS)):
             now = float(number)
-            quarantine.note_crash(make_crash(number, *parts), now)
+            quarantine.record_crash(make_crash(number, *parts), now)
             self.assertIsNone(quarantine.find((SYSTEM, ACCOUNT), now))
         self.assertIsNotNone(quarantine.find(PARTS, now))
 
@@ -110,9 +110,9 @@
     def test_repeated_reports_do_not_bring_back_a_part_that_was_answered_since(self) -> None:
         quarantine = RequestQuarantine()
         crash_often(quarantine, MIN_CRASHES_ANSWERED_BEFORE, SYSTEM)
-        quarantine.note_answered(SYSTEM, 10.0)
+        quarantine.record_answered(SYSTEM, 10.0)
         for number in range(MIN_CRASHES_ANSWERED_BEFORE):
-            quarantine.note_crash(make_crash(number, SYSTEM, age_s=11.0 - number), now=11.0)
+            quarantine.record_crash(make_crash(number, SYSTEM, age_s=11.0 - number), now=11.0)
         self.assertIsNone(quarantine.find((SYSTEM,), 11.0))
 
     def test_more_guilty_parts_than_verdicts_are_judged(self) -> None:
@@ -120,7 +120,7 @@
         suspects = tuple(Suspect(f"p{number}", 1, 0.2) for number in range(MAX_VERDICTS + 9))
         for number in range(3):
             crash = UpstreamCrash(f"i-{number}", 1, 0.0, suspects)
-            quarantine.note_crash(crash, float(number))
+            quarantine.record_crash(crash, float(number))
         quarantine.find(("p0",), 2.0)
         self.assertEqual(MAX_VERDICTS, quarantine.count_in_force())
 
@@ -128,7 +128,7 @@
     def test_the_suspects_of_a_crash_are_bounded(self) -> None:
         quarantine = RequestQuarantine()
         for number in range(MAX_SUSPECTS * 2):
-            quarantine.note_crash(make_crash(1, f"p{number}"), 0.0)
+            quarantine.record_crash(make_crash(1, f"p{number}"), 0.0)
         self.assertEqual(MAX_SUSPECTS, len(next(iter(quarantine._crashes.values())).suspects))
 
     # Guards against a part that crashes engines being forgotten because others were lifted.
@@ -142,24 +142,26 @@
     def test_memory_of_answered_parts_is_bounded(self) -> None:
         quarantine = RequestQuarantine()
         for number in range(MAX_ANSWERED * 2):
-            quarantine.note_answered(f"p{number}", 0.0)
+            quarantine.record_answered(f"p{number}", 0.0)
         self.assertEqual(MAX_ANSWERED, len(quarantine._answered))
 
     # Guards against a retry being taken for a request sent before the crash that it follows.
     def test_a_request_sent_at_the_moment_of_a_crash_counts_as_sent_after_it(self) -> None:
         quarantine = RequestQuarantine()
         for number, at in enumerate((1.0, 1.5, 2.0)):
-            quarantine.note_crash(make_crash(number, *PARTS, lead_s=0.503), at)
+            quarantine.record_crash(make_crash(number, *PARTS, lead_s=0.503), at)
         self.assertIsNotNone(quarantine.find(PARTS, 2.0))
 
     def test_repeated_reports_of_one_crash_count_once(self) -> None:
         quarantine = RequestQuarantine()
         for age_s in (0.0, 0.2, 5.0):
-            quarantine.note_crash(make_crash(1, *PARTS, age_s=age_s, lead_s=0.0), now=10.0 + age_s)
+            quarantine.record_crash(
+                make_crash(1, *PARTS, age_s=age_s, lead_s=0.0), now=10.0 + age_s
+            )
         self.assertIsNone(quarantine.find(PARTS, 15.0))
         for incarnation in (2, 3):
             now = 20.0 + incarnation
-            quarantine.note_crash(make_crash(1, *PARTS, incarnation=incarnation), now)
+            quarantine.record_crash(make_crash(1, *PARTS, incarnation=incarnation), now)
         self.assertIsNotNone(quarantine.find(PARTS, now))
 
     # Guards against a host judging by its own requests before it has heard of the tainted one.
@@ -168,7 +170,7 @@
         now = crash_often(quarantine, 3, SYSTEM, ACCOUNT)
         self.assertIsNone(quarantine.find((SYSTEM, ACCOUNT), now + 0.5))
         for number in range(3):
-            quarantine.note_crash(make_crash(number, *PARTS, age_s=2.4 - number), now + 0.4)
+            quarantine.record_crash(make_crash(number, *PARTS, age_s=2.4 - number), now + 0.4)
         self.assertIsNone(quarantine.find((SYSTEM, ACCOUNT), now + 1.1))
         self.assertIsNotNone(quarantine.find(PARTS, now + 1.1))
 
@@ -176,10 +178,10 @@
         quarantine = RequestQuarantine()
         for number in range(3):
             now = number * EVIDENCE_LIFETIME_S * 0.6
-            quarantine.note_crash(make_crash(number, *PARTS), now)
+            quarantine.record_crash(make_crash(number, *PARTS), now)
         self.assertIsNone(quarantine.find(PARTS, now))
         for number in range(MAX_CRASHES * 3):
-            quarantine.note_crash(make_crash(number, f"p{number}"), now)
+            quarantine.record_crash(make_crash(number, f"p{number}"), now)
         self.assertEqual(MAX_CRASHES, len(quarantine._crashes))
         for number in range(MAX_VERDICTS * 3):
             quarantine.apply_verdict(Verdict(f"p{number}", 1, False, 0.0), now + number)
@@ -200,7 +202,7 @@
             suspects = tuple(Suspect(fingerprint, 0, 0.15) for fingerprint in fingerprints)
             name = f"i-{start}-{number}"
             crash = UpstreamCrash(name, 1, 0.0, suspects)
-            quarantine.note_crash(crash, start + number * 0.03)
+            quarantine.record_crash(crash, start + number * 0.03)
         return start + (times - 1) * 0.03
 
     # Guards against upstreams that one request ends in the same moment counting as one (second1).
@@ -226,7 +228,7 @@
     # Guards against a request that many send being refused when a failure domain ends.
     def test_one_that_was_answered_before_is_not_refused_for_crashes_of_one_moment(self) -> None:
         quarantine = RequestQuarantine(settle_s=1.0)
-        quarantine.note_answered(self.OTHER[0], -1.0)
+        quarantine.record_answered(self.OTHER[0], -1.0)
         for start in (0.0, 4.0):
             now = self.crash_at_once(quarantine, 4, *self.OTHER, start=start)
             self.assertIsNone(quarantine.find(self.OTHER, now))
@@ -236,7 +238,7 @@
         quarantine = RequestQuarantine()
         for number in range(20):
             now = self.crash_at_once(quarantine, 2, *self.OTHER, start=float(number))
-            quarantine.note_answered(self.OTHER[0], now + 0.2)
+            quarantine.record_answered(self.OTHER[0], now + 0.2)
             self.assertIsNone(quarantine.find(self.OTHER, now + 0.3))
 
     # Guards against crashes whose suspects were all answered taking the place of evidence.
@@ -245,7 +247,7 @@
         self.crash_at_once(quarantine, 2, *self.DEADLY)
         for number in range(MAX_CRASHES):
             now = self.crash_at_once(quarantine, 1, *self.OTHER, start=1.0 + number)
-            quarantine.note_answered(self.OTHER[0], now + 0.2)
+            quarantine.record_answered(self.OTHER[0], now + 0.2)
         now = self.crash_at_once(quarantine, 1, *self.DEADLY, start=100.0)
         self.assertEqual(MAX_CRASHES, len(quarantine._crashes))
         self.assertIsNotNone(quarantine.find(self.DEADLY, now))
@@ -254,7 +256,7 @@
         quarantine = RequestQuarantine(settle_s=1.0)
         now = self.crash_at_once(quarantine, 3, *self.OTHER)
         self.assertIsNotNone(quarantine.find(self.OTHER, now))
-        quarantine.note_answered(self.OTHER[0], now + 0.1)
+        quarantine.record_answered(self.OTHER[0], now + 0.1)
         self.assertIsNone(quarantine.find(self.OTHER, now + 0.2))
 
     # Guards against each answer after a storm of crashes costing a look at all their suspects.
@@ -266,10 +268,10 @@
         self.assertIsNotNone(quarantine.find(self.DEADLY, now))
         held = quarantine._held
         for part in (*bystanders, *PARTS):
-            self.assertTrue(quarantine.note_answered(part, now + 0.1))
+            self.assertTrue(quarantine.record_answered(part, now + 0.1))
             self.assertIsNotNone(quarantine.find(self.DEADLY, now + 0.2))
             self.assertIs(held, quarantine._held)
-        quarantine.note_answered(self.DEADLY[0], now + 0.1)
+        quarantine.record_answered(self.DEADLY[0], now + 0.1)
         self.assertIsNone(quarantine.find(self.DEADLY, now + 0.2))
 
     def test_of_two_at_the_same_crashes_the_one_at_more_of_them_explains_them(self) -> None:
@@ -304,12 +306,12 @@
     def test_one_that_was_at_a_crash_and_never_answered_is_not_retried(self) -> None:
         quarantine = RequestQuarantine()
         self.assertTrue(quarantine.may_retry(self.DEADLY))
-        quarantine.note_answered(self.OTHER[0], -1.0)
+        quarantine.record_answered(self.OTHER[0], -1.0)
         self.crash_at_once(quarantine, 1, *self.DEADLY, *self.OTHER, *PARTS)
         self.assertFalse(quarantine.may_retry(self.DEADLY))
         self.assertTrue(quarantine.may_retry(self.OTHER))
         self.assertTrue(quarantine.may_retry(PARTS))
-        quarantine.note_answered(self.DEADLY[0], 1.0)
+        quarantine.record_answered(self.DEADLY[0], 1.0)
         self.assertTrue(quarantine.may_retry(self.DEADLY))
 
 
@@ -319,7 +321,7 @@
         quarantine = RequestQuarantine()
         for number in range(3):
             suspects = (Suspect("part", 0, 0.3, was_answered=True),)
-            quarantine.note_crash(UpstreamCrash(f"i-{number}", 1, 0.0, suspects), number * 0.5)
+            quarantine.record_crash(UpstreamCrash(f"i-{number}", 1, 0.0, suspects), number * 0.5)
         self.assertIsNotNone(quarantine.find(("part",), 1.0))
 
 
@@ -336,7 +338,7 @@
         suspects = tuple(
             Suspect(part, depth, 0.3) for prompt in prompts for depth, part in enumerate(prompt)
         )
-        quarantine.note_crash(UpstreamCrash(f"i-{number}", 1, 0.0, suspects), now)
+        quarantine.record_crash(UpstreamCrash(f"i-{number}", 1, 0.0, suspects), now)
         return now
 
     # Guards against one request crashing engine after engine because its parts are answered in
@@ -344,7 +346,7 @@
     def test_one_whose_parts_were_answered_in_others_is_refused_as_a_whole(self) -> None:
         quarantine = RequestQuarantine()
         for part in ("system", "session"):
-            quarantine.note_answered(part, -1.0)
+            quarantine.record_answered(part, -1.0)
         for number in range(3):
             now = self.crash_with(quarantine, number, self.DEADLY, ("system", f"r:{number}"))
         self.assertEqual("r:dead", quarantine.find(self.DEADLY, now).part)  # type: ignore[union-attr]
@@ -396,7 +398,7 @@
         self.assertIsNotNone(self.quarantine.find(PARTS, self.now))
 
     def test_an_answer_that_began_after_the_verdict_lifts_it(self) -> None:
-        note_answered(self.quarantine, PARTS, answered_at=self.now + 0.1)
+        record_answered(self.quarantine, PARTS, answered_at=self.now + 0.1)
         self.assertIsNone(self.quarantine.find(PARTS, self.now + 0.2))
         now = crash_often(self.quarantine, 5, *PARTS, start=self.now + 1, first=10)
         self.assertIsNotNone(self.quarantine.find(PARTS, now))
@@ -431,11 +433,11 @@
             now = self.now + second
             if self.quarantine.find(PARTS, now) is None:
                 trials.append(second)
-                self.quarantine.note_crash(make_crash(100 + second, *PARTS), now + 0.3)
+                self.quarantine.record_crash(make_crash(100 + second, *PARTS), now + 0.3)
         self.assertEqual([30, 91, 212], trials)
 
     def test_crashes_by_requests_sent_before_the_verdict_put_off_the_trial(self) -> None:
-        self.quarantine.note_crash(make_crash(9, *PARTS, lead_s=8.0), self.now + 5.0)
+        self.quarantine.record_crash(make_crash(9, *PARTS, lead_s=8.0), self.now + 5.0)
         self.assertIsNotNone(self.quarantine.find(PARTS, self.now + FIRST_TRIAL_S + 1))
         self.assertIsNone(self.quarantine.find(PARTS, self.now + FIRST_TRIAL_S + 5))
         verdicts = self.quarantine.list_verdicts(self.now)
@@ -465,7 +467,7 @@
         quarantine.find(PARTS, now)
         quarantine.apply_verdict(Verdict(TAINTED, 1, True, 0.5), now + 0.5)
         for number in range(3):
-            quarantine.note_crash(make_crash(number, *PARTS, age_s=3.0 - number), now + 1.0)
+            quarantine.record_crash(make_crash(number, *PARTS, age_s=3.0 - number), now + 1.0)
         self.assertIsNone(quarantine.find(PARTS, now + 1.0))
 
     # Guards against a host that starts forgetting crashes because of an answer long before them.
@@ -479,7 +481,7 @@
     # Guards against a host refusing for all what another one has seen answered.
     def test_a_verdict_on_a_part_that_was_answered_since_its_last_crash_is_lifted(self) -> None:
         quarantine = RequestQuarantine()
-        quarantine.note_answered(SYSTEM, 9.0)
+        quarantine.record_answered(SYSTEM, 9.0)
         quarantine.apply_verdict(Verdict(SYSTEM, 1, False, age_s=2.0), now=10.0)
         self.assertIsNone(quarantine.find((SYSTEM,), 10.0))
         self.assertEqual([Verdict(SYSTEM, 1, True, 2.0)], quarantine.list_verdicts(10.0))
--- a/tests/test_race.py
+++ b/tests/test_race.py
@@ -21,13 +21,13 @@
 
 
 async def stay_silent(attempt: Attempt) -> Outcome:
-    attempt.note_progress(0.01)
+    attempt.record_progress(0.01)
     await asyncio.sleep(60)
     return Completed()
 
 
 async def stall_and_complete(attempt: Attempt) -> Outcome:
-    attempt.note_progress(0.0)
+    attempt.record_progress(0.0)
     # The timer is due in the last step of this attempt.
     await asyncio.sleep(0)
     return Completed()
@@ -89,7 +89,7 @@
             for _ in range(3):
                 self.assertEqual(Stalled(attempt), await race.wait())
                 stalls.append(attempt.stalls)
-            attempt.note_progress(None)
+            attempt.record_progress(None)
             race.race.cancel()
             return stalls, attempt.stalls
 
--- a/tests/test_relay_overload.py
+++ b/tests/test_relay_overload.py
@@ -15,7 +15,7 @@
     fixture = await RelayFixture((succeed,), make_configuration(ROUTE)).open()
     fixture.load_tracker.update_peer("peer", {"i0": load}, float("inf"))
     assert fixture.relay is not None
-    fixture.relay.attempt_runner.selector.throughput_of("desk").note_end(2.0)
+    fixture.relay.attempt_runner.selector.throughput_of("desk").record_end(2.0)
     return fixture
 
 
--- a/tests/test_routing_state.py
+++ b/tests/test_routing_state.py
@@ -286,8 +286,8 @@
     def test_an_upstream_that_says_so_gets_nothing_more(self) -> None:
         def work(routing_state: RoutingState) -> None:
             routing_state.apply_upstream_list(ObjectList([entry("a", born=5)], at(5)))
-            self.assertTrue(routing_state.note_leaving("a", 5, source="answer"))
-            self.assertFalse(routing_state.note_leaving("a", 5, source="peer"))
+            self.assertTrue(routing_state.record_leaving("a", 5, source="answer"))
+            self.assertFalse(routing_state.record_leaving("a", 5, source="peer"))
             routing_state.apply_upstream_list(ObjectList([entry("a", born=5, slots=9)], at(6)))
 
         result = apply(work)
@@ -298,14 +298,14 @@
     def test_an_earlier_incarnation_that_left_does_not_affect_the_next(self) -> None:
         def work(routing_state: RoutingState) -> None:
             routing_state.apply_upstream_list(ObjectList([entry("a", born=6)], at(5)))
-            routing_state.note_leaving("a", 5, source="peer")
+            routing_state.record_leaving("a", 5, source="peer")
 
         (known,) = apply(work).snapshot.list_upstreams("s")
         self.assertTrue(known.upstream.accepts_requests)
 
     def test_a_leaving_that_is_heard_before_the_entry_is_remembered(self) -> None:
         def work(routing_state: RoutingState) -> None:
-            routing_state.note_leaving("a", 5, source="peer")
+            routing_state.record_leaving("a", 5, source="peer")
             routing_state.apply_upstream_list(ObjectList([entry("a", born=5)], at(5)))
 
         (known,) = apply(work).snapshot.list_upstreams("s")
--- a/tests/test_silent_upstreams.py
+++ b/tests/test_silent_upstreams.py
@@ -155,7 +155,7 @@
             return await super().forward(state, attempt, race, responder)
         finally:
             # The timer is due in the last step of this attempt.
-            attempt.note_progress(0.0)
+            attempt.record_progress(0.0)
             await asyncio.sleep(0)
 
 
@@ -179,7 +179,7 @@
         self, state: RequestState, attempt: Attempt, race: AttemptRace, responder: Responder
     ) -> Outcome:
         if attempt.choice.upstream.name == "i0":
-            attempt.note_progress(find_patience(state.request))
+            attempt.record_progress(find_patience(state.request))
             await asyncio.sleep(0.3)
             return NotRun("cannot connect", was_sent=False)
         return await super().forward(state, attempt, race, responder)
@@ -241,9 +241,9 @@
 
     failed: list[str] = field(factory=list)
 
-    def note_failure(self, name: str, peers: Iterable[str], now: float) -> bool:
+    def record_failure(self, name: str, peers: Iterable[str], now: float) -> bool:
         self.failed.append(name)
-        return super().note_failure(name, peers, now)
+        return super().record_failure(name, peers, now)
 
 
 class CommentTest(TestCase):
@@ -449,7 +449,7 @@
             fixture = await open_fixture(answer_late, succeed, route=SAFE)
             assert fixture.relay is not None
             selector = fixture.relay.attempt_runner.selector
-            selector.throughput_of("desk").note_refusal(asyncio.get_running_loop().time())
+            selector.throughput_of("desk").record_refusal(asyncio.get_running_loop().time())
             return await fixture.fetch(), fixture.calls
 
         answer, calls = run(scenario())
