Drop the waiting requests of the link that ended, not those of its host

Cause: waiting requests were dropped by the host. Change: they are dropped by the callback that answers them, one for each link. Before, the same steps on the old code: the request by the new link is granted nothing ([]); after: ['by-new']. A host that leaves loses all of its requests as before.

--- a/bench/wire.py
+++ b/bench/wire.py
@@ -54,7 +54,7 @@
     def handle_claim(self, request: ClaimRequest, reply: ClaimReply) -> None:
         """Do nothing: the benchmark makes no claims."""
 
-    def handle_link_down(self, holder: str) -> None:
+    def handle_link_down(self, reply: Reply) -> None:
         """Do nothing: no request is waiting."""
 
 
--- a/src/cherrylane/limits/homes.py
+++ b/src/cherrylane/limits/homes.py
@@ -131,10 +131,10 @@
         """Write the known claims again after the store came back from an older copy."""
         self._claims.restore()
 
-    def handle_link_down(self, holder: str) -> None:
-        """Drop the waiting requests of a host whose stream broke; its grants stay counted."""
+    def handle_link_down(self, reply: Reply) -> None:
+        """Drop the waiting requests of a stream that broke; the host's grants stay counted."""
         for pool in list(self._pools.values()):
-            pool.drop_waiters(holder)
+            pool.drop_waiters(reply)
 
     def set_other_pools(self, loads: dict[PoolKey, LoadTotals]) -> None:
         """Set for each pool the total load and weight of its service's other pools."""
--- a/src/cherrylane/limits/pool.py
+++ b/src/cherrylane/limits/pool.py
@@ -145,13 +145,17 @@
             self._awaited.discard(holder)
             for grant in self._grants_of(holder):
                 self._forget_grant(grant.id)
-            self.drop_waiters(holder)
+            for waiter in self._queue.find_by_holder(holder):
+                self._queue.remove(waiter, served=False)
             self._admit_waiting()
 
-    def drop_waiters(self, holder: str) -> None:
-        """Drop the waiting requests of a host that can no longer receive the answers."""
+    def drop_waiters(self, reply: Reply) -> None:
+        """Drop the waiting requests whose answers no longer arrive; the host may have a new link.
+
+        ``reply`` is the callback that they were submitted with.
+        """
         with self._lock:
-            for waiter in self._queue.find_by_holder(holder):
+            for waiter in self._queue.find_by_reply(reply):
                 self._queue.remove(waiter, served=False)
 
     def tick(self) -> None:
--- a/src/cherrylane/limits/waiting.py
+++ b/src/cherrylane/limits/waiting.py
@@ -101,6 +101,10 @@
         """Return the waiters whose requests came from ``holder``."""
         return [waiter for waiter in self.all() if waiter.request.holder == holder]
 
+    def find_by_reply(self, reply: Reply) -> list[Waiter]:
+        """Return the waiters that are answered by ``reply``, which is one for each link."""
+        return [waiter for waiter in self.all() if waiter.reply is reply]
+
     def all(self) -> list[Waiter]:
         """Return every waiter."""
         return [waiter for queue in self._queues.values() for waiter in queue.waiters]
--- a/src/cherrylane/peer/server.py
+++ b/src/cherrylane/peer/server.py
@@ -53,8 +53,8 @@
     def handle_claim(self, request: ClaimRequest, reply: ClaimReply) -> None:
         """Decide on a peer's claim."""
 
-    def handle_link_down(self, holder: str) -> None:
-        """Drop the pending requests of a peer whose stream has ended."""
+    def handle_link_down(self, reply: Reply) -> None:
+        """Drop the pending requests of a peer's stream that has ended, which ``reply`` answered."""
 
 
 ProbeHandler = Callable[[PeerIdentity, str, SharedState], ProbeAnswer]
@@ -167,7 +167,7 @@
         except grpc.RpcError:
             log.notice(f"stream from host {peer.name} ended")
         finally:
-            self._homes.handle_link_down(peer.holder)
+            self._homes.handle_link_down(reply)
             outgoing.put(None)
 
     def _handle(
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -95,6 +95,19 @@
         refused = {refusal.id for refusal in self.replies.refusals}
         self.assertEqual(40, len(refused))
 
+    # Guards against requests without a reply when a host's old link ends after its new one began.
+    def test_the_end_of_a_link_drops_only_the_requests_that_came_by_it(self) -> None:
+        view = make_view(engines=1, bound=BoundSettings(capacity_tokens=100.0))
+        home = make_home(view, self.clock)
+        old_link, new_link = Replies(), Replies()
+        home.submit(make_admission_request("running"), self.replies)
+        home.submit(make_admission_request("by-old"), old_link)
+        home.submit(make_admission_request("by-new"), new_link)
+        home.drop_waiters(old_link)
+        home.release("running")
+        self.assertEqual([], old_link.all)
+        self.assertEqual(["by-new"], [grant.id for grant in new_link.grants])
+
     def test_interactive_requests_precede_batch_requests(self) -> None:
         view = make_view(engines=1, bound=BoundSettings(capacity_tokens=100.0))
         home = make_home(view, self.clock)
