Wait for an upstream's first byte though a caller has ended its sending side

Cause: the end of the caller's sending side wakes the wait for the upstream; the caller is still there, as more requests of it are unread, and the head was then awaited with the head's limit. Change: that event is ignored from then on and the wait goes on. The new test fails before (UpstreamError: sent no valid response) and passes now; a caller that disconnects still ends the wait.

--- a/src/cherrylane/delivery/exchange.py
+++ b/src/cherrylane/delivery/exchange.py
@@ -8,6 +8,7 @@
 from select import POLLIN, POLLRDHUP, poll
 from socket import MSG_DONTWAIT, MSG_PEEK, socket
 from threading import Lock
+from time import monotonic
 from typing import Any
 
 from attrs import frozen
@@ -169,19 +170,27 @@
         poller.register(connection.sock.fileno(), POLLIN)
         if caller is not None:
             poller.register(caller.fileno(), POLLRDHUP)
-        ready = poller.poll(self.settings.first_byte_timeout_s * MILLISECONDS_PER_SECOND)
-        if not ready:
-            raise UpstreamError(
-                f"upstream {runner.name} sent no response "
-                f"within {self.settings.first_byte_timeout_s:g} s",
-                remedy="try another upstream if the request may run twice",
-                sent=True,
-            )
-        descriptors = {descriptor for descriptor, _ in ready}
-        if caller is not None and caller.fileno() in descriptors and is_disconnected(caller):
-            raise CallerDisconnectedError(
-                "the caller closed its connection", remedy="no action is needed"
-            )
+        deadline = monotonic() + self.settings.first_byte_timeout_s
+        while True:
+            time_left_s = max(0.0, deadline - monotonic())
+            descriptors = {found for found, _ in poller.poll(time_left_s * MILLISECONDS_PER_SECOND)}
+            if not descriptors:
+                raise UpstreamError(
+                    f"upstream {runner.name} sent no response "
+                    f"within {self.settings.first_byte_timeout_s:g} s",
+                    remedy="try another upstream if the request may run twice",
+                    sent=True,
+                )
+            has_caller_event = caller is not None and caller.fileno() in descriptors
+            if caller is not None and has_caller_event and is_disconnected(caller):
+                raise CallerDisconnectedError(
+                    "the caller closed its connection", remedy="no action is needed"
+                )
+            if connection.sock.fileno() in descriptors:
+                return
+            # The caller has ended its sending side behind more requests; it may read the response.
+            assert caller is not None
+            poller.unregister(caller.fileno())
 
     def _read_head(self, runner: Runner, connection: HTTPConnection) -> HTTPResponse:
         what = f"head of a response of upstream {runner.name}"
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -1,5 +1,7 @@
-from socket import socketpair
+from socket import SHUT_WR, socket, socketpair
+from threading import Event
 
+from attrs import evolve
 from testtools import ExpectedException, TestCase
 
 from cherrylane.delivery.exchange import UpstreamClient, UpstreamRequest
@@ -90,6 +92,21 @@
         with ExpectedException(CallerDisconnectedError):
             UpstreamClient(UpstreamSettings()).open(upstream.runner, REQUEST, caller=near)
 
+    # Guards against the limit of a response's head being applied to the wait for its first byte.
+    def test_a_caller_that_ends_its_sending_side_behind_more_requests_is_still_answered(
+        self,
+    ) -> None:
+        def answer_late(connection: socket, closing: Event) -> None:
+            closing.wait(0.6)
+            connection.sendall(HEAD + b"Content-Length: 2\r\n\r\nab")
+
+        near, far = socketpair()
+        far.sendall(b"GET /next HTTP/1.1\r\n\r\n")
+        far.shutdown(SHUT_WR)
+        client = UpstreamClient(evolve(LONG_TIMEOUTS, head_timeout_s=0.2))
+        exchange = client.open(self.start(answer_late).runner, REQUEST, caller=near)
+        self.assertEqual(b"ab", exchange.read_full_body())
+
     def test_open_connections_per_upstream_are_limited_and_reusable_after_close(self) -> None:
         upstream = self.start(send_then_hang(HEAD + b"Content-Length: 2\r\n\r\nab"))
         client = UpstreamClient(LONG_TIMEOUTS)
