--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -143,3 +143,16 @@
         self.assertEqual(sorted(waits, reverse=True), waits)
         self.assertEqual(WAIT_SHARES[-1], waits[-1])
         self.assertEqual(waits[0], RequestUrgency(-3, 1.0).longest_wait_s)
+
+
+class OverloadedTest(TestCase):
+    # The pattern: requests queue at all upstreams, so that silent ones are busy. A second place in
+    # another queue for each of them makes every queue longer.
+    def test_a_service_is_overloaded_for_a_while_after_each_refusal(self) -> None:
+        throughput = Throughput()
+        self.assertFalse(throughput.is_overloaded(10.0))
+        throughput.record_refusal(10.0)
+        self.assertTrue(throughput.is_overloaded(10.0 + QUIET_S))
+        self.assertFalse(throughput.is_overloaded(10.1 + QUIET_S))
+        throughput.record_refusal(12.0)
+        self.assertTrue(throughput.is_overloaded(12.5))
