Give the outcome that holds when a suspect of a crash is not retried

The code named the quarantine as the cause and answered 'outcome unknown' all the same, since the request may have run: a second reading was needed. No behaviour changes.

--- a/src/cherrylane/relay/attempts.py
+++ b/src/cherrylane/relay/attempts.py
@@ -146,7 +146,7 @@
                     return self._give_up(state, responder, Cause.NOT_ACCEPTED)
                 await self.crash_guard.wait_for_probe(attempt.choice.upstream)
                 if state.may_have_run and not self.crash_guard.may_retry(state.request):
-                    return self._give_up(state, responder, Cause.QUARANTINED)
+                    return self._give_up(state, responder, Cause.OUTCOME_UNKNOWN)
         return None
 
     def _handle_stall(
