Log which request limits upstreams name, before any decision uses them

Change: the platform's header is decoded, its changes are logged, and a gauge counts the limits in force. No decision reads them. Ruled out: logging each answer that names one, thousands of lines a minute.

--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -31,6 +31,7 @@
 from cherrylane.limits.crash_evidence import UpstreamCrash
 from cherrylane.limits.outliers import OutlierDetector
 from cherrylane.limits.quarantine import RequestQuarantine
+from cherrylane.limits.rate_limits import UpstreamRateLimits
 from cherrylane.limits.retries import HostRetryBudget
 from cherrylane.placement.caches import CacheMap
 from cherrylane.placement.choice import Chooser
@@ -133,6 +134,7 @@
         self.store.on_new_era = self._handle_new_era
         self.backoffs = BackoffTracker()
         self.chat_heat = ChatHeat()
+        self.rate_limits = UpstreamRateLimits()
         self.quarantine = RequestQuarantine(is_trial_host=self._is_trial_host)
         self._announcements = Announcements(
             settings.identity,
@@ -274,7 +276,12 @@
             self.settings.identity.zone, self.settings.bounds.load_multiple, self.caches
         )
         selector = UpstreamSelector(
-            chooser, self.load_tracker, self.outliers, self.backoffs, self.chat_heat
+            chooser,
+            self.load_tracker,
+            self.outliers,
+            self.backoffs,
+            self.chat_heat,
+            self.rate_limits,
         )
         crash_guard = CrashGuard(
             self.quarantine, self._announce_crash, self._announcements.record_answered
@@ -423,6 +430,7 @@
         telemetry.add_gauge("store_era", lambda: self.store.era or 0)
         telemetry.add_gauge("knowledge_age_seconds", self._get_state_age_s)
         telemetry.add_gauge("quarantined_parts", self.quarantine.count_in_force)
+        telemetry.add_gauge("upstreams_with_rate_limit", self.rate_limits.count_in_force)
         telemetry.add_gauge("caller_connections", lambda: len(callers.connections))
         telemetry.add_gauge("requests_in_work", lambda: callers.busy)
         telemetry.add_gauge("store_calls", lambda: self.store.calls)
--- a/src/cherrylane/platform/headers.py
+++ b/src/cherrylane/platform/headers.py
@@ -6,6 +6,7 @@
 from attrs import frozen
 
 from cherrylane.http.messages import Head, Header, RequestHead, ResponseHead
+from cherrylane.limits.rate_limits import InvalidLimit, NoLimit, RateLimit, RateStatement
 from cherrylane.relay.request import Prompt, PromptPart
 
 REQUEST_ID = b"Attempt-Id"
@@ -21,6 +22,8 @@
 NOT_EXECUTED = b"Not-Executed"
 # Sent by an upstream that leaves, with all its responses.
 LEAVING = b"Server-Leaving"
+# The requests a second that an upstream takes from all hosts together.
+RATE_LIMIT = b"Server-Limit"
 PRIORITY = b"Request-Priority"
 # The address of the upstream from which the cached parts of a prompt are fetched.
 CACHE_SOURCE = b"Kv-Fetch"
@@ -33,6 +36,8 @@
 AUTHORIZATION = b"Authorization"
 AUTH_SCHEME = "bearer"
 LOWEST_PRIORITY = 9
+# Characters of an invalid value that are logged.
+MAX_LOGGED_CHARACTERS = 40
 
 # Headers that only the router may send to upstreams; values from callers are dropped.
 ROUTER_HEADERS = frozenset(
@@ -146,6 +151,19 @@
     return _read_number(head.find_text(RETRY_AFTER.lower()))
 
 
+def read_rate_limit(head: ResponseHead) -> RateStatement:
+    """Return what a response says of the upstream's request limit.
+
+    If it names several limits, the lowest one that can be read holds.
+    """
+    name = RATE_LIMIT.lower()
+    texts = [value.decode("latin-1") for key, value in head.headers if key.lower() == name]
+    if not texts:
+        return NoLimit()
+    rates = [rate for rate in map(_read_number, texts) if rate is not None]
+    return RateLimit(min(rates)) if rates else InvalidLimit(texts[0][:MAX_LOGGED_CHARACTERS])
+
+
 def encode_dispatch(headers: list[Header], dispatch: Dispatch) -> list[Header]:
     """Return the headers for an upstream.
 
--- a/src/cherrylane/relay/forwarding.py
+++ b/src/cherrylane/relay/forwarding.py
@@ -8,7 +8,13 @@
 from cherrylane.http.messages import ResponseHead
 from cherrylane.http.responder import Responder
 from cherrylane.placement.choice import Choice
-from cherrylane.platform.headers import Dispatch, is_leaving, read_backoff
+from cherrylane.platform.headers import (
+    Dispatch,
+    is_leaving,
+    is_misdirected,
+    read_backoff,
+    read_rate_limit,
+)
 from cherrylane.relay._attempt_log import log_backoff
 from cherrylane.relay.admission import is_stream
 from cherrylane.relay.crashes import CrashGuard
@@ -90,12 +96,17 @@
 
     def _record_upstream_state(self, upstream: Upstream, head: ResponseHead) -> None:
         """Take over what an upstream says of itself beside its answer."""
+        now = asyncio.get_running_loop().time()
         if is_leaving(head):
             self.on_leaving(upstream)
+        # Another upstream at the same address says nothing of the expected one.
+        if not is_misdirected(head):
+            self.selector.rate_limits.record(
+                upstream.name, upstream.incarnation, read_rate_limit(head), now
+            )
         backoff_s = read_backoff(head)
         if backoff_s is None:
             return
-        now = asyncio.get_running_loop().time()
         self.selector.backoffs.record(upstream.name, upstream.incarnation, backoff_s, now)
         log_backoff(upstream.name, backoff_s)
 
--- a/src/cherrylane/relay/selection.py
+++ b/src/cherrylane/relay/selection.py
@@ -5,6 +5,7 @@
 from cherrylane.limits.backoff import BackoffTracker
 from cherrylane.limits.outliers import OutlierDetector
 from cherrylane.limits.overload import RequestUrgency, Throughput, can_start_in_time
+from cherrylane.limits.rate_limits import UpstreamRateLimits
 from cherrylane.placement.choice import Candidate, Choice, Chooser
 from cherrylane.placement.heat import ChatHeat
 from cherrylane.placement.loads import LoadTracker
@@ -37,6 +38,7 @@
     outliers: OutlierDetector
     backoffs: BackoffTracker = field(factory=BackoffTracker)
     chat_heat: ChatHeat = field(factory=ChatHeat)
+    rate_limits: UpstreamRateLimits = field(factory=UpstreamRateLimits)
     _throughputs: dict[str, Throughput] = field(factory=dict)
 
     def throughput_of(self, service: str) -> Throughput:
