--- a/tests/test_relay_upstream_state.py
+++ b/tests/test_relay_upstream_state.py
@@ -21,6 +21,8 @@
 from tests.wire import Call, Script, make_configuration, run
 
 BACKOFF_S = 30
+REQUESTS_PER_S = 1.0
+REQUESTS = 60
 
 
 def find_header(response: bytes, name: str) -> str:
@@ -40,6 +42,10 @@
     call.answer(b"done", extra="Server-Leaving: 1\r\n")
 
 
+async def succeed_limited(call: Call) -> None:
+    call.answer(b"done", extra=f"Server-Limit: {REQUESTS_PER_S}\r\n")
+
+
 async def stream_leaving(call: Call) -> None:
     call.start_events("Server-Leaving: 1\r\n")
     for number in range(1, 4):
@@ -103,6 +109,23 @@
             self.assertTrue(BACKOFF_S / 2 < retry_after <= BACKOFF_S + BACKOFF_SPREAD_S + 0.01)
 
 
+class RateLimitTest(TestCase):
+    # Guards against: an upstream got far more requests than the limit that it had named (LIMIT).
+    def test_an_upstream_gets_no_more_requests_than_the_limit_that_it_names(self) -> None:
+        async def scenario() -> tuple[list[int], float, list[bytes]]:
+            configuration = make_configuration(SAFE)
+            fixture = await RelayFixture((succeed_limited, succeed), configuration).open()
+            start = asyncio.get_running_loop().time()
+            answers = [await fixture.fetch(request_id=str(n)) for n in range(REQUESTS)]
+            return fixture.calls, asyncio.get_running_loop().time() - start, answers
+
+        calls, elapsed_s, answers = run(scenario())
+        allowed = 1.5 * REQUESTS_PER_S * max(4.0, elapsed_s) + 5
+        self.assertTrue(calls[0] <= allowed, f"{calls[0]} requests, {allowed} allowed")
+        for answer in answers:
+            self.assertThat(answer, Contains(b"done"))
+
+
 class PatienceTest(TestCase):
     """A silent upstream is tried elsewhere as well; its deadline ends it in any case."""
 
