Let upstreams of the fault soak name request limits

The soak could not show that a limit is broken: its upstreams named none. They do now, for 7 s and more, in every answer that they give, and the check counts the requests of the processes that were told.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -56,7 +56,8 @@
 class Response:
     """A response as the caller received it; ``complete`` if it was read to its end.
 
-    ``leaving_upstream`` is the upstream that said in this response that it leaves, if any.
+    ``leaving_upstream`` is the upstream that said in this response that it leaves, if any, and
+    ``limiting_upstream`` the one that named a request limit.
     """
 
     status: int = 0
@@ -65,6 +66,7 @@
     body: bytes = b""
     complete: bool = False
     leaving_upstream: str = ""
+    limiting_upstream: str = ""
 
 
 @define
@@ -244,6 +246,8 @@
     response.signature = headers.get("server-seal", "")
     if "server-leaving" in headers:
         response.leaving_upstream = headers.get("soak-upstream", "")
+    if "server-limit" in headers:
+        response.limiting_upstream = headers.get("soak-upstream", "")
     await asyncio.sleep(slow_s)
     if headers.get("transfer-encoding") == "chunked":
         while size := int(await reader.readuntil(b"\r\n"), 16):
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -6,7 +6,9 @@
 from attrs import define, field
 
 from soak.callers import Ending, Exchange, RequestKind
+from soak.disturbances import Disturbance
 from soak.fleet import STOP_GRACE_S
+from soak.limits import check_limits
 from soak.silences import Silence
 from soak.upstreams import (
     EVENT_COUNT,
@@ -29,9 +31,8 @@
 # Seconds after a refusal in which requests may be on their way, and how many may arrive later.
 BACKOFF_SLACK_S = 0.5
 MAX_DURING_BACKOFF = 2
-# Seconds for which a request may cross the end of a host, or suffer from a fault that has ended.
+# Seconds for which a request may cross the end of a host.
 CROSSING_S = 0.25
-AFTERMATH_S = 0.5
 # Seconds after SIGTERM in which a host finishes what it has accepted: five sixths of its grace.
 FINISHING_S = STOP_GRACE_S * 5 / 6
 # A request whose time has passed but for this many seconds may be ended for that.
@@ -40,20 +41,6 @@
 EXIT_CLEAN = 0
 
 
-@define
-class Disturbance:
-    """A fault of ``target``, with the value of its kind; ``ended`` is None while it lasts."""
-
-    target: str
-    kind: str
-    began: float
-    ended: float | None = None
-
-    def overlaps(self, began: float, ended: float) -> bool:
-        """Return whether it was there, or its effects were, between two times."""
-        return self.began <= ended and (self.ended is None or began <= self.ended + AFTERMATH_S)
-
-
 @define
 class Observations:
     """Everything that was recorded during a soak; times are in seconds of one clock.
@@ -87,6 +74,7 @@
     for upstream in observed.upstreams:
         violations += _check_departures(observed.history, upstream)
         violations += _check_backoffs(observed.history, upstream)
+        violations += check_limits(observed.history, upstream, observed.disturbances)
     violations += _check_processes(observed)
     return violations
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,10 +8,11 @@
 from attrs import define, field, frozen
 from logbook import Logger
 
-from soak.checks import DRAIN_S, Disturbance
+from soak.checks import DRAIN_S
+from soak.disturbances import Disturbance
 from soak.fleet import SoakFleet, SoakHost
 from soak.proxy import Link, LinkState
-from soak.upstreams import Behaviour
+from soak.upstreams import Behaviour, NamedLimit
 
 # Ranges of the time between the starts of two faults and of a fault's duration; about three
 # overlap.
@@ -21,6 +22,9 @@
 FAULTY_SHARE = 0.4
 # Delay of each call to a slow store.
 SLOW_STORE_DELAY_S = 0.4
+# The limits in requests a second that upstreams name, and the seconds for which they do at least.
+LIMITS = (0.5, 2.0, 5.0)
+MIN_LIMIT_S = 7.0
 # Most writes that a restored store has lost.
 MAX_LOST_WRITES = 8
 
@@ -44,6 +48,7 @@
     STORE_COMPACTED = "store compacts its history"
     STORE_RESTORED = "store comes back from an older copy"
     UPSTREAM_LEAVES = "upstream says that it leaves"
+    UPSTREAM_LIMITED = "upstream names a request limit"
 
 
 # Relative frequency of each kind. Killing all hosts is rare, because little else is tested then.
@@ -124,6 +129,8 @@
                 await self._restore_store(fault)
             case FaultKind.UPSTREAM_LEAVES:
                 await self._inject_departure(fault)
+            case FaultKind.UPSTREAM_LIMITED:
+                await self._inject_limit(fault)
             case FaultKind.STORE_LINK:
                 await self._inject_link_fault(fault, [host.store_link for host in self.fleet.hosts])
             case FaultKind.UPSTREAM_LINK:
@@ -194,6 +201,17 @@
 
         await self._run_exclusively(f"departure of {upstream.name}", apply)
 
+    async def _inject_limit(self, fault: Fault) -> None:
+        upstream = self.fleet.upstreams[fault.target % len(self.fleet.upstreams)]
+        limit = NamedLimit(LIMITS[fault.variant % len(LIMITS)], asyncio.get_running_loop().time())
+
+        async def apply() -> None:
+            upstream.limits.append(limit)
+            await asyncio.sleep(fault.duration_s + MIN_LIMIT_S)
+            limit.ended = asyncio.get_running_loop().time()
+
+        await self._run_exclusively(f"limit of {upstream.name}", apply)
+
     async def _inject_link_fault(self, fault: Fault, links: list[Link]) -> None:
         link = links[fault.target % len(links)]
         faulty_states = [state for state in LinkState if state is not LinkState.PASS]
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from enum import Enum
 from hashlib import sha256
+from math import inf
 from random import Random
 
 from attrs import define, field
@@ -87,6 +88,19 @@
     seconds: float
 
 
+@define
+class NamedLimit:
+    """A limit in requests a second that an upstream named between two times."""
+
+    requests_per_s: float
+    began: float
+    ended: float = inf
+
+    def is_in_force(self, now: float) -> bool:
+        """Return whether the upstream named it at a time."""
+        return self.began <= now <= self.ended
+
+
 @define
 class SoakUpstream:
     """An upstream; ``executions`` counts how often it began to process each request.
@@ -107,6 +121,7 @@
     executions: Counter[str] = field(factory=Counter)
     arrivals: list[tuple[float, str]] = field(factory=list)
     refusals: list[Refusal] = field(factory=list)
+    limits: list[NamedLimit] = field(factory=list)
     is_leaving: bool = False
     incarnation: int = 1
     rejoined_at: list[float] = field(factory=list)
@@ -143,7 +158,7 @@
             silence = self.silences.draw(call.header("Attempt-Id"), self.name)
         match behaviour:
             case Behaviour.FAIL:
-                call.answer(b"failed", status=500)
+                call.answer(b"failed", status=500, extra=self._make_limit())
             case Behaviour.LOSE_RESPONSE:
                 call.reset()
             case Behaviour.HANG:
@@ -155,7 +170,7 @@
                 await self._stream(call, behaviour, silence)
             case Behaviour.TRUNCATE:
                 body = make_response_body(call.header("Attempt-Id"))
-                call.start_answer(len(body))
+                call.start_answer(len(body), extra=self._make_limit())
                 call.writer.write(body[:20])
                 call.writer.close()
             case _:
@@ -175,7 +190,7 @@
         self.answered.add(request_id)
 
     def _refuse(self, call: Call, behaviour: Behaviour) -> None:
-        extra = "Not-Executed: 1\r\n"
+        extra = "Not-Executed: 1\r\n" + self._make_limit()
         if behaviour is Behaviour.BACK_OFF:
             now = asyncio.get_running_loop().time()
             self.refusals.append(Refusal(now, call.header("Attempt-Id"), BACK_OFF_S))
@@ -187,7 +202,13 @@
             now = asyncio.get_running_loop().time()
             self.said_leaving.setdefault(call.header("Attempt-Id"), now)
         leaving = "Server-Leaving: 1\r\n" if self.is_leaving else ""
-        return f"{leaving}Soak-Upstream: {self.name}\r\n"
+        return f"{leaving}{self._make_limit()}Soak-Upstream: {self.name}\r\n"
+
+    def _make_limit(self) -> str:
+        now = asyncio.get_running_loop().time()
+        if not self.limits or not self.limits[-1].is_in_force(now):
+            return ""
+        return f"Server-Limit: {self.limits[-1].requests_per_s}\r\n"
 
     async def _stream(self, call: Call, behaviour: Behaviour, silence: Silence | None) -> None:
         cut = behaviour in (Behaviour.CUT_STREAM, Behaviour.TRUNCATE)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,15 +19,15 @@
     DRAIN_S,
     FINISHING_S,
     REGRESSION_GRACE_S,
-    Disturbance,
     Observations,
     check_response,
     find_violations,
 )
+from soak.disturbances import Disturbance
 from soak.faults import FaultKind, draw_faults
 from soak.runs import SoakOptions, run_soak
 from soak.silences import Silence, Silences
-from soak.upstreams import Refusal, SoakUpstream, make_event, make_response_body
+from soak.upstreams import NamedLimit, Refusal, SoakUpstream, make_event, make_response_body
 from tests.test_platform_documents import BOOT
 from tests.wire import TEST_TIMEOUT_S
 
@@ -202,6 +202,26 @@
         upstream.arrivals.append((1.2, "r2"))
         self.assertThat(find_violations(observed)[0], Contains("reached i-1 too soon"))
 
+    def test_more_requests_than_a_named_limit_are_found(self) -> None:
+        upstream = SoakUpstream("i-1", Random(1), limits=[NamedLimit(2.0, 0.0, 20.0)])
+        told = make_exchange(RequestKind.SAFE, Response(limiting_upstream="i-1"), ended=1.0)
+        allowed = 17
+        history = [told]
+        for number in range(allowed + 1):
+            exchange = make_exchange(RequestKind.SAFE, Response())
+            exchange.id = f"a{number}"
+            history.append(exchange)
+            upstream.arrivals.append((5.0 + number / 10, exchange.id))
+        observed = Observations(history, Counter(), [], upstreams=[upstream])
+        self.assertThat(find_violations(observed)[0], Contains("named a limit of 2.0"))
+        upstream.arrivals.pop()
+        self.assertEqual([], find_violations(observed))
+        upstream.arrivals += [(time, name) for time, name in upstream.arrivals if time < 6.0]
+        self.assertEqual(1, len(find_violations(observed)))
+        frozen = Disturbance(told.host, "host frozen", 6.0, 7.0)
+        observed.disturbances.append(frozen)
+        self.assertEqual([], find_violations(observed))
+
     def test_a_lost_answer_of_a_sound_silent_upstream_is_found(self) -> None:
         for kind, response in (
             (RequestKind.STREAM, Response(200, "r1", "s", make_event(1))),
