Log the software version of upstreams and what a stream goes on from

Four hypotheses on why streams go on at another version (docs/incidents/2026-12-04-order-software-versions.md) cannot be told apart by the logs: a dispatch names neither the version nor whether it takes a stream up.

--- a/src/cherrylane/platform/headers.py
+++ b/src/cherrylane/platform/headers.py
@@ -12,6 +12,8 @@
 REQUEST_ID = b"Attempt-Id"
 DEADLINE = b"Deadline-Ms"
 LAST_EVENT_ID = b"Last-Event-Id"
+# The request that brought the first event of a stream which the caller takes up again.
+RESUMES = b"Resumes"
 # The upstream's signature of its response, which the platform calls a seal.
 SIGNATURE = b"Server-Seal"
 ACCOUNT = b"Tenant"
@@ -36,6 +38,8 @@
 AUTHORIZATION = b"Authorization"
 AUTH_SCHEME = "bearer"
 LOWEST_PRIORITY = 9
+# Characters of a request's id that are compared.
+MAX_ID_CHARACTERS = 128
 # Characters of an invalid value that are logged.
 MAX_LOGGED_CHARACTERS = 40
 
@@ -102,6 +106,11 @@
     return head.find_text(LAST_EVENT_ID.lower()).strip()
 
 
+def read_resumed_request(head: RequestHead) -> str:
+    """Return the id of the request that began the stream which the caller takes up again."""
+    return head.find_text(RESUMES.lower()).strip()[:MAX_ID_CHARACTERS]
+
+
 def read_prompt(head: RequestHead) -> Prompt:
     """Return the description of the prompt; malformed parts are skipped, malformed counts are 0."""
     fields = head.find_text(TOKEN_COUNTS.lower()).split(",")
--- a/src/cherrylane/relay/_attempt_log.py
+++ b/src/cherrylane/relay/_attempt_log.py
@@ -16,8 +16,13 @@
 log = Logger("cherrylane.relay")
 
 
-def log_choice(request: CallerRequest, attempt: int, choice: Choice, snapshot: Snapshot) -> None:
-    """Log the choice of an upstream for the attempt of this number, from 1."""
+def log_choice(
+    request: CallerRequest, attempt: int, last_event: str, choice: Choice, snapshot: Snapshot
+) -> None:
+    """Log the choice of an upstream for the attempt of this number, from 1.
+
+    ``last_event`` is the id of the event after which a stream goes on.
+    """
     now = asyncio.get_running_loop().time()
     log.info(
         "dispatch",
@@ -25,6 +30,9 @@
             "request": request.id,
             "attempt": attempt,
             "upstream": choice.upstream.name,
+            "software": choice.upstream.software,
+            "last_event": last_event,
+            "resumes": request.resumes,
             "reason": choice.reason,
             "load": choice.load.requests,
             "unread_tokens": choice.load.unread_tokens,
--- a/src/cherrylane/relay/admission.py
+++ b/src/cherrylane/relay/admission.py
@@ -12,6 +12,7 @@
     read_last_event,
     read_prompt,
     read_request_id,
+    read_resumed_request,
 )
 from cherrylane.relay.outcomes import Cause, Rejection
 from cherrylane.relay.request import CallerRequest
@@ -66,6 +67,7 @@
             prompt=read_prompt(head),
             account=account,
             resume_after=read_last_event(head) if route.is_resumable else "",
+            resumes=read_resumed_request(head) if route.is_resumable else "",
             waited_s=self.wait_estimator.estimate_waited(route.name, remaining_s),
         )
 
--- a/src/cherrylane/relay/attempts.py
+++ b/src/cherrylane/relay/attempts.py
@@ -114,7 +114,8 @@
     def _start(
         self, state: RequestState, responder: Responder, race: AttemptRace, choice: Choice
     ) -> None:
-        log_choice(state.request, len(state.tried) + 1, choice, self.read_snapshot())
+        last_event = state.progress.last_id
+        log_choice(state.request, len(state.tried) + 1, last_event, choice, self.read_snapshot())
         self.selector.record_dispatch(choice.upstream, asyncio.get_running_loop().time())
         name = choice.upstream.name
         state.tried.add(name)
--- a/src/cherrylane/relay/request.py
+++ b/src/cherrylane/relay/request.py
@@ -48,8 +48,9 @@
     """One request of a caller; a retry by the caller is a new request.
 
     ``deadline`` and ``received`` are in seconds of the event loop's clock. ``resume_after`` is the
-    id of the last event that the caller received of a stream that broke off. ``waited_s`` is the
-    estimated time since the caller's first attempt.
+    id of the last event that the caller received of a stream that broke off, and ``resumes`` the id
+    of the request that began it. ``waited_s`` is the estimated time since the caller's first
+    attempt.
     """
 
     id: str
@@ -65,6 +66,7 @@
     prompt: Prompt
     account: Account | None = None
     resume_after: str = ""
+    resumes: str = ""
     waited_s: float = 0.0
 
     @property
--- a/src/cherrylane/routing/upstreams.py
+++ b/src/cherrylane/routing/upstreams.py
@@ -20,6 +20,7 @@
 
     ``incarnation`` distinguishes starts under the same name. ``slots`` is the number of requests
     that it processes concurrently. ``slow_start_s`` is how much longer it is slow after its start.
+    ``software`` is the version of its software, empty if it is not known.
     """
 
     name: str
@@ -30,6 +31,7 @@
     state: UpstreamState
     incarnation: int = 0
     slow_start_s: float = 0.0
+    software: str = ""
 
     @property
     def accepts_requests(self) -> bool:
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -81,6 +81,7 @@
     "zone": "a",
     "slots": 4,
     "state": "ready",
+    "version": "v1",
     "born": 5,
 }
 
--- a/tests/wire.py
+++ b/tests/wire.py
@@ -160,6 +160,7 @@
             "zone": "a",
             "slots": 4,
             "state": "ready",
+            "version": "v1",
             "born": 1,
         } | fields
 
