--- a/tests/relay_fixture.py
+++ b/tests/relay_fixture.py
@@ -43,16 +43,21 @@
     target_s=1.0,
     max_attempts=2,
 )
+UNSPECIFIED = ("v1",) * 10
 STREAM = make_route(RequestKind.STREAM, target_event_gap_s=0.05, max_attempts=2)
 
 
 @define
 class RelayFixture:
-    """A relay service in front of scripted upstreams, which are chosen in the order given."""
+    """A relay service in front of scripted upstreams, which are chosen in the order given.
+
+    ``software`` are the versions of the upstreams, v1 where it is too short.
+    """
 
     scripts: tuple[Script, ...]
     configuration: Configuration
     slack: float = 100.0
+    software: tuple[str, ...] = ()
     upstreams: list[ScriptedUpstream] = field(factory=list)
     snapshot: Snapshot = field(factory=Snapshot)
     load_tracker: LoadTracker = field(factory=LoadTracker)
@@ -62,13 +67,11 @@
     async def open(self) -> "RelayFixture":
         self.upstreams = [await ScriptedUpstream(script).start() for script in self.scripts]
         described = [
-            upstream.to_upstream(f"i{index}") for index, upstream in enumerate(self.upstreams)
+            upstream.to_upstream(f"i{index}", software=(*self.software, *UNSPECIFIED)[index])
+            for index, upstream in enumerate(self.upstreams)
         ]
         self.snapshot = make_snapshot(described, self.configuration)
-        # A peer reports increasing loads, so that upstreams are chosen in a known order.
-        self.load_tracker.update_peer(
-            "peer", {f"i{index}": Load(index * 10) for index in range(len(described))}, float("inf")
-        )
+        self.set_order(*range(len(described)))
         outliers = OutlierDetector()
         selector = UpstreamSelector(Chooser("a", 2.0), self.load_tracker, outliers)
         crash_guard = CrashGuard()
@@ -88,6 +91,11 @@
         await self.server.listen(open_listener())
         return self
 
+    def set_order(self, *indexes: int) -> None:
+        """Let a peer report increasing loads, so that upstreams are chosen in this order."""
+        loads = {f"i{index}": Load(rank * 10) for rank, index in enumerate(indexes)}
+        self.load_tracker.update_peer("peer", loads, float("inf"))
+
     async def fetch(
         self, method: str = "GET", *, extra: str = "", request_id: str = "1", body: str = ""
     ) -> bytes:
--- /dev/null
+++ b/tests/test_stream_versions.py
@@ -0,0 +1,71 @@
+"""A stream goes on only at the software version that began it, over real sockets."""
+
+from attrs import evolve
+from testtools import TestCase
+from testtools.matchers import Contains
+
+from tests.relay_fixture import RESUMABLE, RelayFixture, events, never_answer, stream
+from tests.wire import Call, Script, make_configuration, run
+
+VERSIONS = ("v1", "v2", "v1")
+RETAKE = "Resumes: first\r\nLast-Event-Id: 3\r\n"
+
+
+async def stream_rest(call: Call) -> None:
+    call.start_events()
+    for number in range(int(call.header("Last-Event-Id") or 0) + 1, 7):
+        call.write_event(number)
+    call.end_events()
+
+
+async def play(*scripts: Script) -> tuple[bytes, list[int]]:
+    """Send one request; return its answer and the calls of each upstream."""
+    configuration = make_configuration(RESUMABLE)
+    fixture = await RelayFixture(scripts, configuration, software=VERSIONS).open()
+    return await fixture.fetch("POST", request_id="first"), fixture.calls
+
+
+class StreamVersionTest(TestCase):
+    # Guards against: streams held events from two software versions of a back end (ORDER), within
+    # one answer.
+    def test_a_broken_stream_goes_on_at_the_version_that_began_it(self) -> None:
+        cut = stream(1, 3, cut=True)
+        answer, calls = run(play(cut, stream_rest, stream_rest))
+        self.assertEqual([1, 0, 1], calls)
+        self.assertEqual([1, 2, 3, 4, 5, 6], events(answer))
+
+    # The same beside a silent upstream that has sent events.
+    def test_a_silent_stream_goes_on_at_the_version_that_began_it(self) -> None:
+        silent = stream(1, 3, then=never_answer)
+        answer, calls = run(play(silent, stream_rest, stream_rest))
+        self.assertEqual([1, 0, 1], calls)
+        self.assertEqual([1, 2, 3, 4, 5, 6], events(answer))
+
+    # The same over a caller's tries.
+    def test_a_stream_that_is_taken_up_goes_on_at_the_version_that_began_it(self) -> None:
+        async def scenario() -> tuple[list[bytes], list[int]]:
+            configuration = make_configuration(evolve(RESUMABLE, max_attempts=1))
+            scripts = (stream(1, 3, cut=True), stream_rest, stream_rest)
+            fixture = await RelayFixture(scripts, configuration, software=VERSIONS).open()
+            begun = await fixture.fetch("POST", request_id="first")
+            fixture.set_order(1, 2, 0)
+            resumed = await fixture.fetch("POST", request_id="next", extra=RETAKE)
+            return [begun, resumed], fixture.calls
+
+        answers, calls = run(scenario())
+        self.assertEqual(([1, 2, 3], [4, 5, 6]), (events(answers[0]), events(answers[1])))
+        self.assertEqual([1, 0, 1], calls)
+
+    # The same at a host that does not know where the stream began.
+    def test_a_stream_of_an_unknown_version_is_refused_at_once(self) -> None:
+        configuration = make_configuration(RESUMABLE)
+        scripts = (stream_rest, stream_rest, stream_rest)
+
+        async def scenario() -> tuple[bytes, list[int]]:
+            fixture = await RelayFixture(scripts, configuration, software=VERSIONS).open()
+            answer = await fixture.fetch("POST", request_id="next", extra=RETAKE)
+            return answer, fixture.calls
+
+        answer, calls = run(scenario())
+        self.assertEqual([0, 0, 0], calls)
+        self.assertThat(answer, Contains(b"503"))
--- a/tests/wire.py
+++ b/tests/wire.py
@@ -164,10 +164,11 @@
             "born": 1,
         } | fields
 
-    def to_upstream(self, name: str, service: str = "desk") -> Upstream:
+    def to_upstream(self, name: str, service: str = "desk", software: str = "v1") -> Upstream:
         """Return this upstream as a host represents it."""
         endpoint = Endpoint(LOOPBACK, self.port)
-        return Upstream(name, service, endpoint, "a", 4, UpstreamState.READY)
+        state = UpstreamState.READY
+        return Upstream(name, service, endpoint, "a", 4, state, software=software)
 
 
 async def read_call(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> Call | None:
