Let streams go on only at the software version that began them

Cause: no decision knew a version, and nothing bound a stream to where it began. Change: an answer is bound before anything of it is sent; hosts tell each other of streams while several versions may have begun them; the store holds which versions count; what stays unknown is refused at once (docs/design/017-stream-origins.md, with what was ruled out: a write a stream, placing by a rule, bounding by the caller's deadline).

--- a/src/cherrylane/gateway/announcements.py
+++ b/src/cherrylane/gateway/announcements.py
@@ -4,6 +4,7 @@
 
 from cherrylane.gateway.routing_state import RoutingState
 from cherrylane.gossip.messages import (
+    BegunStreams,
     CrashReport,
     Heartbeat,
     HostState,
@@ -12,6 +13,7 @@
     UpstreamBackoff,
     UpstreamLeaving,
     UpstreamRate,
+    VersionUse,
 )
 from cherrylane.gossip.updates import UpdateQueue
 from cherrylane.limits.backoff import BackoffTracker
@@ -22,12 +24,15 @@
 from cherrylane.placement.loads import LoadTracker
 from cherrylane.platform.client import AsyncPlatformClient
 from cherrylane.platform.versions import NO_VERSION
+from cherrylane.relay.stream_origins import StreamBinder, StreamOrigin
 from cherrylane.routing.upstreams import Upstream
 from cherrylane.settings.gateway import HostIdentity
 from cherrylane.settings.schema import Endpoint
 
 # Sweeps of heartbeats to all hosts in which an update is sent, such as a newly cached part.
 UPDATE_SWEEPS = 2
+# Streams in one heartbeat.
+MAX_STREAMS = 48
 # Request limits in one heartbeat.
 MAX_RATES = 6
 # Crashes in one heartbeat, suspects of one crash that are parts and that are whole requests,
@@ -58,9 +63,13 @@
     backoffs: BackoffTracker
     quarantine: RequestQuarantine
     rate_limits: UpstreamRateLimits
+    stream_binder: StreamBinder
     _leaving: UpdateQueue[UpstreamLeaving] = field(factory=UpdateQueue)
     _crashes: UpdateQueue[_NotedCrash] = field(factory=UpdateQueue)
     _answered: UpdateQueue[tuple[str, float]] = field(factory=UpdateQueue)
+    _streams: UpdateQueue[tuple[str, StreamOrigin]] = field(
+        factory=lambda: UpdateQueue(newest_first=True)
+    )
     _turn: int = 0
     _rates_turn: int = 0
     _heartbeats: int = 0
@@ -89,6 +98,10 @@
         reported = evolve(crash, suspects=(*parts[:MAX_SUSPECTS], *whole[:MAX_WHOLE_REQUESTS]))
         self._crashes.add(_NotedCrash(reported, now))
 
+    def record_stream(self, key: str, origin: StreamOrigin) -> None:
+        """Tell the peers of a stream that its caller may take up at any of them."""
+        self._streams.add((key, origin))
+
     def record_answered(self, part: str, answered_at: float) -> None:
         """Tell the peers that a part that was suspected of a crash has been answered since."""
         self._answered.add((part, answered_at))
@@ -125,6 +138,13 @@
                 for name, remaining_s in self.backoffs.list_active(now)
             ),
             rates=tuple(_report_rate(known, now) for known in self._take_rates()),
+            streams=_group_streams(self._streams.take(rounds_to_reach_all, MAX_STREAMS)),
+            versions=tuple(
+                VersionUse(service, software, round(age_s * 1000))
+                for service, ages in self.stream_binder.versions.list_mixed(now).items()
+                for software, age_s in ages.items()
+            ),
+            knows_versions=self.stream_binder.versions.knows_all,
             crashes=tuple(
                 _report_crash(noted, now)
                 for noted in self._crashes.take(rounds, MAX_CRASHES)[::order]
@@ -171,6 +191,7 @@
             self.rate_limits.record_peer(
                 rate.name, rate.incarnation, rate.requests_per_s, heard_at, now
             )
+        self._take_over_streams(heartbeat, now)
         for report in heartbeat.crashes:
             self.quarantine.record_crash(_read_report(report), now)
         for answered in heartbeat.answered:
@@ -179,6 +200,27 @@
             verdict = Verdict(told.part, told.generation, told.is_lifted, told.age_ms / 1000)
             self.quarantine.apply_verdict(verdict, now)
 
+    def _take_over_streams(self, heartbeat: Heartbeat, now: float) -> None:
+        binder = self.stream_binder
+        for begun in heartbeat.streams:
+            origin = StreamOrigin(begun.service, begun.software)
+            for key in begun.keys:
+                binder.origins.record(key, origin, now)
+        for use in heartbeat.versions:
+            binder.versions.record_in_use(use.service, [use.software], now - use.age_ms / 1000)
+        if heartbeat.knows_versions:
+            binder.versions.knows_all = True
+
+
+def _group_streams(streams: tuple[tuple[str, StreamOrigin], ...]) -> tuple[BegunStreams, ...]:
+    keys: dict[StreamOrigin, list[str]] = {}
+    for key, origin in streams:
+        keys.setdefault(origin, []).append(key)
+    return tuple(
+        BegunStreams(origin.service, origin.software, tuple(found))
+        for origin, found in keys.items()
+    )
+
 
 def _report_rate(known: KnownLimit, now: float) -> UpstreamRate:
     age_ms = round((now - known.heard_at) * 1000)
--- a/src/cherrylane/gateway/peer_sync.py
+++ b/src/cherrylane/gateway/peer_sync.py
@@ -19,6 +19,7 @@
 from cherrylane.placement.caches import CachedPart, CacheMap
 from cherrylane.placement.loads import LoadTracker
 from cherrylane.platform.versions import StoreVersion
+from cherrylane.relay.stream_origins import StreamOrigin, StreamOrigins
 from cherrylane.settings.schema import Endpoint
 
 # Seconds that a follower waits before it fetches newer state from a peer; the store usually sends
@@ -32,6 +33,7 @@
 CONFIG_PATH = b"/config"
 UPSTREAMS_PATH = b"/upstreams"
 CACHED_PATH = b"/cached"
+STREAMS_PATH = b"/streams"
 
 log = Logger("cherrylane.gossip")
 
@@ -42,14 +44,17 @@
 
     A host that follows the store waits a little before it fetches, since the store notifies it as
     well. ``reported_engines`` are the engines whose full list of cached parts a peer has sent.
-    ``has_full_cache_map`` says whether this host also knows what was cached before it started.
+    ``has_full_cache_map`` says whether this host also knows what was cached before it started, and
+    ``has_streams`` whether it knows the streams that had begun before.
     """
 
     routing_state: RoutingState
     load_tracker: LoadTracker
     caches: CacheMap
     peers_port: int
+    stream_origins: StreamOrigins = field(factory=StreamOrigins)
     has_full_cache_map: bool = False
+    has_streams: bool = False
     is_following: Callable[[], bool] = lambda: True
     reported_engines: set[str] = field(factory=set)
     _behind_since: float | None = None
@@ -58,8 +63,8 @@
     def handle_heartbeat(self, address: str, heartbeat: Heartbeat, is_new: bool) -> None:
         """Record a peer's loads and cached parts, and fetch from it what this host lacks.
 
-        That is newer state, for which a follower waits ``PEER_FETCH_DELAY_S`` first, and the
-        cache map.
+        That is newer state, for which a follower waits ``PEER_FETCH_DELAY_S`` first, the cache map,
+        and the streams that had begun before this host started.
         """
         now = asyncio.get_running_loop().time()
         self.load_tracker.update_peer(address, dict(heartbeat.loads), now)
@@ -71,6 +76,8 @@
             targets = []
         if heartbeat.has_full_cache_map and not self.has_full_cache_map:
             targets.append(CACHED_PATH)
+        if heartbeat.knows_versions and not self.has_streams:
+            targets.append(STREAMS_PATH)
         if targets and (self._fetch_task is None or self._fetch_task.done()):
             fetch = self._fetch(Endpoint(address, self.peers_port), targets)
             self._fetch_task = asyncio.get_running_loop().create_task(fetch)
@@ -137,6 +144,11 @@
             }
         if target == CACHED_PATH:
             return [(part.upstream, part.key, part.tokens) for part in self.caches.list_all()]
+        if target == STREAMS_PATH:
+            return [
+                (key, origin.service, origin.software)
+                for key, origin in self.stream_origins.list_all()
+            ]
         return None
 
     def _should_wait_for_store(self, now: float) -> bool:
@@ -170,6 +182,11 @@
         elif target == UPSTREAMS_PATH:
             version = StoreVersion(int(document.get("era", 0)), int(document["version"]))
             self.routing_state.apply_peer_entries(dict(document["entries"]), version)
+        elif target == STREAMS_PATH:
+            now = asyncio.get_running_loop().time()
+            for key, service, software in document:
+                self.stream_origins.record(str(key), StreamOrigin(str(service), str(software)), now)
+            self.has_streams = True
         else:
             self.record_cached_parts(_decode_cached(document))
             self.has_full_cache_map = True
--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -18,6 +18,7 @@
 from cherrylane.gateway.sockets import ListeningSockets
 from cherrylane.gateway.store_probe import StoreProbe
 from cherrylane.gateway.tasks import keep_running
+from cherrylane.gateway.version_registry import VersionRegistry
 from cherrylane.gossip.members import HEARTBEAT_TIMEOUT_S, Members
 from cherrylane.gossip.messages import Heartbeat, HostState
 from cherrylane.gossip.node import HEARTBEAT_INTERVAL_S, GossipNode
@@ -33,6 +34,7 @@
 from cherrylane.limits.quarantine import RequestQuarantine
 from cherrylane.limits.rate_limits import UpstreamRateLimits
 from cherrylane.limits.retries import HostRetryBudget
+from cherrylane.membership.software_versions import STREAM_LIFETIME_S, SoftwareVersions
 from cherrylane.placement.caches import CacheMap
 from cherrylane.placement.choice import Chooser
 from cherrylane.placement.heat import ChatHeat
@@ -46,6 +48,8 @@
 from cherrylane.relay.forwarding import Forwarder
 from cherrylane.relay.selection import UpstreamSelector
 from cherrylane.relay.service import RelayService
+from cherrylane.relay.stream_origins import StreamBinder
+from cherrylane.routing.routes import RouteTable
 from cherrylane.routing.snapshot import Snapshot
 from cherrylane.settings.gateway import GatewaySettings
 from cherrylane.settings.schema import Endpoint, PlatformSettings
@@ -112,6 +116,7 @@
         self._started_at = monotonic()
         self._tasks: list[asyncio.Task[None]] = []
         self._retry_budgets: dict[str, HostRetryBudget] = {}
+        self._route_table: RouteTable | None = None
         self.load_tracker = LoadTracker()
         self.outliers = OutlierDetector()
         self.pool = ConnectionPool(MAX_IDLE_S, CONNECT_TIMEOUT_S, self._find_max_idle_connections)
@@ -136,6 +141,10 @@
         self.chat_heat = ChatHeat()
         self.rate_limits = UpstreamRateLimits()
         self.quarantine = RequestQuarantine(is_trial_host=self._is_trial_host)
+        self.stream_binder = StreamBinder(
+            versions=SoftwareVersions(knows_all=settings.is_first_start),
+            on_begun=lambda key, origin: self._announcements.record_stream(key, origin),
+        )
         self._announcements = Announcements(
             settings.identity,
             self._boot_id,
@@ -146,14 +155,19 @@
             self.backoffs,
             self.quarantine,
             self.rate_limits,
+            self.stream_binder,
         )
         self._peer_sync = PeerSync(
             self.routing_state,
             self.load_tracker,
             self.caches,
             settings.listen.peers.port,
+            self.stream_binder.origins,
             is_following=lambda: self._follower_selection.is_following,
         )
+        self._version_registry = VersionRegistry(
+            self.store, self.members, self.stream_binder.versions
+        )
         self._cache_recovery = CacheRecovery(
             self.routing_state, self.members, self._peer_sync, self._registry.loaded
         )
@@ -190,11 +204,12 @@
             "follower selection": self._follower_selection.run,
             "host registry": self._registry.run,
             "store probe": self._store_probe.run,
+            "software versions": self._version_registry.run,
             "gossip": self._gossip.run,
             "maintenance": self._run_maintenance,
         }
         if self.settings.is_first_start:
-            self._peer_sync.has_full_cache_map = True
+            self._peer_sync.has_full_cache_map = self._peer_sync.has_streams = True
         else:
             runs["cache recovery"] = self._cache_recovery.run
         self._tasks = [loop.create_task(keep_running(name, run)) for name, run in runs.items()]
@@ -292,6 +307,7 @@
             ExchangeClient(self.pool),
             selector,
             crash_guard,
+            self.stream_binder,
             lambda: self.routing_state.snapshot,
             self._announcements.record_leaving,
         )
@@ -302,6 +318,7 @@
             lambda: self.routing_state.snapshot,
             self._find_retry_budget,
             crash_guard,
+            self.stream_binder,
         )
         return RelayService(attempt_runner, lambda: self.routing_state.snapshot, self.telemetry)
 
@@ -360,11 +377,17 @@
             extra={"era": era},
         )
         self._registry.record_restored()
+        self._version_registry.record_restored()
         for watcher in self._watchers:
             watcher.record_era(era)
 
     def _on_snapshot(self, snapshot: Snapshot) -> None:
         self._peer_sync.reset_lag_timer()
+        now = asyncio.get_running_loop().time()
+        self._record_versions(now)
+        if snapshot.table is not self._route_table:
+            self.stream_binder.record_routes(self._route_table, now)
+            self._route_table = snapshot.table
         if self._follower_selection.must_notify_peers:
             self._gossip.send_round(to_all=True)
         if self._has_routing_data:
@@ -372,6 +395,11 @@
         if snapshot.table is not None:
             self._listeners.callers.limits = snapshot.table.configuration.limits
 
+    def _record_versions(self, now: float) -> None:
+        for service, upstreams in self.routing_state.snapshot.upstreams_by_service.items():
+            versions = {known.upstream.software for known in upstreams}
+            self.stream_binder.versions.record_in_use(service, versions, now)
+
     def _get_removal_grace_s(self) -> float:
         watcher = self._watchers[1]
         if watcher.unavailable_since is not None:
@@ -418,11 +446,19 @@
             )
             self.chat_heat.window_s = sweep_s
             self._share_rate_limits()
+            self._update_streams()
             self.quarantine.settle_s = min(MAX_SETTLE_S, sweep_s * SETTLE_SWEEPS)
             self.chat_heat.peers = len(self.members)
             self.chat_heat.forget_old(asyncio.get_running_loop().time())
             self._writer.flush()
 
+    def _update_streams(self) -> None:
+        now = asyncio.get_running_loop().time()
+        self._record_versions(now)
+        self.stream_binder.update(now)
+        if self._has_routing_data and monotonic() - self._started_at > STREAM_LIFETIME_S:
+            self.stream_binder.versions.knows_all = True
+
     def _share_rate_limits(self) -> None:
         """Set the hosts that share the upstreams' request limits; a stopping one takes no part."""
         now = asyncio.get_running_loop().time()
--- a/src/cherrylane/gossip/messages.py
+++ b/src/cherrylane/gossip/messages.py
@@ -16,6 +16,9 @@
 # Size limit of a datagram; most links carry 1,500 bytes without fragmentation.
 MAX_DATAGRAM_BYTES = 1400
 
+# Characters of the key of a stream.
+STREAM_KEY_LENGTH = 8
+
 # The confirmation age of state that was never confirmed.
 UNCONFIRMED_MS = 10**9
 
@@ -62,6 +65,24 @@
     age_ms: int
 
 
+@frozen
+class BegunStreams:
+    """The keys of streams that a software version of a service has begun."""
+
+    service: str
+    software: str
+    keys: tuple[str, ...]
+
+
+@frozen
+class VersionUse:
+    """A software version that a service had in use ``age_ms`` milliseconds ago."""
+
+    service: str
+    software: str
+    age_ms: int
+
+
 @frozen
 class CrashReport:
     """A crash of an upstream ``age_ms`` milliseconds ago, as the sender saw it.
@@ -107,7 +128,9 @@
     ``confirmation_age_ms`` is how long ago a host that follows the store last confirmed that the
     state of this host is current. ``leaving`` are upstreams that have lately said in an answer that
     they leave, and ``backing_off`` those that want nothing from this host for a while. ``rates``
-    are some of the request limits that upstreams have named. ``crashes`` are upstreams that have
+    are some of the request limits that upstreams have named. ``streams`` are streams that may be
+    taken up elsewhere, ``versions`` those of services which have several, and ``knows_versions``
+    says that the sender knows of no others. ``crashes`` are upstreams that have
     just crashed, ``answered`` parts of prompts that were suspected of it and answered since, and
     ``verdicts`` parts of prompts that crash upstreams.
     """
@@ -127,6 +150,9 @@
     leaving: tuple[UpstreamLeaving, ...] = ()
     backing_off: tuple[UpstreamBackoff, ...] = ()
     rates: tuple[UpstreamRate, ...] = ()
+    streams: tuple[BegunStreams, ...] = ()
+    versions: tuple[VersionUse, ...] = ()
+    knows_versions: bool = False
     crashes: tuple[CrashReport, ...] = ()
     answered: tuple[PartAnswered, ...] = ()
     verdicts: tuple[PartVerdict, ...] = ()
@@ -135,7 +161,8 @@
         """Return the datagram.
 
         Above ``MAX_DATAGRAM_BYTES``, the least important parts are dropped first: cached parts,
-        then hosts, then backoffs, then loads, then crashes, then rates, then verdicts.
+        then hosts, then streams, then backoffs, then loads, then crashes, then rates, then
+        verdicts.
         """
         data = self._to_json()
         if len(data) <= MAX_DATAGRAM_BYTES:
@@ -148,6 +175,8 @@
             return evolve(self, cached=self.cached[: len(self.cached) // 2])
         if self.hosts:
             return evolve(self, hosts=self.hosts[: len(self.hosts) // 2])
+        if self.streams:
+            return evolve(self, streams=tuple(_halve_streams(self.streams)))
         if self.backing_off:
             return evolve(self, backing_off=self.backing_off[: len(self.backing_off) // 2])
         if not self.loads and not self.crashes and not self.answered and self.rates:
@@ -182,6 +211,12 @@
             fields["d"] = [(upstream.name, upstream.incarnation) for upstream in self.leaving]
         if self.backing_off:
             fields["w"] = [(upstream.name, upstream.remaining_ms) for upstream in self.backing_off]
+        if self.streams:
+            fields["g"] = [(one.service, one.software, "".join(one.keys)) for one in self.streams]
+        if self.versions:
+            fields["j"] = [astuple(version) for version in self.versions]
+        if self.knows_versions:
+            fields["i"] = 1
         if self.rates:
             fields["r"] = [astuple(rate) for rate in self.rates]
         if self.crashes:
@@ -224,6 +259,12 @@
                 for name, remaining in fields.get("w", ())
             ),
             rates=tuple(_decode_rates(fields)),
+            streams=tuple(_decode_streams(fields)),
+            versions=tuple(
+                VersionUse(str(service), str(software), _decode_age(age))
+                for service, software, age in fields.get("j", ())
+            ),
+            knows_versions=bool(fields.get("i", 0)),
             crashes=tuple(_decode_crashes(fields)),
             answered=tuple(
                 PartAnswered(str(part), _decode_age(age)) for part, age in fields.get("o", ())
@@ -240,6 +281,24 @@
         ) from error
 
 
+def _halve_streams(streams: tuple[BegunStreams, ...]) -> Iterator[BegunStreams]:
+    for begun in streams:
+        keys = begun.keys[: len(begun.keys) // 2]
+        if keys:
+            yield evolve(begun, keys=keys)
+
+
+def _decode_streams(fields: dict[str, Any]) -> Iterator[BegunStreams]:
+    for service, software, text in fields.get("g", ()):
+        if len(text) % STREAM_KEY_LENGTH:
+            raise ValueError("a stream's key is cut off")
+        keys = tuple(
+            str(text[start : start + STREAM_KEY_LENGTH])
+            for start in range(0, len(text), STREAM_KEY_LENGTH)
+        )
+        yield BegunStreams(str(service), str(software), keys)
+
+
 def _decode_rates(fields: dict[str, Any]) -> Iterator[UpstreamRate]:
     for name, incarnation, rate, age in fields.get("r", ()):
         requests_per_s = None if rate is None else float(rate)
--- a/src/cherrylane/gossip/updates.py
+++ b/src/cherrylane/gossip/updates.py
@@ -22,7 +22,7 @@
 
 @define
 class UpdateQueue(Generic[T]):
-    """Updates that wait to be sent, oldest first.
+    """Updates that wait to be sent, oldest first, or newest first if ``newest_first``.
 
     Example::
 
@@ -30,6 +30,7 @@
         queue.take(rounds=4)  # the same update in this and in the next three calls
     """
 
+    newest_first: bool = False
     _pending: list[_PendingUpdate[T]] = field(factory=list)
 
     def add(self, update: T) -> None:
@@ -42,7 +43,7 @@
 
         Each is sent in at least ``rounds`` rounds.
         """
-        batch = self._pending[:most]
+        batch = self._pending[-most:] if self.newest_first else self._pending[:most]
         for pending in batch:
             pending.rounds += 1
         self._pending = [
--- a/src/cherrylane/platform/objects.py
+++ b/src/cherrylane/platform/objects.py
@@ -23,6 +23,7 @@
     FRAGMENTS = "fragments"
     RUNNERS = "runners"
     CLAIMS = "claims"
+    SOFTWARE_VERSIONS = "software-versions"
 
 
 @frozen
--- a/src/cherrylane/platform/upstreams.py
+++ b/src/cherrylane/platform/upstreams.py
@@ -24,7 +24,7 @@
             state=STATES[entry["state"]],
             # Start time of the upstream, in Unix milliseconds.
             incarnation=_read_count(entry.get("born", 0)),
-            software=str(entry.get("version", "")),
+            software=_read_text(entry["version"]),
             slow_start_s=_read_count(entry.get("cold_remaining_ms", 0)) / 1000,
         )
     except DECODING_ERRORS as error:
--- a/src/cherrylane/relay/_attempt_log.py
+++ b/src/cherrylane/relay/_attempt_log.py
@@ -90,6 +90,19 @@
     )
 
 
+def log_unbound(request: CallerRequest) -> None:
+    """Log that a stream is not taken up, since it is not known which version began it."""
+    log.info(
+        "stream not taken up: the software version that began it is not known",
+        extra={
+            "request": request.id,
+            "resumes": request.resumes,
+            "last_event": request.resume_after,
+            "route": request.route.name,
+        },
+    )
+
+
 def log_failed_attempt(
     request: CallerRequest, upstream: str, outcome: Outcome, seconds: float, has_started: bool
 ) -> None:
--- a/src/cherrylane/relay/attempts.py
+++ b/src/cherrylane/relay/attempts.py
@@ -12,7 +12,7 @@
 from math import isfinite
 from random import Random
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from cherrylane.http.responder import Responder
 from cherrylane.limits.overload import RetryDelays
@@ -27,6 +27,7 @@
     log_overload,
     log_rate_limited,
     log_stall,
+    log_unbound,
 )
 from cherrylane.relay.crashes import BrokenAttempt, CrashGuard
 from cherrylane.relay.forwarding import Forwarder
@@ -46,11 +47,13 @@
 from cherrylane.relay.request import CallerRequest
 from cherrylane.relay.selection import (
     AllBackingOff,
+    OriginGone,
     Overloaded,
     RateLimited,
     UpstreamSelector,
 )
 from cherrylane.relay.state import AttemptRecord, RequestState
+from cherrylane.relay.stream_origins import StreamBinder, StreamOrigin, UnknownOrigin
 from cherrylane.routing.snapshot import Snapshot
 
 # Number of unreachable upstreams after which a request is abandoned.
@@ -60,11 +63,13 @@
 # Retry-After, in seconds, by the reason why the request was not run.
 RETRY_NOT_ACCEPTED_S = 0.25
 RETRY_NO_UPSTREAM_S = 0.5
+# Retry-After, in seconds, while peers may still tell where a stream began.
+RETRY_ORIGIN_UNKNOWN_S = 0.5
 # Seconds over which callers are spread when an upstream accepts requests again.
 BACKOFF_SPREAD_S = 0.25
 
 FinalOutcome = Answered | Failed | Completed | Broken | Rejection
-NoChoice = Overloaded | AllBackingOff | RateLimited | Quarantined | None
+NoChoice = Overloaded | AllBackingOff | RateLimited | OriginGone | Quarantined | None
 
 
 @define
@@ -72,7 +77,8 @@
     """Runs the attempts of requests.
 
     ``load_tracker`` counts the requests in progress; ``find_retry_budget`` returns the budget of a
-    service. ``crash_guard`` refuses requests that crash upstreams.
+    service. ``crash_guard`` refuses requests that crash upstreams, and ``stream_binder`` finds
+    where a stream has to go on.
     """
 
     selector: UpstreamSelector
@@ -81,11 +87,15 @@
     read_snapshot: Callable[[], Snapshot]
     find_retry_budget: Callable[[str], HostRetryBudget]
     crash_guard: CrashGuard = field(factory=CrashGuard)
+    stream_binder: StreamBinder = field(factory=StreamBinder)
     retry_delays: RetryDelays = field(factory=RetryDelays)
     random: Random = field(factory=Random)
 
     async def run(self, state: RequestState, responder: Responder) -> FinalOutcome:
         """Return the final outcome; a stream has been relayed by then."""
+        refusal = self._bind(state)
+        if refusal is not None:
+            return refusal
         self.find_retry_budget(state.request.service).deposit()
         race = AttemptRace(lambda attempt: self._record_superseded(state, attempt))
         try:
@@ -110,6 +120,24 @@
                             return final
         finally:
             race.cancel()
+            self.stream_binder.record_ended(state.request)
+
+    def _bind(self, state: RequestState) -> Rejection | None:
+        """Bind a stream that the caller takes up to the version that began it.
+
+        Returns the rejection if that is not known, or if the route's services do not run it.
+        """
+        request = state.request
+        match self.stream_binder.find(request, asyncio.get_running_loop().time()):
+            case UnknownOrigin():
+                log_unbound(request)
+                return Rejection(Cause.ORIGIN_UNKNOWN, retry_after_s=RETRY_ORIGIN_UNKNOWN_S)
+            case StreamOrigin(service=service) as origin:
+                if service not in {share.service for share in request.route.shares}:
+                    return Rejection(Cause.ORIGIN_GONE)
+                state.origin = origin
+                state.request = evolve(request, service=service)
+        return None
 
     def _start(
         self, state: RequestState, responder: Responder, race: AttemptRace, choice: Choice
@@ -203,7 +231,7 @@
         refusal = self.crash_guard.find_refusal(request, now)
         if refusal is not None:
             return refusal
-        return self.selector.choose(request, self.read_snapshot(), state.tried, now)
+        return self.selector.choose(request, self.read_snapshot(), state.tried, now, state.origin)
 
     def _may_retry(self, state: RequestState, outcome: Outcome) -> bool:
         request = state.request
@@ -239,6 +267,8 @@
                 return self._refuse(state, reason)
             case RateLimited():
                 return self._refuse_rate_limited(state, responder, reason)
+            case OriginGone():
+                return self._give_up(state, responder, Cause.ORIGIN_GONE)
             case AllBackingOff(first_end_s=first_end_s):
                 delay_s = first_end_s + self.random.uniform(0.0, BACKOFF_SPREAD_S)
                 return self._give_up(state, responder, Cause.BACKING_OFF, delay_s)
--- a/src/cherrylane/relay/forwarding.py
+++ b/src/cherrylane/relay/forwarding.py
@@ -25,6 +25,7 @@
 from cherrylane.relay.selection import UpstreamSelector
 from cherrylane.relay.stalls import MIN_PATIENCE_S
 from cherrylane.relay.state import RequestState
+from cherrylane.relay.stream_origins import StreamBinder, StreamOrigin
 from cherrylane.relay.streams import StreamRelay
 from cherrylane.routing.snapshot import Snapshot
 from cherrylane.routing.upstreams import Upstream
@@ -45,6 +46,7 @@
     client: ExchangeClient
     selector: UpstreamSelector
     crash_guard: CrashGuard
+    stream_binder: StreamBinder
     read_snapshot: Callable[[], Snapshot]
     on_leaving: Callable[[Upstream], None] = lambda upstream: None
 
@@ -70,9 +72,9 @@
             request,
             responder,
             state.progress,
-            claim=lambda: race.claim(attempt),
+            claim=lambda: self._claim(state, attempt, race),
             record_progress=attempt.record_progress,
-            record_first_event=lambda: self._record_first_event(request, attempt),
+            record_first_event=lambda: self._record_first_event(state, attempt),
             record_under_way=lambda at: self.crash_guard.record_under_way(request, at),
         )
         try:
@@ -86,9 +88,18 @@
             return Unknown(f"stream ended before its first event: {outcome}")
         return outcome
 
-    def _record_first_event(self, request: CallerRequest, attempt: Attempt) -> None:
+    def _claim(self, state: RequestState, attempt: Attempt, race: AttemptRace) -> None:
+        """Let an attempt answer the request; the stream is bound before anything of it is sent."""
+        race.claim(attempt)
+        if state.origin is None:
+            upstream = attempt.choice.upstream
+            state.origin = StreamOrigin(upstream.service, upstream.software)
+
+    def _record_first_event(self, state: RequestState, attempt: Attempt) -> None:
         now = asyncio.get_running_loop().time()
-        choice = attempt.choice
+        request, choice = state.request, attempt.choice
+        if state.origin is not None:
+            self.stream_binder.record_begun(request, state.origin, now)
         self.selector.throughput_of(request.service).record_first_event(
             choice.load.unread_tokens + choice.unread_tokens, now - attempt.started_at
         )
--- a/src/cherrylane/relay/outcomes.py
+++ b/src/cherrylane/relay/outcomes.py
@@ -82,6 +82,8 @@
     OVERLOADED = "overloaded"
     BACKING_OFF = "backing_off"
     RATE_LIMITED = "rate_limited"
+    ORIGIN_UNKNOWN = "origin_unknown"
+    ORIGIN_GONE = "origin_gone"
     STOPPING = "stopping"
     NOT_ACCEPTED = "not_accepted"
     OUTCOME_UNKNOWN = "outcome_unknown"
@@ -99,6 +101,8 @@
     Cause.OVERLOADED: HTTPStatus.SERVICE_UNAVAILABLE,
     Cause.BACKING_OFF: HTTPStatus.SERVICE_UNAVAILABLE,
     Cause.RATE_LIMITED: HTTPStatus.SERVICE_UNAVAILABLE,
+    Cause.ORIGIN_UNKNOWN: HTTPStatus.SERVICE_UNAVAILABLE,
+    Cause.ORIGIN_GONE: HTTPStatus.SERVICE_UNAVAILABLE,
     Cause.STOPPING: HTTPStatus.SERVICE_UNAVAILABLE,
     Cause.NOT_ACCEPTED: HTTPStatus.SERVICE_UNAVAILABLE,
     Cause.OUTCOME_UNKNOWN: HTTPStatus.BAD_GATEWAY,
--- a/src/cherrylane/relay/selection.py
+++ b/src/cherrylane/relay/selection.py
@@ -13,6 +13,7 @@
 from cherrylane.placement.heat import ChatHeat
 from cherrylane.placement.loads import LoadTracker
 from cherrylane.relay.request import CallerRequest
+from cherrylane.relay.stream_origins import StreamOrigin
 from cherrylane.routing.snapshot import KnownUpstream, Snapshot
 from cherrylane.routing.upstreams import Upstream
 
@@ -44,6 +45,13 @@
     first_token_s: float
 
 
+@frozen
+class OriginGone:
+    """No upstream of the software version that began the stream accepts requests."""
+
+    origin: StreamOrigin
+
+
 @define
 class UpstreamSelector:
     """Chooses upstreams by the platform's list, this host's outlier detection, and load."""
@@ -62,16 +70,27 @@
         return self._throughputs.setdefault(service, Throughput())
 
     def choose(
-        self, request: CallerRequest, snapshot: Snapshot, tried: set[str], now: float
-    ) -> Choice | Overloaded | AllBackingOff | RateLimited | None:
+        self,
+        request: CallerRequest,
+        snapshot: Snapshot,
+        tried: set[str],
+        now: float,
+        origin: StreamOrigin | None = None,
+    ) -> Choice | Overloaded | AllBackingOff | RateLimited | OriginGone | None:
         """Return the upstream for the next attempt, or None if there is none left.
 
+        A stream that has begun at ``origin`` goes on only there.
+
         Only first attempts are refused for overload, since work was already spent on later ones.
         The expected wait decides only whether a request is refused, not where it goes: a chat that
         is moved to a less loaded engine has to be prefilled again.
         """
         listed = snapshot.list_upstreams(request.service)
         accepting = [known for known in listed if known.upstream.accepts_requests]
+        if origin is not None:
+            accepting = [known for known in accepting if known.upstream.software == origin.software]
+            if not accepting:
+                return OriginGone(origin)
         allowed = [known for known in accepting if not self._is_backing_off(known, now)]
         if accepting and not allowed:
             return AllBackingOff(self.backoffs.find_first_end(map(_get_key, accepting), now))
--- a/src/cherrylane/relay/state.py
+++ b/src/cherrylane/relay/state.py
@@ -4,6 +4,7 @@
 
 from cherrylane.relay.outcomes import Broken, Failed, Outcome, Superseded, Unknown
 from cherrylane.relay.request import CallerRequest
+from cherrylane.relay.stream_origins import StreamOrigin
 from cherrylane.relay.streams import StreamProgress
 
 
@@ -20,7 +21,8 @@
 class RequestState:
     """The state of one request over all its attempts; ``framing`` is that of the last answer.
 
-    ``times_sent`` counts the attempts that have ended after the request was sent.
+    ``origin`` is where its stream began, None before its first event. ``times_sent`` counts the
+    attempts that have ended after the request was sent.
     """
 
     request: CallerRequest
@@ -32,6 +34,7 @@
     may_have_run: bool = False
     failure: Failed | None = None
     framing: str = ""
+    origin: StreamOrigin | None = None
 
     def record(self, outcome: Outcome) -> None:
         """Record the outcome of an attempt that was sent but did not answer the request."""
--- a/src/cherrylane/routing/upstreams.py
+++ b/src/cherrylane/routing/upstreams.py
@@ -20,7 +20,7 @@
 
     ``incarnation`` distinguishes starts under the same name. ``slots`` is the number of requests
     that it processes concurrently. ``slow_start_s`` is how much longer it is slow after its start.
-    ``software`` is the version of its software, empty if it is not known.
+    ``software`` is the version of its software.
     """
 
     name: str
--- a/tests/relay_fixture.py
+++ b/tests/relay_fixture.py
@@ -10,6 +10,7 @@
 from cherrylane.http.outbound import ConnectionPool
 from cherrylane.limits.outliers import OutlierDetector
 from cherrylane.limits.retries import HostRetryBudget
+from cherrylane.membership.software_versions import SoftwareVersions
 from cherrylane.placement.choice import Chooser
 from cherrylane.placement.loads import Load, LoadTracker
 from cherrylane.relay.attempts import AttemptRunner
@@ -18,6 +19,7 @@
 from cherrylane.relay.forwarding import Forwarder
 from cherrylane.relay.selection import UpstreamSelector
 from cherrylane.relay.service import RelayService
+from cherrylane.relay.stream_origins import StreamBinder
 from cherrylane.routing.routes import Configuration, RequestKind, Route
 from cherrylane.routing.snapshot import Snapshot
 from cherrylane.settings.gateway import RetryBounds
@@ -47,6 +49,11 @@
 STREAM = make_route(RequestKind.STREAM, target_event_gap_s=0.05, max_attempts=2)
 
 
+def make_binder() -> StreamBinder:
+    """Return a stream binder of a host that has been there from the fleet's first start."""
+    return StreamBinder(versions=SoftwareVersions(knows_all=True))
+
+
 @define
 class RelayFixture:
     """A relay service in front of scripted upstreams, which are chosen in the order given.
@@ -61,6 +68,7 @@
     upstreams: list[ScriptedUpstream] = field(factory=list)
     snapshot: Snapshot = field(factory=Snapshot)
     load_tracker: LoadTracker = field(factory=LoadTracker)
+    stream_binder: StreamBinder = field(factory=make_binder)
     server: InboundServer | None = None
     relay: RelayService | None = None
 
@@ -75,8 +83,13 @@
         outliers = OutlierDetector()
         selector = UpstreamSelector(Chooser("a", 2.0), self.load_tracker, outliers)
         crash_guard = CrashGuard()
+        self.stream_binder.versions.record_in_use("desk", {one.software for one in described}, 0.0)
         forwarder = Forwarder(
-            ExchangeClient(ConnectionPool(1.0, 1.0)), selector, crash_guard, lambda: self.snapshot
+            ExchangeClient(ConnectionPool(1.0, 1.0)),
+            selector,
+            crash_guard,
+            self.stream_binder,
+            lambda: self.snapshot,
         )
         attempt_runner = AttemptRunner(
             selector,
@@ -85,6 +98,7 @@
             lambda: self.snapshot,
             lambda name: HostRetryBudget(RetryBounds(0.2, 10.0, self.slack), 1),
             crash_guard,
+            self.stream_binder,
         )
         self.relay = RelayService(attempt_runner, lambda: self.snapshot, Telemetry())
         self.server = InboundServer(self.relay.handle, InboundLimits())
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -6,6 +6,7 @@
 from cherrylane.errors import PeerMessageError
 from cherrylane.gateway.announcements import (
     MAX_ANSWERED,
+    MAX_STREAMS,
     MAX_SUSPECTS,
     MAX_VERDICTS,
     MAX_WHOLE_REQUESTS,
@@ -27,10 +28,12 @@
 from cherrylane.platform.client import AsyncPlatformClient
 from cherrylane.platform.objects import Kind, PlatformObject, WatchEvent, WatchEvents
 from cherrylane.platform.versions import StoreVersion
+from cherrylane.relay.stream_origins import StreamBinder, StreamOrigin, identify_stream
+from cherrylane.routing.routes import RequestKind, ServiceShare
 from cherrylane.settings.gateway import HostIdentity
 from cherrylane.settings.schema import Endpoint, PlatformSettings
 from tests.test_platform_documents import ENTRY
-from tests.wire import run
+from tests.wire import make_request, make_route, run
 
 HOSTS = 5
 BORN = ENTRY["born"]
@@ -49,6 +52,7 @@
         BackoffTracker(),
         RequestQuarantine(),
         UpstreamRateLimits(),
+        StreamBinder(),
     )
 
 
@@ -301,3 +305,81 @@
         for rate in (-1, "x", float("nan"), float("inf"), [1]):
             data = dumps(fields | {"r": [["i-0", 0, rate, 5]]}).encode()
             self.assertRaises(PeerMessageError, decode_heartbeat, data)
+
+
+class StreamsTest(TestCase):
+    ORIGIN = StreamOrigin("s", "v1")
+
+    def make_hosts(self, count: int) -> list[Announcements]:
+        hosts = [make_announcements(f"h{number}") for number in range(count)]
+        for host in hosts:
+            host.stream_binder.on_begun = host.record_stream
+        return hosts
+
+    def begin(self, host: Announcements, request_id: str, now: float) -> None:
+        route = make_route(RequestKind.STREAM, is_resumable=True, shares=(ServiceShare("s"),))
+        request = make_request(route, now, id=request_id)
+        host.stream_binder.record_begun(request, self.ORIGIN, now)
+
+    # Guards against a stream being taken up at a host that does not know where it began.
+    def test_streams_that_several_versions_may_have_begun_are_known_to_all(self) -> None:
+        async def scenario() -> list[StreamOrigin | None]:
+            first, second = self.make_hosts(2)
+            first.stream_binder.versions.record_in_use("s", ["v1", "v2"], 0.0)
+            for number in range(MAX_STREAMS):
+                self.begin(first, f"r{number}", 1.0)
+            second.handle_heartbeat(send_heartbeat(first, 1.1), 1.1)
+            find = second.stream_binder.origins.find
+            return [find(identify_stream(f"r{number}")) for number in range(MAX_STREAMS)]
+
+        self.assertEqual([self.ORIGIN] * MAX_STREAMS, run(scenario()))
+
+    def test_of_very_many_streams_the_newest_are_told_first(self) -> None:
+        async def scenario() -> StreamOrigin | None:
+            first, second = self.make_hosts(2)
+            first.stream_binder.versions.record_in_use("s", ["v1", "v2"], 0.0)
+            for number in range(10 * MAX_STREAMS):
+                self.begin(first, f"r{number}", 1.0)
+            second.handle_heartbeat(send_heartbeat(first, 1.1), 1.1)
+            newest = identify_stream(f"r{10 * MAX_STREAMS - 1}")
+            return second.stream_binder.origins.find(newest)
+
+        self.assertEqual(self.ORIGIN, run(scenario()))
+
+    def test_a_host_that_starts_hears_of_earlier_versions(self) -> None:
+        async def scenario() -> tuple[frozenset[str], bool]:
+            old, new = self.make_hosts(2)
+            old.stream_binder.versions.knows_all = True
+            old.stream_binder.versions.record_in_use("s", ["v1"], 0.0)
+            old.stream_binder.versions.record_in_use("s", ["v2"], 5.0)
+            new.handle_heartbeat(send_heartbeat(old, 6.0), 6.0)
+            versions = new.stream_binder.versions
+            return versions.find_recent("s", 6.0), versions.is_known("s")
+
+        self.assertEqual((frozenset({"v1", "v2"}), True), run(scenario()))
+
+    def test_hosts_of_the_release_before_understand_and_are_understood(self) -> None:
+        async def scenario() -> Heartbeat:
+            (host,) = self.make_hosts(1)
+            host.stream_binder.versions.knows_all = True
+            host.stream_binder.versions.record_in_use("s", ["v1", "v2"], 0.0)
+            self.begin(host, "r", 1.0)
+            fields: dict[str, Any] = loads(send_heartbeat(host, 2.0).encode())
+            older = {name: value for name, value in fields.items() if name not in "gij"}
+            self.assertEqual(3, len(fields) - len(older))
+            return decode_heartbeat(dumps(older).encode())
+
+        older = run(scenario())
+        self.assertEqual(((), (), False), (older.streams, older.versions, older.knows_versions))
+
+    def test_a_heartbeat_with_a_broken_list_of_streams_is_invalid(self) -> None:
+        async def scenario() -> dict[str, Any]:
+            (host,) = self.make_hosts(1)
+            fields: dict[str, Any] = loads(send_heartbeat(host, 2.0).encode())
+            return fields
+
+        fields = run(scenario())
+        broken: Any
+        for broken in ([["s", "v1", "short"]], [["s", "v1", 7]], [["s"]], 3):
+            data = dumps(fields | {"g": broken}).encode()
+            self.assertRaises(PeerMessageError, decode_heartbeat, data)
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -168,6 +168,9 @@
             ENTRY | {"slots": "4"},
             ENTRY | {"slots": True},
             ENTRY | {"service": ""},
+            ENTRY | {"version": 3},
+            ENTRY | {"version": ""},
+            {name: value for name, value in ENTRY.items() if name != "version"},
             {name: value for name, value in ENTRY.items() if name != "zone"},
         ):
             with ExpectedException(SettingsError):
--- a/tests/test_silent_upstreams.py
+++ b/tests/test_silent_upstreams.py
@@ -189,7 +189,9 @@
     assert fixture.relay is not None
     runner = fixture.relay.attempt_runner
     own = runner.forwarder
-    runner.forwarder = kind(own.client, own.selector, own.crash_guard, own.read_snapshot)
+    runner.forwarder = kind(
+        own.client, own.selector, own.crash_guard, own.stream_binder, own.read_snapshot
+    )
 
 
 class FaultTest(TestCase):
