Store the running streams of a mixed service, for hosts that all restarted

After all hosts had lost power no host knew where a stream had begun, and all take-ups of a mixed service were refused. Cause: the origins lived in the hosts alone. Change: while several versions may have begun a stream, each host writes the keys of its running streams in one object, only if there are new ones, half a second apart; hosts that start read them.

--- a/src/cherrylane/gateway/announcements.py
+++ b/src/cherrylane/gateway/announcements.py
@@ -4,7 +4,6 @@
 
 from cherrylane.gateway.routing_state import RoutingState
 from cherrylane.gossip.messages import (
-    BegunStreams,
     CrashReport,
     Heartbeat,
     HostState,
@@ -24,7 +23,7 @@
 from cherrylane.placement.loads import LoadTracker
 from cherrylane.platform.client import AsyncPlatformClient
 from cherrylane.platform.versions import NO_VERSION
-from cherrylane.relay.stream_origins import StreamBinder, StreamOrigin
+from cherrylane.relay.stream_origins import StreamBinder, StreamOrigin, group_streams
 from cherrylane.routing.upstreams import Upstream
 from cherrylane.settings.gateway import HostIdentity
 from cherrylane.settings.schema import Endpoint
@@ -138,7 +137,7 @@
                 for name, remaining_s in self.backoffs.list_active(now)
             ),
             rates=tuple(_report_rate(known, now) for known in self._take_rates()),
-            streams=_group_streams(self._streams.take(rounds_to_reach_all, MAX_STREAMS)),
+            streams=group_streams(self._streams.take(rounds_to_reach_all, MAX_STREAMS)),
             versions=tuple(
                 VersionUse(service, software, round(age_s * 1000))
                 for service, ages in self.stream_binder.versions.list_mixed(now).items()
@@ -212,16 +211,6 @@
             binder.versions.knows_all = True
 
 
-def _group_streams(streams: tuple[tuple[str, StreamOrigin], ...]) -> tuple[BegunStreams, ...]:
-    keys: dict[StreamOrigin, list[str]] = {}
-    for key, origin in streams:
-        keys.setdefault(origin, []).append(key)
-    return tuple(
-        BegunStreams(origin.service, origin.software, tuple(found))
-        for origin, found in keys.items()
-    )
-
-
 def _report_rate(known: KnownLimit, now: float) -> UpstreamRate:
     age_ms = round((now - known.heard_at) * 1000)
     return UpstreamRate(known.name, known.incarnation, known.requests_per_s, age_ms)
--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -17,6 +17,7 @@
 from cherrylane.gateway.routing_state import REMOVAL_GRACE_S, RoutingState
 from cherrylane.gateway.sockets import ListeningSockets
 from cherrylane.gateway.store_probe import StoreProbe
+from cherrylane.gateway.stream_registry import StreamRegistry
 from cherrylane.gateway.tasks import keep_running
 from cherrylane.gateway.version_registry import VersionRegistry
 from cherrylane.gossip.members import HEARTBEAT_TIMEOUT_S, Members
@@ -168,6 +169,9 @@
         self._version_registry = VersionRegistry(
             self.store, self.members, self.stream_binder.versions
         )
+        self._stream_registry = StreamRegistry(
+            self.store, settings.identity.name, self.members, self._peer_sync, self.stream_binder
+        )
         self._cache_recovery = CacheRecovery(
             self.routing_state, self.members, self._peer_sync, self._registry.loaded
         )
@@ -205,6 +209,7 @@
             "host registry": self._registry.run,
             "store probe": self._store_probe.run,
             "software versions": self._version_registry.run,
+            "running streams": self._stream_registry.run,
             "gossip": self._gossip.run,
             "maintenance": self._run_maintenance,
         }
@@ -378,6 +383,7 @@
         )
         self._registry.record_restored()
         self._version_registry.record_restored()
+        self._stream_registry.record_restored()
         for watcher in self._watchers:
             watcher.record_era(era)
 
--- a/src/cherrylane/gateway/version_registry.py
+++ b/src/cherrylane/gateway/version_registry.py
@@ -21,7 +21,7 @@
 from cherrylane.platform.objects import Kind, PlatformObject
 
 # Seconds after the start in which a peer may tell what the store would.
-PEER_WAIT_S = 0.3
+PEER_WAIT_S = 0.1
 # Seconds between checks, and between retries while the store does not respond.
 CHECK_INTERVAL_S = 0.25
 RETRY_INTERVAL_S = 1.0
--- a/src/cherrylane/gossip/messages.py
+++ b/src/cherrylane/gossip/messages.py
@@ -1,6 +1,6 @@
 """Encoding and decoding of the datagrams between hosts: JSON with one-letter keys."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from enum import Enum
 from json import dumps, loads
 from typing import Any
@@ -212,7 +212,7 @@
         if self.backing_off:
             fields["w"] = [(upstream.name, upstream.remaining_ms) for upstream in self.backing_off]
         if self.streams:
-            fields["g"] = [(one.service, one.software, "".join(one.keys)) for one in self.streams]
+            fields["g"] = encode_streams(self.streams)
         if self.versions:
             fields["j"] = [astuple(version) for version in self.versions]
         if self.knows_versions:
@@ -259,7 +259,7 @@
                 for name, remaining in fields.get("w", ())
             ),
             rates=tuple(_decode_rates(fields)),
-            streams=tuple(_decode_streams(fields)),
+            streams=decode_streams(fields.get("g", ())),
             versions=tuple(
                 VersionUse(str(service), str(software), _decode_age(age))
                 for service, software, age in fields.get("j", ())
@@ -288,15 +288,23 @@
             yield evolve(begun, keys=keys)
 
 
-def _decode_streams(fields: dict[str, Any]) -> Iterator[BegunStreams]:
-    for service, software, text in fields.get("g", ()):
+def encode_streams(streams: Iterable[BegunStreams]) -> list[tuple[str, str, str]]:
+    """Return streams as plain JSON data."""
+    return [(one.service, one.software, "".join(one.keys)) for one in streams]
+
+
+def decode_streams(items: Any) -> tuple[BegunStreams, ...]:
+    """Decode streams; raises one of ``DECODING_ERRORS`` if they are invalid."""
+    decoded = []
+    for service, software, text in items:
         if len(text) % STREAM_KEY_LENGTH:
             raise ValueError("a stream's key is cut off")
         keys = tuple(
             str(text[start : start + STREAM_KEY_LENGTH])
             for start in range(0, len(text), STREAM_KEY_LENGTH)
         )
-        yield BegunStreams(str(service), str(software), keys)
+        decoded.append(BegunStreams(str(service), str(software), keys))
+    return tuple(decoded)
 
 
 def _decode_rates(fields: dict[str, Any]) -> Iterator[UpstreamRate]:
--- a/src/cherrylane/platform/objects.py
+++ b/src/cherrylane/platform/objects.py
@@ -24,6 +24,7 @@
     RUNNERS = "runners"
     CLAIMS = "claims"
     SOFTWARE_VERSIONS = "software-versions"
+    STREAM_ORIGINS = "stream-origins"
 
 
 @frozen
--- a/src/cherrylane/relay/stream_origins.py
+++ b/src/cherrylane/relay/stream_origins.py
@@ -12,7 +12,7 @@
 from attrs import define, field, frozen
 from xxhash import xxh3_64_digest
 
-from cherrylane.gossip.messages import STREAM_KEY_LENGTH
+from cherrylane.gossip.messages import STREAM_KEY_LENGTH, BegunStreams
 from cherrylane.membership.software_versions import STREAM_LIFETIME_S, SoftwareVersions
 from cherrylane.relay.request import CallerRequest
 from cherrylane.routing.routes import Route, RouteTable
@@ -136,6 +136,12 @@
         for key in list(self._running):
             self._announce_if_ambiguous(key, now)
 
+    def list_announced(self) -> list[tuple[str, StreamOrigin]]:
+        """Return the running streams that peers have to know of."""
+        return [
+            (key, stream.origin) for key, stream in self._running.items() if stream.is_announced
+        ]
+
     def _announce_if_ambiguous(self, key: str, now: float) -> None:
         stream = self._running[key]
         if not stream.is_announced and self._is_ambiguous(stream.route, now):
@@ -159,6 +165,17 @@
         return len(self._list_possible(self._list_services(route, now), now)) > 1
 
 
+def group_streams(streams: Iterable[tuple[str, StreamOrigin]]) -> tuple[BegunStreams, ...]:
+    """Return streams grouped by their origins."""
+    keys: dict[StreamOrigin, list[str]] = {}
+    for key, origin in streams:
+        keys.setdefault(origin, []).append(key)
+    return tuple(
+        BegunStreams(origin.service, origin.software, tuple(found))
+        for origin, found in keys.items()
+    )
+
+
 def identify_stream(request_id: str) -> str:
     """Return the key of the stream that a request began."""
     return urlsafe_b64encode(xxh3_64_digest(request_id.encode()))[:STREAM_KEY_LENGTH].decode()
--- a/tests/test_version_registry.py
+++ b/tests/test_version_registry.py
@@ -1,8 +1,10 @@
 import asyncio
 from typing import Any, cast
 
+from attrs import evolve
 from testtools import TestCase
 
+from cherrylane.errors import ObjectNotFoundError
 from cherrylane.gateway.version_registry import WRITER_DELAY_S, WRITERS, VersionRegistry
 from cherrylane.gossip.members import Members
 from cherrylane.membership.software_versions import STREAM_LIFETIME_S, SoftwareVersions
@@ -37,6 +39,12 @@
         return self.store.create(new)
 
     async def update(self, changed: PlatformObject) -> PlatformObject:
+        stored = self.store.objects.get(changed.name)
+        if changed.version is None:
+            if stored is None:
+                raise ObjectNotFoundError("object not found", remedy="none")
+            # A write without a version does not depend on it.
+            changed = evolve(changed, version=stored.version)
         return self.store.update(changed)
 
 
