Let the fault soak run upstreams of two software versions, and callers take up broken streams

The soak could not show a joined stream: its upstreams wrote alike, and no caller took a stream up. Each service has two upstreams of v1 and one of v2 now, which write their version into each event; callers take up broken streams at any host, and the check joins what they got.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -4,6 +4,7 @@
 from enum import Enum
 from itertools import count
 from random import Random
+from re import MULTILINE, findall
 from socket import AF_INET, SO_RCVBUF, SOCK_STREAM, SOL_SOCKET, socket
 
 from attrs import define, field
@@ -74,7 +75,8 @@
     """A request and its response; times are in seconds of the event loop's clock.
 
     ``version`` is the configuration version that added the request's route, 0 for the routes that
-    every version has. ``incarnation`` counts the starts of the host's process.
+    every version has. ``incarnation`` counts the starts of the host's process. A request that takes
+    a stream up names the one that began it, ``resumes``, and the last event that has come.
     """
 
     id: str
@@ -83,6 +85,8 @@
     incarnation: int
     sent: float
     version: int = 0
+    resumes: str = ""
+    last_event: int = 0
     ended: float = 0.0
     response: Response = field(factory=Response)
     ending: Ending = Ending.NOT_SENT
@@ -102,6 +106,7 @@
     random: Random
     history: list[Exchange] = field(factory=list)
     _ids: "count[int]" = field(factory=lambda: count(1))
+    _broken: list[Exchange] = field(factory=list)
 
     async def run(self, until: float) -> None:
         """Send requests until the loop time ``until``, over one connection after another."""
@@ -115,10 +120,24 @@
                 await self._use_connection(host, until)
             except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
                 await asyncio.sleep(PAUSE_S)
+                while self._broken:
+                    await self._take_up(self._broken.pop())
+
+    async def _take_up(self, broken: Exchange) -> None:
+        """Take up a stream that broke off, at any host."""
+        host = await self._resolve()
+        if host is None:
+            return
+        exchange = self._record_exchange(host, RequestKind.STREAM, 0)
+        exchange.resumes = broken.resumes or broken.id
+        exchange.last_event = find_last_event(broken)
+        await self._send_alone(host, exchange)
 
     async def send_once(self, host: SoakHost, kind: RequestKind) -> Exchange:
         """Send a single request over a new connection."""
-        exchange = self._record_exchange(host, kind, 0)
+        return await self._send_alone(host, self._record_exchange(host, kind, 0))
+
+    async def _send_alone(self, host: SoakHost, exchange: Exchange) -> Exchange:
         try:
             async with asyncio.timeout(DEADLINE_S):
                 reader, writer = await asyncio.open_connection(host.address, host.callers_port)
@@ -155,8 +174,11 @@
                 if self.random.random() < PIPELINED_SHARE:
                     count = self.random.randint(*PIPELINED_REQUESTS)
                 exchanges = [self._draw_exchange(host, is_slow) for _ in range(count)]
-                if not await _send_and_receive(reader, writer, exchanges):
-                    return
+                try:
+                    if not await _send_and_receive(reader, writer, exchanges):
+                        return
+                finally:
+                    self._broken += filter(_may_be_taken_up, exchanges)
                 await asyncio.sleep(PAUSE_S * self.random.random())
         finally:
             writer.close()
@@ -225,11 +247,29 @@
     return is_reusable
 
 
+def _may_be_taken_up(exchange: Exchange) -> bool:
+    return (
+        exchange.kind is RequestKind.STREAM
+        and exchange.ending is Ending.BROKEN
+        and not exchange.is_large
+        and find_last_event(exchange) > 0
+    )
+
+
+def find_last_event(exchange: Exchange) -> int:
+    """Return the number of the last whole event that a caller has received, 0 if there is none."""
+    whole, _, _ = exchange.response.body.rpartition(b"\n\n")
+    numbers = findall(rb"^id: (\d+)$", whole, MULTILINE)
+    return int(numbers[-1]) if numbers else exchange.last_event
+
+
 def _encode_request(exchange: Exchange) -> bytes:
     path = f"/v{exchange.version}/" if exchange.version else f"/{exchange.kind.value}/"
     path += LARGE_PATH if exchange.is_large else ""
     method = "GET" if exchange.kind is RequestKind.SAFE else "POST"
     length = "" if method == "GET" else "Content-Length: 0\r\n"
+    resumed = f"Resumes: {exchange.resumes}\r\nLast-Event-Id: {exchange.last_event}\r\n"
+    length += resumed if exchange.resumes else ""
     return (
         f"{method} {path} HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: {exchange.id}\r\n"
         f"Deadline-Ms: {int(DEADLINE_S * 1000)}\r\n{length}\r\n".encode()
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -10,9 +10,11 @@
 from soak.fleet import STOP_GRACE_S
 from soak.limits import check_limits
 from soak.silences import Silence
+from soak.streams import check_streams
 from soak.upstreams import (
     EVENT_COUNT,
     LARGE_EVENT_BYTES,
+    SOFTWARE,
     SoakUpstream,
     make_event,
     make_response_body,
@@ -68,6 +70,7 @@
     for exchange in observed.history:
         violations += check_response(exchange, observed.executions[exchange.id])
     violations += _check_versions(observed.history)
+    violations += check_streams(observed.history)
     violations += _check_retries(observed)
     violations += _check_silences(observed)
     violations += _check_endings(observed)
@@ -103,9 +106,11 @@
             found.append("success without a signature")
         if not executions:
             found.append("success without an execution")
-        if response.body != _make_expected_body(exchange):
+        if response.body not in _make_expected_bodies(exchange):
             found.append(f"success with an unexpected body: {_describe(response.body)}")
-    elif response.status == 200 and not _make_expected_body(exchange).startswith(response.body):
+    elif response.status == 200 and not any(
+        body.startswith(response.body) for body in _make_expected_bodies(exchange)
+    ):
         found.append(f"part of a success with an unexpected body: {_describe(response.body)}")
     return [f"{exchange.id} ({exchange.kind.value} at {exchange.host}): {text}" for text in found]
 
@@ -116,11 +121,17 @@
     return f"{len(body)} bytes, {text[:200]!r}"
 
 
-def _make_expected_body(exchange: Exchange) -> bytes:
+def _make_expected_bodies(exchange: Exchange) -> list[bytes]:
+    """Return the possible bodies: a stream is of one software version."""
     if exchange.kind is not RequestKind.STREAM:
-        return make_response_body(exchange.id, is_large=exchange.is_large)
-    numbers = range(1, EVENT_COUNT + 1)
-    return b"".join(make_event(number, is_large=exchange.is_large) for number in numbers)
+        return [make_response_body(exchange.id, is_large=exchange.is_large)]
+    return [
+        b"".join(
+            make_event(number, software=software, is_large=exchange.is_large)
+            for number in range(exchange.last_event + 1, EVENT_COUNT + 1)
+        )
+        for software in sorted(set(SOFTWARE))
+    ]
 
 
 def _check_versions(history: list[Exchange]) -> list[str]:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -174,7 +174,7 @@
         self.upstream_links.append(link)
         upstream.link_port = link.port
         registration = upstream.scripted.make_entry(
-            service, address=f"127.0.0.1:{link.port}", slots=64
+            service, address=f"127.0.0.1:{link.port}", slots=64, version=upstream.software
         )
         self._registrations[upstream.name] = registration
         await self._operator_client.create(
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -11,9 +11,9 @@
 from soak.callers import Callers, RequestKind
 from soak.checks import Observations, find_violations
 from soak.faults import FaultInjector, draw_faults
-from soak.fleet import VERSION_INTERVAL_S, SoakFleet, SoakHost
+from soak.fleet import SERVICES, VERSION_INTERVAL_S, SoakFleet, SoakHost
 from soak.silences import Silences
-from soak.upstreams import SoakUpstream
+from soak.upstreams import SOFTWARE, SoakUpstream
 
 UPSTREAMS = 6
 # All hosts must serve again within this time after the last fault; enough for a busy machine.
@@ -23,6 +23,11 @@
 POLL_INTERVAL_S = 0.1
 
 
+def choose_software(number: int) -> str:
+    """Return the version of an upstream: each service has one version twice and another once."""
+    return SOFTWARE[number // len(SERVICES) % len(SOFTWARE)]
+
+
 @frozen
 class SoakOptions:
     """Parameters of a soak; ``seconds`` is the duration of fault injection."""
@@ -48,7 +53,9 @@
     fleet = SoakFleet(work_dir)
     silences = Silences(options.seed)
     upstreams = [
-        await SoakUpstream(f"i-{number}", Random(options.seed + number), silences).open()
+        await SoakUpstream(
+            f"i-{number}", Random(options.seed + number), silences, choose_software(number)
+        ).open()
         for number in range(UPSTREAMS)
     ]
     callers = Callers(fleet, Random(options.seed))
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -16,6 +16,8 @@
 # Number of events of a stream, and the interval between them.
 EVENT_COUNT = 8
 EVENT_INTERVAL_S = 0.02
+# The software versions of a service's upstreams, in turn.
+SOFTWARE = ("v1", "v1", "v2")
 # Processing time of a request.
 PROCESSING_S = 0.02
 # How long a hanging upstream waits before it resets the connection.
@@ -73,10 +75,10 @@
     return sha256(request_id.encode()).hexdigest().encode() * repetitions
 
 
-def make_event(number: int, *, is_large: bool = False) -> bytes:
-    """Return an event of a stream; a large one begins with a long comment."""
+def make_event(number: int, *, software: str = "v1", is_large: bool = False) -> bytes:
+    """Return an event that a software version writes; a large one begins with a long comment."""
     comment = b":%s\n" % (b"x" * LARGE_EVENT_BYTES) if is_large else b""
-    return comment + b"id: %d\ndata: %d\n\n" % (number, number)
+    return comment + b"id: %d\ndata: %d %s\n\n" % (number, number, software.encode())
 
 
 @define
@@ -114,6 +116,7 @@
     name: str
     random: Random
     silences: Silences = field(factory=lambda: Silences(0))
+    software: str = "v1"
     misbehaved: set[str] = field(factory=set)
     answered: set[str] = field(factory=set)
     said_leaving: dict[str, float] = field(factory=dict)
@@ -229,7 +232,7 @@
             if ends_early and number == first + 2:
                 call.write_event(number, missing_bytes=3, chunked=False)
                 break
-            event = make_event(number, is_large=_is_large(call))
+            event = make_event(number, software=self.software, is_large=_is_large(call))
             call.writer.write(encode_chunk(event) if chunked else event)
             self.answered.add(call.header("Attempt-Id"))
         if chunked:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,7 +13,14 @@
 from testtools import TestCase
 from testtools.matchers import Contains, StartsWith
 
-from soak.callers import DEADLINE_S, Ending, Exchange, RequestKind, Response
+from soak.callers import (
+    DEADLINE_S,
+    Ending,
+    Exchange,
+    RequestKind,
+    Response,
+    find_last_event,
+)
 from soak.checks import (
     CROSSING_S,
     DRAIN_S,
@@ -27,11 +34,13 @@
 from soak.faults import FaultKind, draw_faults
 from soak.runs import SoakOptions, run_soak
 from soak.silences import Silence, Silences
+from soak.streams import check_streams
 from soak.upstreams import NamedLimit, Refusal, SoakUpstream, make_event, make_response_body
 from tests.test_platform_documents import BOOT
 from tests.wire import TEST_TIMEOUT_S
 
 SECONDS = 6.0
+TWO_VERSIONS = "r1: the stream has events of the versions [b'v1', b'v2']"
 # Seeds that have found a fault, with its cause; `make soak SEED=...` runs one of them.
 #   9: a SIGTERM during start-up ended the daemon with the exit code of the signal.
 #   19: no fault of the daemon: a second attempt reached an upstream that had come back since its
@@ -202,6 +211,26 @@
         upstream.arrivals.append((1.2, "r2"))
         self.assertThat(find_violations(observed)[0], Contains("reached i-1 too soon"))
 
+    # Guards against: streams held events from two software versions of a back end (ORDER).
+    def test_a_stream_of_two_versions_is_found_over_a_callers_tries(self) -> None:
+        first, second = make_event(1), make_event(2, software="v2")
+        begun = make_exchange(RequestKind.STREAM, Response(200, "r1", "s", first + second[:-2]))
+        resumed = make_exchange(RequestKind.STREAM, Response(200, "r2", "s", second))
+        resumed.id, resumed.resumes, resumed.last_event = "r2", begun.id, 1
+        observed = Observations([begun, resumed], Counter({"r1": 1, "r2": 1}), [])
+        self.assertThat(find_violations(observed), Contains(TWO_VERSIONS))
+        resumed.response.body = make_event(2)
+        self.assertEqual([], check_streams(observed.history))
+        begun.response.body = first + second
+        self.assertThat(find_violations(observed)[0], Contains("part of a success"))
+
+    def test_a_stream_is_taken_up_after_its_last_whole_event(self) -> None:
+        body = make_event(1) + make_event(2) + make_event(3)[:-2]
+        exchange = make_exchange(RequestKind.STREAM, Response(200, "r1", "s", body))
+        self.assertEqual(2, find_last_event(exchange))
+        exchange.response.body, exchange.last_event = b"", 5
+        self.assertEqual(5, find_last_event(exchange))
+
     def test_more_requests_than_a_named_limit_are_found(self) -> None:
         upstream = SoakUpstream("i-1", Random(1), limits=[NamedLimit(2.0, 0.0, 20.0)])
         told = make_exchange(RequestKind.SAFE, Response(limiting_upstream="i-1"), ended=1.0)
