--- a/tests/relay_fixture.py
+++ b/tests/relay_fixture.py
@@ -1,6 +1,7 @@
 """A relay service in front of scripted upstreams, and the upstreams' scripts."""
 
 import asyncio
+from itertools import chain, repeat
 from typing import Any
 
 from attrs import define, field
@@ -45,7 +46,6 @@
     target_s=1.0,
     max_attempts=2,
 )
-UNSPECIFIED = ("v1",) * 10
 STREAM = make_route(RequestKind.STREAM, target_event_gap_s=0.05, max_attempts=2)
 
 
@@ -75,15 +75,18 @@
     async def open(self) -> "RelayFixture":
         self.upstreams = [await ScriptedUpstream(script).start() for script in self.scripts]
         described = [
-            upstream.to_upstream(f"i{index}", software=(*self.software, *UNSPECIFIED)[index])
-            for index, upstream in enumerate(self.upstreams)
+            upstream.to_upstream(f"i{index}", software=software)
+            for index, (upstream, software) in enumerate(
+                zip(self.upstreams, chain(self.software, repeat("v1")))
+            )
         ]
         self.snapshot = make_snapshot(described, self.configuration)
         self.set_order(*range(len(described)))
         outliers = OutlierDetector()
         selector = UpstreamSelector(Chooser("a", 2.0), self.load_tracker, outliers)
         crash_guard = CrashGuard()
-        self.stream_binder.versions.record_in_use("desk", {one.software for one in described}, 0.0)
+        now = asyncio.get_running_loop().time()
+        self.stream_binder.versions.record_in_use("desk", {one.software for one in described}, now)
         forwarder = Forwarder(
             ExchangeClient(ConnectionPool(1.0, 1.0)),
             selector,
