Ask an upstream for its incarnation before a stream goes on there

Cause: an upstream may start again under its old name, with another software version, before the list shows it; a stream would go on there, since upstreams do not check versions. Change: its report, which names its incarnation, is read before a stream goes on there; one that has started again gets nothing. Ruled out: Expect-Instance, which the new process satisfies. test_a_stream_does_not_go_on_at_an_upstream_that_has_started_again failed before ([1, 1, 0] calls).

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -184,6 +184,7 @@
     async def rejoin(self, upstream: SoakUpstream) -> None:
         """Bring an upstream that was leaving back, under a new incarnation."""
         upstream.incarnation += 1
+        upstream.scripted.reported_incarnation = upstream.incarnation
         self._registrations[upstream.name]["born"] = upstream.incarnation
         upstream.is_leaving = False
         upstream.rejoined_at.append(asyncio.get_running_loop().time())
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -134,7 +134,7 @@
 
     async def open(self) -> "SoakUpstream":
         """Start listening on a free port, and return the upstream itself."""
-        self.scripted = await ScriptedUpstream(self._serve).start()
+        self.scripted = await ScriptedUpstream(self._serve, self.incarnation).start()
         return self
 
     async def _serve(self, call: Call) -> None:
--- /dev/null
+++ b/src/cherrylane/gateway/incarnations.py
@@ -0,0 +1,31 @@
+"""Whether an upstream is still the incarnation that is listed.
+
+An upstream may start again under its name, with another version of its software, before the list
+shows it. That does not matter to new requests, but a stream goes on only at its own version.
+"""
+
+from logbook import Logger
+
+from cherrylane.errors import UpstreamError
+from cherrylane.gateway.calls import call
+from cherrylane.platform.reports import REPORT_PATH, decode_incarnation
+from cherrylane.routing.upstreams import Upstream
+
+# Time limit of the question, in seconds; an attempt at the upstream follows.
+REPORT_TIMEOUT_S = 0.3
+
+log = Logger("cherrylane.relay")
+
+
+async def is_listed_incarnation(upstream: Upstream) -> bool:
+    """Ask an upstream; returns False only if it says that it is another incarnation."""
+    if not upstream.incarnation:
+        return True
+    try:
+        body = await call(upstream.endpoint, REPORT_PATH, timeout_s=REPORT_TIMEOUT_S)
+        incarnation = decode_incarnation(body)
+    except (UpstreamError, TimeoutError) as error:
+        reason = f"{type(error).__name__}: {error}"
+        log.info("upstream does not report", extra={"upstream": upstream.name, "reason": reason})
+        return True
+    return incarnation in (None, upstream.incarnation)
--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -11,6 +11,7 @@
 from cherrylane.gateway.announcements import Announcements
 from cherrylane.gateway.endpoints import ADDRESS_LIFETIME_S, Endpoints
 from cherrylane.gateway.follower_selection import FollowerSelection
+from cherrylane.gateway.incarnations import is_listed_incarnation
 from cherrylane.gateway.peer_sync import PeerSync
 from cherrylane.gateway.recovery import CacheRecovery
 from cherrylane.gateway.registry import HostRegistry
@@ -315,6 +316,7 @@
             self.stream_binder,
             lambda: self.routing_state.snapshot,
             self._announcements.record_leaving,
+            is_listed_incarnation,
         )
         attempt_runner = AttemptRunner(
             selector,
--- a/src/cherrylane/relay/forwarding.py
+++ b/src/cherrylane/relay/forwarding.py
@@ -1,7 +1,7 @@
 """Sending of one attempt to its upstream, and relaying of what comes back."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from attrs import define
 
@@ -19,7 +19,7 @@
 from cherrylane.relay.admission import is_stream
 from cherrylane.relay.crashes import CrashGuard
 from cherrylane.relay.exchange import ExchangeClient, OpenAnswer, is_success, may_be_events
-from cherrylane.relay.outcomes import Completed, Outcome, Unknown
+from cherrylane.relay.outcomes import Completed, NotRun, Outcome, Unknown
 from cherrylane.relay.race import Attempt, AttemptRace
 from cherrylane.relay.request import CallerRequest
 from cherrylane.relay.selection import UpstreamSelector
@@ -36,11 +36,17 @@
 STREAM_PATIENCE_TARGETS = 3.0
 
 
+async def _trust_list(upstream: Upstream) -> bool:
+    return True
+
+
 @define
 class Forwarder:
     """Forwards requests to upstreams, and relays the events of streams to callers.
 
     ``on_leaving`` is called with an upstream that says in an answer that it leaves.
+    ``is_listed_incarnation`` asks an upstream, before a stream goes on there, whether it has
+    started again since it was listed.
     """
 
     client: ExchangeClient
@@ -49,6 +55,7 @@
     stream_binder: StreamBinder
     read_snapshot: Callable[[], Snapshot]
     on_leaving: Callable[[Upstream], None] = lambda upstream: None
+    is_listed_incarnation: Callable[[Upstream], Awaitable[bool]] = _trust_list
 
     async def forward(
         self, state: RequestState, attempt: Attempt, race: AttemptRace, responder: Responder
@@ -60,6 +67,8 @@
         request = state.request
         upstream = attempt.choice.upstream
         attempt.record_progress(find_patience(request))
+        if state.origin is not None and not await self.is_listed_incarnation(upstream):
+            return NotRun("the upstream has started again since it was listed", was_sent=False)
         answer = await self.client.begin(request, upstream, _make_dispatch(state, attempt.choice))
         if not isinstance(answer, OpenAnswer):
             return answer
--- a/tests/relay_fixture.py
+++ b/tests/relay_fixture.py
@@ -6,6 +6,7 @@
 
 from attrs import define, field
 
+from cherrylane.gateway.incarnations import is_listed_incarnation
 from cherrylane.http.limits import InboundLimits
 from cherrylane.http.listener import InboundServer
 from cherrylane.http.outbound import ConnectionPool
@@ -77,7 +78,7 @@
         described = [
             upstream.to_upstream(f"i{index}", software=software)
             for index, (upstream, software) in enumerate(
-                zip(self.upstreams, chain(self.software, repeat("v1")))
+                zip(self.upstreams, chain(self.software, repeat("v1")), strict=False)
             )
         ]
         self.snapshot = make_snapshot(described, self.configuration)
@@ -93,6 +94,7 @@
             crash_guard,
             self.stream_binder,
             lambda: self.snapshot,
+            is_listed_incarnation=is_listed_incarnation,
         )
         attempt_runner = AttemptRunner(
             selector,
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -3,7 +3,7 @@
 from testtools import ExpectedException, TestCase
 from testtools.matchers import Contains
 
-from cherrylane.errors import SettingsError
+from cherrylane.errors import SettingsError, UpstreamError
 from cherrylane.http.messages import RequestHead, ResponseHead
 from cherrylane.platform.bootfile import decode_boot_file
 from cherrylane.platform.configuration import decode_configuration
@@ -16,6 +16,7 @@
     read_load,
     read_prompt,
 )
+from cherrylane.platform.reports import decode_incarnation
 from cherrylane.platform.upstreams import decode_upstream
 from cherrylane.routing.routes import RequestKind
 from cherrylane.routing.upstreams import UpstreamState
@@ -177,6 +178,14 @@
                 decode_upstream("i", invalid)
 
 
+class ReportTest(TestCase):
+    def test_the_incarnation_is_decoded(self) -> None:
+        self.assertEqual(5, decode_incarnation(b'{"born":5,"running":1}'))
+        self.assertEqual(None, decode_incarnation(b'{"running":1}'))
+        for malformed in (b"", b"[]", b"3", b'{"born":"x"}', b'{"born":[]}', b"{" * 10_000):
+            self.assertRaises(UpstreamError, decode_incarnation, malformed)
+
+
 class HeadersTest(TestCase):
     def test_prompt_is_decoded(self) -> None:
         prompt = read_prompt(
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -4,8 +4,9 @@
 from testtools import TestCase
 from testtools.matchers import Contains
 
+from cherrylane.routing.snapshot import KnownUpstream
 from tests.relay_fixture import RESUMABLE, RelayFixture, events, never_answer, stream
-from tests.wire import Call, Script, make_configuration, run
+from tests.wire import Call, Script, make_configuration, make_snapshot, run
 
 VERSIONS = ("v1", "v2", "v1")
 RETAKE = "Resumes: first\r\nLast-Event-Id: 3\r\n"
@@ -69,3 +70,32 @@
         answer, calls = run(scenario())
         self.assertEqual([0, 0, 0], calls)
         self.assertThat(answer, Contains(b"503"))
+
+
+class RestartedUpstreamTest(TestCase):
+    async def play(self, *reported: int | None) -> tuple[bytes, list[int], list[int]]:
+        """Break a stream at i0 of three upstreams that are listed as incarnation 1."""
+        scripts = (stream(1, 3, cut=True), stream_rest, stream_rest)
+        fixture = await RelayFixture(scripts, make_configuration(RESUMABLE)).open()
+        listed = [evolve(known.upstream, incarnation=1) for known in list_known(fixture)]
+        fixture.snapshot = make_snapshot(listed, make_configuration(RESUMABLE))
+        for upstream, incarnation in zip(fixture.upstreams, reported, strict=True):
+            upstream.reported_incarnation = incarnation
+        answer = await fixture.fetch("POST")
+        return answer, fixture.calls, [upstream.reports for upstream in fixture.upstreams]
+
+    # Guards against a stream going on at an upstream that has started again under its old name,
+    # with another version, before the list shows it (ORDER).
+    def test_a_stream_does_not_go_on_at_an_upstream_that_has_started_again(self) -> None:
+        answer, calls, reports = run(self.play(1, 2, 1))
+        self.assertEqual(([1, 0, 1], [0, 1, 1]), (calls, reports))
+        self.assertEqual([1, 2, 3, 4, 5, 6], events(answer))
+
+    def test_an_upstream_that_does_not_say_is_trusted(self) -> None:
+        answer, calls, _ = run(self.play(1, None, 1))
+        self.assertEqual([1, 1, 0], calls)
+        self.assertEqual([1, 2, 3, 4, 5, 6], events(answer))
+
+
+def list_known(fixture: RelayFixture) -> tuple[KnownUpstream, ...]:
+    return fixture.snapshot.list_upstreams("desk")
--- a/tests/wire.py
+++ b/tests/wire.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Coroutine
+from json import dumps
 from socket import SO_LINGER, SOL_SOCKET, create_server, socket
 from typing import Any, TypeVar
 
@@ -114,9 +115,14 @@
 
 @define
 class ScriptedUpstream:
-    """Listens on loopback and passes each request to ``script``, which writes the response."""
+    """Listens on loopback and passes each request to ``script``, which writes the response.
+
+    Asked for a report, it gives its incarnation; ``reports`` counts that.
+    """
 
     script: Script
+    reported_incarnation: int | None = None
+    reports: int = 0
     calls: list[Call] = field(factory=list)
     connections: int = 0
     closed_connections: int = 0
@@ -142,6 +148,10 @@
         self._writers.add(writer)
         try:
             while (call := await read_call(reader, writer)) is not None:
+                if call.lines[0].split()[1] == "/report":
+                    self.reports += 1
+                    call.answer(dumps({"born": self.reported_incarnation}).encode())
+                    continue
                 self.calls.append(call)
                 await self.script(call)
         except (ConnectionError, asyncio.IncompleteReadError):
