--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -54,7 +54,7 @@
     ]
 
 
-def _time_call(work: Callable[[], object], calls: int) -> float:
+def time_call(work: Callable[[], object], calls: int) -> float:
     """Return the microseconds per call in the fastest of ``REPEATS`` runs."""
     return min(Timer(work).repeat(REPEATS, calls)) / calls * MICROSECONDS
 
@@ -70,8 +70,8 @@
     prompt = Prompt("m", tuple(PromptPart(f"{n:08x}", 500) for n in range(3)))
     caches.record_run(upstreams[0].name, prompt.shared_parts, 100_000)
     calls = max(10, 20_000 // engines)
-    choice = _time_call(lambda: chooser.choose_for_chat(prompt, candidates, upstreams), calls)
-    by_load = _time_call(lambda: chooser.choose_by_load(candidates), calls)
+    choice = time_call(lambda: chooser.choose_for_chat(prompt, candidates, upstreams), calls)
+    by_load = time_call(lambda: chooser.choose_by_load(candidates), calls)
     return Figure(
         f"gateway: choice for a chat, {engines} engines", choice, "us", "least load", by_load
     )
@@ -81,8 +81,8 @@
     table = RouteTable(_make_configuration(routes, 0))
     route = table.configuration.routes[routes // 2]
     path = route.path_prefix + "a/b/c"
-    found = _time_call(lambda: table.find(route.host, path), 10_000)
-    scan = _time_call(
+    found = time_call(lambda: table.find(route.host, path), 10_000)
+    scan = time_call(
         lambda: [one for one in table.configuration.routes if path.startswith(one.path_prefix)], 20
     )
     return Figure(f"gateway: route among {routes}", found, "us", "scan", scan)
@@ -102,7 +102,7 @@
         cached=tuple(CachedPart(f"i-{n:010x}", f"{n:08x}", 500) for n in range(4)),
     )
     data = heartbeat.encode()
-    round_trip = _time_call(lambda: decode_heartbeat(heartbeat.encode()), 2_000)
+    round_trip = time_call(lambda: decode_heartbeat(heartbeat.encode()), 2_000)
     return [
         Figure("gateway: a heartbeat encoded and decoded", round_trip, "us"),
         Figure("gateway: a heartbeat", len(data), "bytes"),
@@ -112,7 +112,7 @@
 def _measure_event() -> Figure:
     splitter = EventSplitter()
     return Figure(
-        "gateway: an event split off", _time_call(lambda: splitter.feed(EVENT), 20_000), "us"
+        "gateway: an event split off", time_call(lambda: splitter.feed(EVENT), 20_000), "us"
     )
 
 
@@ -133,8 +133,8 @@
         for part in parts:
             quarantine.record_answered(part, 0.5)
 
-    check = _time_call(check_request, 5_000)
-    choice = _time_call(lambda: chooser.choose_for_chat(prompt, candidates, upstreams), 5_000)
+    check = time_call(check_request, 5_000)
+    choice = time_call(lambda: chooser.choose_for_chat(prompt, candidates, upstreams), 5_000)
     return Figure(f"gateway: quarantine, {crashes} crashes", check, "us", "choice", choice)
 
 
@@ -161,8 +161,8 @@
         guard.find_refusal(request, 1.0)
         guard.record_complete(request, 0.5)
 
-    check = _time_call(check_request, 5_000) - _time_call(make_request, 5_000)
-    choice = _time_call(lambda: chooser.choose_by_load(candidates), 5_000)
+    check = time_call(check_request, 5_000) - time_call(make_request, 5_000)
+    choice = time_call(lambda: chooser.choose_by_load(candidates), 5_000)
     name = f"gateway: quarantine of whole requests, {crashes} crashes"
     return Figure(name, check, "us", "least load", choice)
 
@@ -207,24 +207,25 @@
     return [
         Figure(
             "gateway memory: a client account",
-            _measure_retained_bytes(make_accounts) / ACCOUNTS,
+            measure_retained_bytes(make_accounts) / ACCOUNTS,
             "bytes",
         ),
         Figure(
-            "gateway memory: a route", _measure_retained_bytes(make_routes) / ROUTES[-1], "bytes"
+            "gateway memory: a route", measure_retained_bytes(make_routes) / ROUTES[-1], "bytes"
         ),
         Figure(
-            "gateway memory: a cached part", _measure_retained_bytes(make_caches) / CHATS, "bytes"
+            "gateway memory: a cached part", measure_retained_bytes(make_caches) / CHATS, "bytes"
         ),
         Figure(
             "gateway memory: a full quarantine",
-            _measure_retained_bytes(_make_full_quarantine),
+            measure_retained_bytes(_make_full_quarantine),
             "bytes",
         ),
     ]
 
 
-def _measure_retained_bytes(make: Callable[[], object]) -> int:
+def measure_retained_bytes(make: Callable[[], object]) -> int:
+    """Return the bytes that the result of ``make`` retains."""
     start()
     retained = make()
     size, _ = get_traced_memory()
--- a/bench/run.py
+++ b/bench/run.py
@@ -12,6 +12,7 @@
 from bench.fairness import measure_fairness
 from bench.figures import RESULTS, Benchmark, Figure, write_results
 from bench.gateway import measure_gateway
+from bench.limits import measure_limits
 from bench.overload import measure_overload
 from bench.path import measure_path
 from bench.routing import measure_large, measure_routing
@@ -25,6 +26,7 @@
     "control": measure_control,
     "path": measure_path,
     "gateway": measure_gateway,
+    "limits": measure_limits,
     "overload": measure_overload,
     "streaming": measure_streaming,
 }
