--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -173,6 +173,7 @@
         self._stream_registry = StreamRegistry(
             self.store, settings.identity.name, self.members, self._peer_sync, self.stream_binder
         )
+        self.stream_binder.refresh = self._stream_registry.refresh
         self._cache_recovery = CacheRecovery(
             self.routing_state, self.members, self._peer_sync, self._registry.loaded
         )
--- a/src/cherrylane/relay/attempts.py
+++ b/src/cherrylane/relay/attempts.py
@@ -93,7 +93,7 @@
 
     async def run(self, state: RequestState, responder: Responder) -> FinalOutcome:
         """Return the final outcome; a stream has been relayed by then."""
-        refusal = self._bind(state)
+        refusal = await self._bind(state)
         if refusal is not None:
             return refusal
         self.find_retry_budget(state.request.service).deposit()
@@ -122,13 +122,13 @@
             race.cancel()
             self.stream_binder.record_ended(state.request)
 
-    def _bind(self, state: RequestState) -> Rejection | None:
+    async def _bind(self, state: RequestState) -> Rejection | None:
         """Bind a stream that the caller takes up to the version that began it.
 
         Returns the rejection if that is not known, or if the route's services do not run it.
         """
         request = state.request
-        match self.stream_binder.find(request, asyncio.get_running_loop().time()):
+        match await self.stream_binder.bind(request, asyncio.get_running_loop().time()):
             case UnknownOrigin():
                 log_unbound(request)
                 return Rejection(Cause.ORIGIN_UNKNOWN, retry_after_s=RETRY_ORIGIN_UNKNOWN_S)
--- a/src/cherrylane/relay/stream_origins.py
+++ b/src/cherrylane/relay/stream_origins.py
@@ -7,7 +7,7 @@
 """
 
 from base64 import urlsafe_b64encode
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 
 from attrs import define, field, frozen
 from xxhash import xxh3_64_digest
@@ -73,19 +73,33 @@
     is_announced: bool = False
 
 
+async def _refresh_nothing() -> None:
+    return
+
+
 @define
 class StreamBinder:
     """Finds where a stream that a caller takes up has to go on.
 
-    ``on_begun`` is called with the streams that peers have to know of.
+    ``on_begun`` is called with the streams that peers have to know of; ``refresh`` reads what other
+    hosts have stored.
     """
 
     origins: StreamOrigins = field(factory=StreamOrigins)
     versions: SoftwareVersions = field(factory=SoftwareVersions)
     on_begun: Callable[[str, StreamOrigin], None] = lambda key, origin: None
+    refresh: Callable[[], Awaitable[None]] = _refresh_nothing
     _former_services: dict[tuple[str, str], dict[str, float]] = field(factory=dict)
     _running: dict[str, _RunningStream] = field(factory=dict)
 
+    async def bind(self, request: CallerRequest, now: float) -> StreamOrigin | UnknownOrigin | None:
+        """Return what :meth:`find` does, after reading what other hosts have stored if need be."""
+        origin = self.find(request, now)
+        if isinstance(origin, UnknownOrigin) and request.resumes:
+            await self.refresh()
+            origin = self.find(request, now)
+        return origin
+
     def find(self, request: CallerRequest, now: float) -> StreamOrigin | UnknownOrigin | None:
         """Return the origin of the stream that a request takes up, None if it begins a stream."""
         if not request.resume_after:
--- a/tests/test_stream_registry.py
+++ b/tests/test_stream_registry.py
@@ -12,7 +12,12 @@
 from cherrylane.placement.loads import LoadTracker
 from cherrylane.platform.client import AsyncPlatformClient
 from cherrylane.platform.objects import Kind, PlatformObject
-from cherrylane.relay.stream_origins import StreamBinder, StreamOrigin, identify_stream
+from cherrylane.relay.stream_origins import (
+    StreamBinder,
+    StreamOrigin,
+    UnknownOrigin,
+    identify_stream,
+)
 from cherrylane.routing.routes import RequestKind
 from tests.fake_platform import Fault
 from tests.test_version_registry import AsyncFakePlatform
@@ -55,7 +60,7 @@
             for host in (self.host, other):
                 await host.registry._write_if_new(1.0)
             restarted = Host(self.client, "h1")
-            self.assertTrue(await restarted.registry._load())
+            self.assertTrue(await restarted.registry._load_earlier())
             return [restarted.find(request_id) for request_id in "abc"]
 
         self.assertEqual([V1, V1, None], run(scenario()))
@@ -88,14 +93,14 @@
             self.host.begin("a")
             await self.host.registry._write_if_new(1.0)
             restarted = Host(self.client, "h1")
-            await restarted.registry._load()
+            await restarted.registry._load_earlier()
             now = asyncio.get_running_loop().time()
             found = []
             for request_id, moment in (("b", now), ("c", now + CARRY_OVER_S + 1)):
                 restarted.begin(request_id)
                 await restarted.registry._write_if_new(moment)
                 late = Host(self.client, "h3")
-                await late.registry._load()
+                await late.registry._load_earlier()
                 found.append(late.find("a"))
             return found[0], found[1]
 
@@ -130,9 +135,30 @@
             (None, [], {"streams": 3}, {"streams": [["s"]]}, {"streams": [["s", "v", "short"]]})
         ):
             self.client.store.create(PlatformObject(Kind.STREAM_ORIGINS, f"x{number}", spec))
-        self.assertTrue(run(self.host.registry._load()))
+        self.assertTrue(run(self.host.registry._load_earlier()))
         self.assertEqual([], self.host.binder.origins.list_all())
 
+    # Guards against a stream being refused since the host that began it was killed before it had
+    # told all others (LOST).
+    def test_a_stream_of_a_lost_host_is_found_when_it_is_taken_up(self) -> None:
+        async def scenario() -> list[object]:
+            self.host.begin("a")
+            await self.host.registry._write_if_new(1.0)
+            other = Host(self.client, "h2")
+            other.binder.refresh = other.registry.refresh
+            now = asyncio.get_running_loop().time()
+            other.binder.versions.record_in_use("desk", ["v1", "v2"], now)
+            return [
+                await other.binder.bind(
+                    make_request(ROUTE, now, resumes=resumes, resume_after="3"), now
+                )
+                for resumes in ("a", "unknown", "forged", "")
+            ]
+
+        unknown = UnknownOrigin()
+        self.assertEqual([V1, unknown, unknown, unknown], run(scenario()))
+        self.assertEqual(1, self.client.reads)
+
     def test_a_store_that_is_away_is_no_empty_one(self) -> None:
         self.client.store.down = True
-        self.assertFalse(run(self.host.registry._load()))
+        self.assertFalse(run(self.host.registry._load_earlier()))
