Let a host that is cut off take no software version for the only one

Cause: ORDER holds for hosts out of touch too; one that is cut off from the store and its peers beside a release knows one version, and would join a stream that another one began to it. Change: the only version counts only if the store has confirmed the list lately or most hosts are heard. The test failed before by construction. Beside it: running streams are told once, and 32,768 limits are remembered, since 10,000 upstreams may have one.

--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -78,6 +78,8 @@
 SETTLE_SWEEPS = 3
 MAX_SETTLE_S = 1.5
 BOOT_ID_BYTES = 6
+# Age in milliseconds up to which the store's confirmation of the upstreams counts as new.
+MAX_STATE_AGE_MS = 1500
 
 
 log = Logger("cherrylane.gateway")
@@ -173,6 +175,7 @@
         self._stream_registry = StreamRegistry(
             self.store, settings.identity.name, self.members, self._peer_sync, self.stream_binder
         )
+        self.stream_binder.is_current = self._is_current
         self.stream_binder.refresh = self._stream_registry.refresh
         self._cache_recovery = CacheRecovery(
             self.routing_state, self.members, self._peer_sync, self._registry.loaded
@@ -442,6 +445,15 @@
         self.outliers.forget(name)
         self.pool.forget(name)
 
+    def _is_current(self) -> bool:
+        """Return whether the store has confirmed the upstreams lately, or most hosts are live.
+
+        While the store is away from all hosts, no host knows of a newer list.
+        """
+        now = asyncio.get_running_loop().time()
+        is_confirmed = self._follower_selection.get_state_age_ms(now) <= MAX_STATE_AGE_MS
+        return is_confirmed or 2 * len(self.members.live(now)) >= len(self.members)
+
     def _get_state_age_s(self) -> float:
         return self._follower_selection.get_state_age_ms(asyncio.get_running_loop().time()) / 1000
 
--- a/src/cherrylane/limits/rate_limits.py
+++ b/src/cherrylane/limits/rate_limits.py
@@ -18,7 +18,7 @@
 from cherrylane.limits.rate_shares import TokenBucket, find_share
 
 # Most incarnations whose limits are remembered; the one heard of least recently is dropped first.
-MAX_REMEMBERED = 4096
+MAX_REMEMBERED = 32_768
 # Seconds without a statement after which limits that have ended, and those of upstreams that are
 # not listed, are forgotten. Copies of the upstream list may be some seconds old.
 MEMORY_S = 120.0
--- a/src/cherrylane/relay/selection.py
+++ b/src/cherrylane/relay/selection.py
@@ -121,6 +121,8 @@
         self, request: CallerRequest, untried: list[KnownUpstream], now: float, *, is_first: bool
     ) -> list[KnownUpstream]:
         """Return the upstreams whose request limits leave room for this request."""
+        if not untried:
+            return []
         own_rate = sum(self.rate_limits.get_own_rate(*_get_key(known)) for known in untried)
         if is_first and isfinite(own_rate):
             arrivals = self._arrivals.setdefault(request.service, RankedArrivals())
--- a/src/cherrylane/relay/stream_origins.py
+++ b/src/cherrylane/relay/stream_origins.py
@@ -82,13 +82,15 @@
     """Finds where a stream that a caller takes up has to go on.
 
     ``on_begun`` is called with the streams that peers have to know of; ``refresh`` reads what other
-    hosts have stored.
+    hosts have stored. ``is_current`` says whether this host would know of a version that others use:
+    one that is cut off from them may not take the version that it knows for the only one.
     """
 
     origins: StreamOrigins = field(factory=StreamOrigins)
     versions: SoftwareVersions = field(factory=SoftwareVersions)
     on_begun: Callable[[str, StreamOrigin], None] = lambda key, origin: None
     refresh: Callable[[], Awaitable[None]] = _refresh_nothing
+    is_current: Callable[[], bool] = lambda: True
     _former_services: dict[tuple[str, str], dict[str, float]] = field(factory=dict)
     _running: dict[str, _RunningStream] = field(factory=dict)
 
@@ -109,18 +111,18 @@
             return origin
         services = self._list_services(request.route, now)
         possible = self._list_possible(services, now)
-        if len(possible) == 1 and all(map(self.versions.is_known, services)):
+        are_known = all(map(self.versions.is_known, services))
+        if len(possible) == 1 and are_known and self.is_current():
             return possible[0]
         return UnknownOrigin()
 
     def record_begun(self, request: CallerRequest, origin: StreamOrigin, now: float) -> None:
-        """Record that the first event of a request's stream has come, or another of one that is
-        taken up."""
+        """Record that an attempt has brought the first event of its part of a stream."""
         if not request.route.is_resumable:
             return
         key = identify_stream(request.resumes if request.resume_after else request.id)
         self.origins.record(key, origin, now)
-        self._running[key] = _RunningStream(origin, request.route)
+        self._running.setdefault(key, _RunningStream(origin, request.route))
         self._announce_if_ambiguous(key, now)
 
     def record_ended(self, request: CallerRequest) -> None:
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -137,6 +137,15 @@
         self.binder.versions.record_stored("desk", ["v1", "v2"], 1.0)
         self.assertIsInstance(self.find(take_up("a")), UnknownOrigin)
 
+    # Guards against a host that is cut off, beside a release, joining what it knows to what it
+    # cannot know (ORDER holds for all hosts).
+    def test_a_host_that_is_cut_off_refuses_unknown_streams(self) -> None:
+        self.use("v1")
+        self.binder.record_begun(begin("a"), V1, 0.0)
+        self.binder.is_current = lambda: False
+        self.assertIsInstance(self.find(take_up("elsewhere")), UnknownOrigin)
+        self.assertEqual(V1, self.find(take_up("a")))
+
     def test_what_the_store_names_is_enough_where_it_is_the_only_version(self) -> None:
         self.binder.versions.knows_all = False
         self.use("v2")
