--- a/src/cherrylane/relay/stream_origins.py
+++ b/src/cherrylane/relay/stream_origins.py
@@ -82,8 +82,8 @@
     """Finds where a stream that a caller takes up has to go on.
 
     ``on_begun`` is called with the streams that peers have to know of; ``refresh`` reads what other
-    hosts have stored. ``is_current`` says whether this host would know of a version that others use:
-    one that is cut off from them may not take the version that it knows for the only one.
+    hosts have stored. ``is_current`` says whether this host would know of a version that others
+    use: one that is cut off from them may not take the version that it knows for the only one.
     """
 
     origins: StreamOrigins = field(factory=StreamOrigins)
