Move refusals out of the attempts, and what follows from the fleet out of the daemon

Ruled out: splitting the composition of the daemon itself. No behaviour is meant to change: 76 tests of the relay and 9 of the daemon pass before and after.

--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -20,10 +20,11 @@
 from cherrylane.gateway.store_probe import StoreProbe
 from cherrylane.gateway.stream_registry import StreamRegistry
 from cherrylane.gateway.tasks import keep_running
+from cherrylane.gateway.upkeep import Upkeep
 from cherrylane.gateway.version_registry import VersionRegistry
-from cherrylane.gossip.members import HEARTBEAT_TIMEOUT_S, Members
+from cherrylane.gossip.members import Members
 from cherrylane.gossip.messages import Heartbeat, HostState
-from cherrylane.gossip.node import HEARTBEAT_INTERVAL_S, GossipNode
+from cherrylane.gossip.node import GossipNode
 from cherrylane.http.limits import InboundLimits
 from cherrylane.http.listener import InboundServer
 from cherrylane.http.messages import Request
@@ -36,11 +37,11 @@
 from cherrylane.limits.quarantine import RequestQuarantine
 from cherrylane.limits.rate_limits import UpstreamRateLimits
 from cherrylane.limits.retries import HostRetryBudget
-from cherrylane.membership.software_versions import STREAM_LIFETIME_S, SoftwareVersions
+from cherrylane.membership.software_versions import SoftwareVersions
 from cherrylane.placement.caches import CacheMap
 from cherrylane.placement.choice import Chooser
 from cherrylane.placement.heat import ChatHeat
-from cherrylane.placement.loads import PEER_LOADS_LIFETIME_S, LoadTracker
+from cherrylane.placement.loads import LoadTracker
 from cherrylane.platform.async_watcher import AsyncWatcher
 from cherrylane.platform.client import AsyncPlatformClient
 from cherrylane.platform.objects import Kind
@@ -51,7 +52,6 @@
 from cherrylane.relay.selection import UpstreamSelector
 from cherrylane.relay.service import RelayService
 from cherrylane.relay.stream_origins import StreamBinder
-from cherrylane.routing.routes import RouteTable
 from cherrylane.routing.snapshot import Snapshot
 from cherrylane.settings.gateway import GatewaySettings
 from cherrylane.settings.schema import Endpoint, PlatformSettings
@@ -72,11 +72,6 @@
 GRACE_MARGIN_S = 0.7
 # Polling interval while a stopping daemon has requests in progress, in seconds.
 DRAIN_POLL_S = 0.05
-# Sweeps of heartbeats to all hosts for which a peer's last loads count, so that one may be lost.
-LOAD_LIFETIME_SWEEPS = 2
-# Sweeps in which the crashes that peers have seen arrive, and the most seconds to wait for them.
-SETTLE_SWEEPS = 3
-MAX_SETTLE_S = 1.5
 BOOT_ID_BYTES = 6
 # Age in milliseconds up to which the store's confirmation of the upstreams counts as new.
 MAX_STATE_AGE_MS = 1500
@@ -120,7 +115,6 @@
         self._started_at = monotonic()
         self._tasks: list[asyncio.Task[None]] = []
         self._retry_budgets: dict[str, HostRetryBudget] = {}
-        self._route_table: RouteTable | None = None
         self.load_tracker = LoadTracker()
         self.outliers = OutlierDetector()
         self.pool = ConnectionPool(MAX_IDLE_S, CONNECT_TIMEOUT_S, self._find_max_idle_connections)
@@ -183,6 +177,16 @@
         self._gossip = GossipNode(
             settings.listen.peers, self.members, self._make_heartbeat, self._handle_heartbeat
         )
+        self._upkeep = Upkeep(
+            self.members,
+            self.routing_state,
+            self._gossip,
+            self.load_tracker,
+            self.chat_heat,
+            self.quarantine,
+            self.rate_limits,
+            self.stream_binder,
+        )
         self._relay = self._make_relay()
         self._listeners = self._make_listeners()
         self._add_gauges()
@@ -237,7 +241,7 @@
         """
         deadline = monotonic() + self.settings.bounds.grace_s - GRACE_MARGIN_S
         self._is_stopping = True
-        self._share_rate_limits()
+        self._upkeep.share_rate_limits(asyncio.get_running_loop().time(), takes_part=False)
         callers = self._listeners.callers
         log.notice("stopping", extra={"busy": callers.busy, "idle": len(callers.connections)})
         self._gossip.send_round(to_all=True)
@@ -395,11 +399,7 @@
 
     def _on_snapshot(self, snapshot: Snapshot) -> None:
         self._peer_sync.reset_lag_timer()
-        now = asyncio.get_running_loop().time()
-        self._record_versions(now)
-        if snapshot.table is not self._route_table:
-            self.stream_binder.record_routes(self._route_table, now)
-            self._route_table = snapshot.table
+        self._upkeep.record_snapshot(snapshot, asyncio.get_running_loop().time())
         if self._follower_selection.must_notify_peers:
             self._gossip.send_round(to_all=True)
         if self._has_routing_data:
@@ -407,11 +407,6 @@
         if snapshot.table is not None:
             self._listeners.callers.limits = snapshot.table.configuration.limits
 
-    def _record_versions(self, now: float) -> None:
-        for service, upstreams in self.routing_state.snapshot.upstreams_by_service.items():
-            versions = {known.upstream.software for known in upstreams}
-            self.stream_binder.versions.record_in_use(service, versions, now)
-
     def _get_removal_grace_s(self) -> float:
         watcher = self._watchers[1]
         if watcher.unavailable_since is not None:
@@ -461,33 +456,13 @@
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
             self.pool.close_stale()
-            sweep_s = self._gossip.rounds_to_reach_all * HEARTBEAT_INTERVAL_S
-            self.load_tracker.lifetime_s = max(
-                PEER_LOADS_LIFETIME_S, sweep_s * LOAD_LIFETIME_SWEEPS
+            self._upkeep.update(
+                asyncio.get_running_loop().time(),
+                is_ready=self.is_ready,
+                uptime_s=monotonic() - self._started_at,
             )
-            self.chat_heat.window_s = sweep_s
-            self._share_rate_limits()
-            self._update_streams()
-            self.quarantine.settle_s = min(MAX_SETTLE_S, sweep_s * SETTLE_SWEEPS)
-            self.chat_heat.peers = len(self.members)
-            self.chat_heat.forget_old(asyncio.get_running_loop().time())
             self._writer.flush()
 
-    def _update_streams(self) -> None:
-        now = asyncio.get_running_loop().time()
-        self._record_versions(now)
-        self.stream_binder.update(now)
-        if self._has_routing_data and monotonic() - self._started_at > STREAM_LIFETIME_S:
-            self.stream_binder.versions.knows_all = True
-
-    def _share_rate_limits(self) -> None:
-        """Set the hosts that share the upstreams' request limits; a stopping one takes no part."""
-        now = asyncio.get_running_loop().time()
-        knows_peers = monotonic() - self._started_at > HEARTBEAT_TIMEOUT_S
-        own = self.members.own_address if self.is_ready and knows_peers else None
-        self.rate_limits.set_hosts(own, self.members.ready_addresses(now), now)
-        self.rate_limits.forget_old(set(self.routing_state.list_incarnations()), now)
-
     def _add_gauges(self) -> None:
         telemetry = self.telemetry
         callers = self._listeners.callers
--- a/src/cherrylane/relay/attempts.py
+++ b/src/cherrylane/relay/attempts.py
@@ -9,14 +9,10 @@
 
 import asyncio
 from collections.abc import Callable
-from math import isfinite
-from random import Random
 
 from attrs import define, evolve, field
 
 from cherrylane.http.responder import Responder
-from cherrylane.limits.overload import RetryDelays
-from cherrylane.limits.quarantine import Quarantined
 from cherrylane.limits.retries import HostRetryBudget
 from cherrylane.placement.choice import Choice
 from cherrylane.placement.loads import Load, LoadTracker
@@ -24,8 +20,6 @@
     log_choice,
     log_failed_attempt,
     log_fault,
-    log_overload,
-    log_rate_limited,
     log_stall,
     log_unbound,
 )
@@ -44,14 +38,9 @@
     Unknown,
 )
 from cherrylane.relay.race import Attempt, AttemptRace, DeadlineReached, Ended, Stalled
+from cherrylane.relay.refusals import RETRY_ORIGIN_UNKNOWN_S, NoChoice, Refusals
 from cherrylane.relay.request import CallerRequest
-from cherrylane.relay.selection import (
-    AllBackingOff,
-    OriginGone,
-    Overloaded,
-    RateLimited,
-    UpstreamSelector,
-)
+from cherrylane.relay.selection import UpstreamSelector
 from cherrylane.relay.state import AttemptRecord, RequestState
 from cherrylane.relay.stream_origins import StreamBinder, StreamOrigin, UnknownOrigin
 from cherrylane.routing.snapshot import Snapshot
@@ -60,16 +49,8 @@
 MAX_UNREACHABLE = 4
 # Attempts of one request that may be in progress at once.
 MAX_CONCURRENT = 2
-# Retry-After, in seconds, by the reason why the request was not run.
-RETRY_NOT_ACCEPTED_S = 0.25
-RETRY_NO_UPSTREAM_S = 0.5
-# Retry-After, in seconds, while peers may still tell where a stream began.
-RETRY_ORIGIN_UNKNOWN_S = 0.5
-# Seconds over which callers are spread when an upstream accepts requests again.
-BACKOFF_SPREAD_S = 0.25
 
 FinalOutcome = Answered | Failed | Completed | Broken | Rejection
-NoChoice = Overloaded | AllBackingOff | RateLimited | OriginGone | Quarantined | None
 
 
 @define
@@ -88,8 +69,11 @@
     find_retry_budget: Callable[[str], HostRetryBudget]
     crash_guard: CrashGuard = field(factory=CrashGuard)
     stream_binder: StreamBinder = field(factory=StreamBinder)
-    retry_delays: RetryDelays = field(factory=RetryDelays)
-    random: Random = field(factory=Random)
+    _refusals: Refusals = field(init=False)
+
+    @_refusals.default
+    def _make_refusals(self) -> Refusals:
+        return Refusals(self.selector, self.read_snapshot)
 
     async def run(self, state: RequestState, responder: Responder) -> FinalOutcome:
         """Return the final outcome; a stream has been relayed by then."""
@@ -102,10 +86,10 @@
             while True:
                 if not race.running:
                     if asyncio.get_running_loop().time() >= state.request.deadline:
-                        return self._give_up(state, responder, Cause.TIMED_OUT)
+                        return self._refusals.give_up(state, responder, Cause.TIMED_OUT)
                     choice = self._choose_upstream(state)
                     if not isinstance(choice, Choice):
-                        return self._give_up_without_choice(state, responder, choice)
+                        return self._refusals.give_up_without_choice(state, responder, choice)
                     self._start(state, responder, race, choice)
                 match await race.wait(state.request.deadline):
                     case DeadlineReached():
@@ -174,16 +158,16 @@
                     if any(other.stalls for other in race.running):
                         self._start_hedge(state, responder, race)
                 elif state.unreachable >= MAX_UNREACHABLE:
-                    return self._give_up(state, responder, Cause.NO_UPSTREAM)
+                    return self._refusals.give_up(state, responder, Cause.NO_UPSTREAM)
             case _:
                 state.record(outcome)
                 if race.running:
                     return None
                 if not self._may_retry(state, outcome):
-                    return self._give_up(state, responder, Cause.NOT_ACCEPTED)
+                    return self._refusals.give_up(state, responder, Cause.NOT_ACCEPTED)
                 await self.crash_guard.wait_for_probe(attempt.choice.upstream)
                 if state.may_have_run and not self.crash_guard.may_retry(state.request):
-                    return self._give_up(state, responder, Cause.OUTCOME_UNKNOWN)
+                    return self._refusals.give_up(state, responder, Cause.OUTCOME_UNKNOWN)
         return None
 
     def _handle_stall(
@@ -255,68 +239,7 @@
             outcome = late if is_late else Superseded("the deadline came first", has_stalled=False)
             self._record_attempt(state, attempt, outcome)
             state.record(outcome)
-        return self._give_up(state, responder, Cause.TIMED_OUT)
-
-    def _give_up_without_choice(
-        self, state: RequestState, responder: Responder, reason: NoChoice
-    ) -> FinalOutcome:
-        match reason:
-            case Quarantined(retry_after_s=retry_after_s):
-                return self._give_up(state, responder, Cause.QUARANTINED, retry_after_s)
-            case Overloaded():
-                return self._refuse(state, reason)
-            case RateLimited():
-                return self._refuse_rate_limited(state, responder, reason)
-            case OriginGone():
-                return self._give_up(state, responder, Cause.ORIGIN_GONE)
-            case AllBackingOff(first_end_s=first_end_s):
-                delay_s = first_end_s + self.random.uniform(0.0, BACKOFF_SPREAD_S)
-                return self._give_up(state, responder, Cause.BACKING_OFF, delay_s)
-            case None:
-                return self._give_up(state, responder, Cause.NO_UPSTREAM)
-
-    def _give_up(
-        self,
-        state: RequestState,
-        responder: Responder,
-        cause: Cause,
-        retry_after_s: float | None = None,
-    ) -> Failed | Broken | Rejection:
-        if responder.started:
-            return Broken("the stream could not be resumed")
-        if state.failure is not None:
-            return state.failure
-        if state.may_have_run:
-            is_late = asyncio.get_running_loop().time() >= state.request.deadline
-            return Rejection(Cause.TIMED_OUT if is_late else Cause.OUTCOME_UNKNOWN)
-        match cause:
-            case Cause.NO_UPSTREAM:
-                return Rejection(cause, retry_after_s=RETRY_NO_UPSTREAM_S)
-            case Cause.NOT_ACCEPTED:
-                return Rejection(cause, retry_after_s=RETRY_NOT_ACCEPTED_S)
-            case _:
-                return Rejection(cause, retry_after_s=retry_after_s)
-
-    def _refuse(self, state: RequestState, overload: Overloaded) -> Rejection:
-        request = state.request
-        now = asyncio.get_running_loop().time()
-        delay_s = self.retry_delays.choose_delay(request.deadline - now, now)
-        throughput = self.selector.throughput_of(request.service)
-        throughput.record_refusal(now)
-        log_overload(request, overload, throughput, delay_s, self.read_snapshot())
-        return Rejection(Cause.OVERLOADED, retry_after_s=delay_s)
-
-    def _refuse_rate_limited(
-        self, state: RequestState, responder: Responder, limited: RateLimited
-    ) -> Failed | Broken | Rejection:
-        request = state.request
-        now = asyncio.get_running_loop().time()
-        delay_s = self.retry_delays.choose_delay(request.deadline - now, now)
-        if isfinite(limited.first_token_s):
-            delay_s = max(delay_s, limited.first_token_s)
-        self.selector.throughput_of(request.service).record_refusal(now)
-        log_rate_limited(request, limited, delay_s)
-        return self._give_up(state, responder, Cause.RATE_LIMITED, delay_s)
+        return self._refusals.give_up(state, responder, Cause.TIMED_OUT)
 
     def _record_superseded(self, state: RequestState, attempt: Attempt) -> None:
         outcome = Superseded("another attempt went on first", has_stalled=attempt.stalls > 0)
--- a/tests/test_relay_upstream_state.py
+++ b/tests/test_relay_upstream_state.py
@@ -5,7 +5,7 @@
 from testtools import TestCase
 from testtools.matchers import Contains
 
-from cherrylane.relay.attempts import BACKOFF_SPREAD_S
+from cherrylane.relay.refusals import BACKOFF_SPREAD_S
 from cherrylane.routing.routes import Route
 from tests.relay_fixture import (
     RESUMABLE,
