Use what limited engines still take before chats queue at others

Cause: a chat leaves its engine only above a multiple of the mean load of all that may take it; with most engines out, the mean is that of the full ones. Change: a chat whose engine has no free slot goes to a limited engine that has a slot and a token.

--- a/src/cherrylane/relay/selection.py
+++ b/src/cherrylane/relay/selection.py
@@ -111,7 +111,12 @@
             if not self.outliers.is_avoided(known.upstream.name, now)
         ]
         heat = 0 if tried else self.chat_heat.record(request.prompt.chat_key, now)
-        return self.chooser.choose_for_chat(request.prompt, candidates, holders, heat=heat)
+        choice = self.chooser.choose_for_chat(request.prompt, candidates, holders, heat=heat)
+        if choice.load.requests < choice.upstream.slots:
+            return choice
+        # What a limited engine still takes would be unused while others queue.
+        free = [one for one in candidates if self._has_free_token(one)]
+        return self.chooser.choose_for_chat(request.prompt, free, holders) if free else choice
 
     def record_dispatch(self, upstream: Upstream, now: float) -> None:
         """Count a request that is sent to a chosen upstream."""
@@ -163,6 +168,12 @@
     def _find_first_token(self, untried: list[KnownUpstream], now: float) -> float:
         return min(self.rate_limits.find_wait(*_get_key(known), 0, now) for known in untried)
 
+    def _has_free_token(self, candidate: Candidate) -> bool:
+        """Return whether a candidate has a request limit, a token for this host and a free slot."""
+        upstream = candidate.upstream
+        is_limited = self.rate_limits.is_limited(upstream.name, upstream.incarnation)
+        return is_limited and candidate.load.requests < upstream.slots
+
     def _is_backing_off(self, known: KnownUpstream, now: float) -> bool:
         return self.backoffs.is_backing_off(*_get_key(known), now)
 
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -21,9 +21,11 @@
 )
 from cherrylane.limits.rate_shares import LIMIT_SHARE_USED, RECHECK_RATE, find_share
 from cherrylane.placement.choice import Choice, Chooser
-from cherrylane.placement.loads import LoadTracker
+from cherrylane.placement.loads import Load, LoadTracker
 from cherrylane.platform.headers import read_rate_limit
+from cherrylane.relay.request import Prompt, PromptPart
 from cherrylane.relay.selection import RateLimited, UpstreamSelector
+from cherrylane.routing.routes import RequestKind
 from cherrylane.routing.upstreams import Upstream, UpstreamState
 from cherrylane.settings.schema import Endpoint
 from tests.wire import make_request, make_route, make_snapshot
@@ -357,6 +359,32 @@
         names = [self.choose(step / 100, tried={"b"}) for step in range(400)]
         self.assertTrue(0 < names.count("a") <= 8, str(names.count("a")))
 
+    # Guards against engines without a limit being swamped while limited ones take more (LIMIT,
+    # capped-beside-faults on the grown sites): chats keep to full engines at the mean load.
+    def test_chats_go_to_a_limited_engine_before_they_queue_at_others(self) -> None:
+        self.snapshot = make_snapshot([make_upstream(name) for name in ("a", "b", "c")])
+        self.limit("a")
+        for requests, all_at_a in ((4, True), (3, False)):
+            names = [self.choose_for_chat(f"{n:08x}", requests, 9.0 + 2 * n) for n in range(20)]
+            self.assertEqual(all_at_a, set(names) == {"a"}, str(names))
+
+    def test_chats_queue_where_the_limited_engine_takes_no_more(self) -> None:
+        self.snapshot = make_snapshot([make_upstream(name) for name in ("a", "b", "c")])
+        self.limit("a")
+        names = [self.choose_for_chat(f"{n:08x}", 4, 9.0 + n / 100) for n in range(20)]
+        self.assertTrue(names.count("a") <= 2, str(names))
+
+    def choose_for_chat(self, chat: str, requests: int, now: float) -> str:
+        """Choose and dispatch for a chat while the engines without a limit have ``requests``."""
+        loads = {name: Load(requests) for name in ("b", "c")}
+        self.selector.load_tracker.update_peer("peer", loads, now)
+        prompt = Prompt("m", (PromptPart(chat, 500), PromptPart("last", 500)), 1000)
+        request = make_request(make_route(RequestKind.STREAM), now, prompt=prompt)
+        choice = self.selector.choose(request, self.snapshot, set(), now)
+        assert isinstance(choice, Choice)
+        self.selector.record_dispatch(choice.upstream, now)
+        return choice.upstream.name
+
     # Guards against requests that wait at limited upstreams until their deadlines.
     def test_a_service_whose_limits_are_used_up_refuses_at_once(self) -> None:
         self.limit("a", "b")
