--- a/src/cherrylane/limits/rate_shares.py
+++ b/src/cherrylane/limits/rate_shares.py
@@ -89,7 +89,7 @@
 
     Example::
 
-        find_share("a", ["a", "b", "c"], "i-7", rate=10.0)  # 3.0
+        find_share("a", ["a", "b", "c"], "i-7", rate=12.0)  # 3.8
     """
     sharers = rank_names(key, hosts)[: count_sharers(rate)]
     if own not in sharers:
