Leave versions that do not fit out of a heartbeat

Cause: the list of versions has no bound and was not among what is left out. Change: it is left out last, and the sender no longer vouches that it knows all versions, so that a host that starts reads the store instead. The test failed before with RecursionError.

--- a/src/cherrylane/gossip/messages.py
+++ b/src/cherrylane/gossip/messages.py
@@ -162,7 +162,7 @@
 
         Above ``MAX_DATAGRAM_BYTES``, the least important parts are dropped first: cached parts,
         then hosts, then streams, then backoffs, then loads, then crashes, then rates, then
-        verdicts.
+        verdicts, then versions.
         """
         data = self._to_json()
         if len(data) <= MAX_DATAGRAM_BYTES:
@@ -181,6 +181,9 @@
             return evolve(self, backing_off=self.backing_off[: len(self.backing_off) // 2])
         if not self.loads and not self.crashes and not self.answered and self.rates:
             return evolve(self, rates=self.rates[: len(self.rates) // 2])
+        if not self.verdicts and not self.loads and not self.crashes and not self.answered:
+            # A part of the versions would pass for all.
+            return evolve(self, versions=(), knows_versions=False)
         if not self.loads and not self.crashes and not self.answered:
             return evolve(self, verdicts=self.verdicts[: len(self.verdicts) // 2])
         if not self.loads:
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -18,6 +18,7 @@
     PeerLiveness,
     UpstreamBackoff,
     UpstreamLeaving,
+    VersionUse,
     decode_heartbeat,
 )
 from cherrylane.gossip.node import HEARTBEAT_INTERVAL_S, GossipNode
@@ -223,6 +224,18 @@
         self.assertEqual(self.HOSTS, load_tracker.read(["i"], 0.0)["i"].requests)
 
 
+class LongHeartbeatTest(TestCase):
+    # Guards against a list without a bound that ends the heartbeats of a host, and against peers
+    # taking a shortened list of versions for all there are (ORDER).
+    def test_versions_that_do_not_fit_are_left_out_and_not_vouched_for(self) -> None:
+        versions = tuple(VersionUse(f"service-{n}", "v1.2.3-build", 1000) for n in range(100))
+        sent = make_heartbeat(versions=versions, knows_versions=True)
+        data = sent.encode()
+        self.assertTrue(len(data) <= MAX_DATAGRAM_BYTES)
+        received = decode_heartbeat(data)
+        self.assertEqual(((), False), (received.versions, received.knows_versions))
+
+
 class PeerSyncTest(TestCase):
     def test_host_cut_off_from_the_store_fetches_state_from_a_peer(self) -> None:
         async def work() -> None:
