Write nothing behind the end of a response without a body

Cause: encode_chunk(b"") returned the chunk that ends a body, so every caller of Responder.start and write had to know better; StreamRelay passed an empty first part for every whole answer without events, and ended it once more. Ruled out: a second attempt that ends the answer again (one attempt in the log), the upstream's framing (the same with a length).

Change: no data is no chunk, in the one place where chunks are encoded; the thread daemon's copy of that code is gone. Responder knows from method and status whether there is a body and refuses to write outside of a response. The same class elsewhere: a 204 on a streaming route was chunked, and the thread daemon sent the body of answers to HEAD requests.

Conclusion: the rule no longer depends on callers.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,7 +10,7 @@
 from attrs import define, field
 
 from soak.fleet import SoakFleet, SoakHost
-from soak.upstreams import LARGE_PATH
+from soak.upstreams import EVENT_COUNT, LARGE_PATH
 
 # Time of a request, sent as `Deadline-Ms`, and how much longer its caller waits for a response.
 DEADLINE_S = 3.0
@@ -26,6 +26,9 @@
 # Maximum number of requests per connection, and maximum pause between them.
 MAX_REQUESTS_PER_CONNECTION = 12
 PAUSE_S = 0.03
+# Share of whole streams that their callers take up although they have every event, as after a break
+# before the end.
+WHOLE_TAKE_UP_SHARE = 0.05
 # Share of requests that go to the most recently added route.
 NEW_ROUTE_SHARE = 0.1
 
@@ -43,6 +46,7 @@
 
     ``CLOSED`` is the end of the connection before the response to a request that was sent whole,
     ``BROKEN`` within it; ``BEHIND`` is a request behind one whose response did not end.
+    ``MALFORMED`` are bytes that are no response where one was due.
     """
 
     NOT_SENT = "not sent"
@@ -51,6 +55,7 @@
     BROKEN = "connection closed within the response"
     TIMED_OUT = "no whole response in time"
     BEHIND = "behind a response that did not end"
+    MALFORMED = "bytes that are no response"
 
 
 @define
@@ -131,23 +136,28 @@
         exchange = self._record_exchange(host, RequestKind.STREAM, 0)
         exchange.resumes = broken.resumes or broken.id
         exchange.last_event = find_last_event(broken)
-        await self._send_alone(host, exchange)
+        # The request behind shows whether more than a response has followed the stream.
+        await self._send_alone(host, [exchange, self._record_exchange(host, RequestKind.SAFE, 0)])
 
     async def send_once(self, host: SoakHost, kind: RequestKind) -> Exchange:
         """Send a single request over a new connection."""
-        return await self._send_alone(host, self._record_exchange(host, kind, 0))
+        exchange = self._record_exchange(host, kind, 0)
+        await self._send_alone(host, [exchange])
+        return exchange
 
-    async def _send_alone(self, host: SoakHost, exchange: Exchange) -> Exchange:
+    async def _send_alone(self, host: SoakHost, exchanges: list[Exchange]) -> None:
+        """Send requests one after the other over a new connection."""
         try:
             async with asyncio.timeout(DEADLINE_S):
                 reader, writer = await asyncio.open_connection(host.address, host.callers_port)
             try:
-                await _send_and_receive(reader, writer, [exchange])
+                for exchange in exchanges:
+                    if not await _send_and_receive(reader, writer, [exchange]):
+                        return
             finally:
                 writer.close()
         except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
             pass
-        return exchange
 
     async def _resolve(self) -> SoakHost | None:
         directory_host = self.random.choice(self.fleet.hosts)
@@ -179,6 +189,9 @@
                         return
                 finally:
                     self._broken += filter(_may_be_taken_up, exchanges)
+                whole = [exchange for exchange in exchanges if _has_all_events(exchange)]
+                if whole and self.random.random() < WHOLE_TAKE_UP_SHARE:
+                    await self._take_up(whole[0])
                 await asyncio.sleep(PAUSE_S * self.random.random())
         finally:
             writer.close()
@@ -242,6 +255,9 @@
             if exchange.response.status:
                 exchange.ending = Ending.BROKEN
             raise
+        except ValueError:
+            exchange.ending = Ending.MALFORMED
+            raise
         finally:
             exchange.ended = loop.time()
     return is_reusable
@@ -256,6 +272,15 @@
     )
 
 
+def _has_all_events(exchange: Exchange) -> bool:
+    return (
+        exchange.kind is RequestKind.STREAM
+        and exchange.response.status == 200
+        and not exchange.is_large
+        and find_last_event(exchange) == EVENT_COUNT
+    )
+
+
 def find_last_event(exchange: Exchange) -> int:
     """Return the number of the last whole event that a caller has received, 0 if there is none."""
     whole, _, _ = exchange.response.body.rpartition(b"\n\n")
@@ -279,6 +304,8 @@
 async def _receive(reader: asyncio.StreamReader, exchange: Exchange, slow_s: float) -> bool:
     """Read a response, its body after ``slow_s``; return whether the connection is reusable."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    if not head[0].startswith("HTTP/1.1 "):
+        raise ValueError(f"no response: {head[0][:100]!r}")
     headers = dict(line.lower().split(": ", 1) for line in head[1:] if ": " in line)
     response = exchange.response
     response.status = int(head[0].split()[1])
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -266,6 +266,12 @@
     served_from = _find_first_responses(observed.history)
     for exchange in observed.history:
         match exchange.ending:
+            case Ending.MALFORMED:
+                violations.append(
+                    f"{exchange.id} ({exchange.kind.value} at {exchange.host}): "
+                    f"{exchange.ending.value}"
+                )
+                continue
             case Ending.CLOSED:
                 is_allowed = False
             case Ending.BROKEN:
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -16,6 +16,8 @@
 # Number of events of a stream, and the interval between them.
 EVENT_COUNT = 8
 EVENT_INTERVAL_S = 0.02
+# The time between the last event of a stream and its end.
+END_DELAY_S = 0.06
 # The software versions of a service's upstreams, in turn.
 SOFTWARE = ("v1", "v1", "v2")
 # Processing time of a request.
@@ -235,6 +237,8 @@
             event = make_event(number, software=self.software, is_large=_is_large(call))
             call.writer.write(encode_chunk(event) if chunked else event)
             self.answered.add(call.header("Attempt-Id"))
+        # Long enough for a fault between the last event and the end.
+        await asyncio.sleep(END_DELAY_S)
         if chunked:
             call.end_events()
         else:
--- a/src/cherrylane/delivery/relay.py
+++ b/src/cherrylane/delivery/relay.py
@@ -14,6 +14,7 @@
 from cherrylane.delivery.responses import render_error_event
 from cherrylane.delivery.streams import Stream, StreamLoop, StreamTask, WakeReason
 from cherrylane.errors import Execution, Refusal
+from cherrylane.http.messages import LAST_CHUNK, encode_chunk
 from cherrylane.relay.events import MAX_EVENT_BYTES, EventSplitter
 from cherrylane.telemetry.metrics import Metrics
 
@@ -21,7 +22,6 @@
 TAIL_BYTES = 1024
 READ_BYTES = 64 * 1024
 CHUNKS_PER_GAP_SAMPLE = 8
-LAST_CHUNK = b"0\r\n\r\n"
 
 log = Logger("cherrylane.delivery")
 
@@ -183,8 +183,8 @@
             self.owner.metrics.token_gap.record(perf_counter() - self.gap_started)
 
     def _send(self, body: bytes) -> None:
-        if body:
-            self.unsent += b"%x\r\n%b\r\n" % (len(body), body) if self.chunked else body
+        self.unsent += encode_chunk(body) if self.chunked else body
+        if self.unsent:
             self._send_unsent()
 
     def _send_unsent(self) -> None:
--- a/src/cherrylane/errors.py
+++ b/src/cherrylane/errors.py
@@ -99,6 +99,10 @@
     """The body of an upstream's response ended before it was complete."""
 
 
+class ResponseOrderError(CherrylaneError):
+    """A response was begun, continued or ended when it could not be."""
+
+
 class CallerDisconnectedError(CherrylaneError):
     """The caller closed its connection before the response was complete."""
 
--- a/src/cherrylane/http/messages.py
+++ b/src/cherrylane/http/messages.py
@@ -24,6 +24,8 @@
 _REASON_PHRASES = {status.value: status.phrase for status in HTTPStatus}
 EVENT_STREAM_TYPE = "text/event-stream"
 LAST_CHUNK = b"0\r\n\r\n"
+# Responses with these statuses end with their head (RFC 9110, section 6.4.1).
+BODILESS_STATUSES = frozenset({HTTPStatus.NO_CONTENT.value, HTTPStatus.NOT_MODIFIED.value})
 
 
 @frozen
@@ -138,5 +140,18 @@
 
 
 def encode_chunk(data: bytes) -> bytes:
-    """Return ``data`` as one chunk of the chunked transfer coding."""
-    return b"%x\r\n%s\r\n" % (len(data), data)
+    """Return ``data`` as one chunk of the chunked transfer coding (RFC 9112, section 7.1).
+
+    Without data there is no chunk, since one of length zero ends the body: that is ``LAST_CHUNK``.
+
+    Example::
+
+        encode_chunk(b"abc")  # b"3\\r\\nabc\\r\\n"
+        encode_chunk(b"")  # b""
+    """
+    return b"%x\r\n%s\r\n" % (len(data), data) if data else b""
+
+
+def has_body(method: bytes, status: int) -> bool:
+    """Return whether the response to a request with ``method`` has a body, even an empty one."""
+    return method != b"HEAD" and status not in BODILESS_STATUSES
--- a/src/cherrylane/http/outbound.py
+++ b/src/cherrylane/http/outbound.py
@@ -15,7 +15,7 @@
 from cherrylane.errors import ConnectError, IncompleteResponseError
 from cherrylane.http.framing import FramingMeter
 from cherrylane.http.limits import ResponseLimits
-from cherrylane.http.messages import Header, ResponseHead
+from cherrylane.http.messages import BODILESS_STATUSES, Header, ResponseHead
 from cherrylane.settings.schema import Endpoint
 
 # TCP keep-alive: the seconds until the first probe and between probes, and the number of unanswered
@@ -25,7 +25,6 @@
 KEEPALIVE_PROBES = 2
 # Bytes of response that may be queued for a reader before reading from the connection pauses.
 READ_BUFFER_BYTES = 256 * 1024
-BODILESS_STATUSES = frozenset({204, 304})
 DEFAULT_LIMITS = ResponseLimits()
 
 
--- a/src/cherrylane/http/responder.py
+++ b/src/cherrylane/http/responder.py
@@ -1,16 +1,18 @@
 """Writing of responses."""
 
 from collections.abc import Callable
-from http import HTTPStatus
 from typing import Protocol
 
+from cherrylane.errors import ResponseOrderError
 from cherrylane.http.messages import (
+    BODILESS_STATUSES,
     LAST_CHUNK,
     Header,
     RequestHead,
     Response,
     encode_chunk,
     encode_response_head,
+    has_body,
 )
 
 
@@ -28,10 +30,14 @@
 
 
 class Responder:
-    """Writes the response to one request.
+    """Writes the response to one request, and nothing after its end.
 
     Use :meth:`send` for a complete response, or :meth:`start`, :meth:`write` and :meth:`finish` for
-    one of unknown length. :meth:`abort` after :meth:`start` leaves it visibly incomplete.
+    one of unknown length. :meth:`abort` after :meth:`start` leaves it visibly incomplete. A call
+    that would write outside of the response raises :class:`ResponseOrderError`.
+
+    The bytes of a body may be empty at any call. A response that cannot have a body, by its status
+    or by the method of the request, ends with its head.
     """
 
     def __init__(
@@ -40,45 +46,72 @@
         self._connection = connection
         self._head = head
         self._is_draining = is_draining
+        self._has_body = True
         self.started = False
         self.finished = False
         self.keeps_connection = head.keep_alive
 
     def send(self, response: Response) -> None:
         """Send a complete response."""
-        self.started = self.finished = True
+        self._begin(response.status)
+        self.finished = True
         headers = self._add_connection_header(list(response.headers))
-        if response.status not in (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED):
+        if response.status not in BODILESS_STATUSES:
             headers.append((b"Content-Length", b"%d" % len(response.body)))
-        body = b"" if self._head.method == b"HEAD" else response.body
+        body = response.body if self._has_body else b""
         self._connection.write(encode_response_head(response.status, headers) + body)
 
     def start(self, status: int, headers: list[Header], first: bytes) -> None:
         """Send the head of a response of unknown length, and the first bytes of its body."""
-        self.started = True
-        headers = self._add_connection_header(headers)
-        if self._head.http_1_0:
+        self._begin(status)
+        if self._has_body and self._head.http_1_0:
             self.keeps_connection = False
-            self._connection.write(encode_response_head(status, headers) + first)
-            return
-        headers.append((b"Transfer-Encoding", b"chunked"))
-        self._connection.write(encode_response_head(status, headers) + encode_chunk(first))
+        headers = self._add_connection_header(headers)
+        if self._is_chunked:
+            headers.append((b"Transfer-Encoding", b"chunked"))
+        self._connection.write(encode_response_head(status, headers) + self._encode(first))
 
     async def write(self, data: bytes) -> None:
         """Send more of the body; waits while the caller reads too slowly."""
-        self._connection.write(data if self._head.http_1_0 else encode_chunk(data))
+        self._check_unfinished()
+        self._connection.write(self._encode(data))
         await self._connection.drain()
 
     def finish(self) -> None:
         """End the body."""
+        self._check_unfinished()
         self.finished = True
-        if not self._head.http_1_0:
+        if self._is_chunked:
             self._connection.write(LAST_CHUNK)
 
     def abort(self) -> None:
         """End the connection in the middle of the body."""
         self.keeps_connection = False
-        self._connection.break_off(is_visible=not self._head.http_1_0)
+        self._connection.break_off(is_visible=self._is_chunked)
+
+    @property
+    def _is_chunked(self) -> bool:
+        return self._has_body and not self._head.http_1_0
+
+    def _begin(self, status: int) -> None:
+        if self.started:
+            raise ResponseOrderError(
+                f"a response with status {status} after another one to the same request",
+                remedy="abort the response that was started",
+            )
+        self.started = True
+        self._has_body = has_body(self._head.method, status)
+
+    def _check_unfinished(self) -> None:
+        if not self.started or self.finished:
+            raise ResponseOrderError(
+                "bytes of a body outside of a response", remedy="start a response, and end it once"
+            )
+
+    def _encode(self, data: bytes) -> bytes:
+        if not self._has_body:
+            return b""
+        return encode_chunk(data) if self._is_chunked else data
 
     def _add_connection_header(self, headers: list[Header]) -> list[Header]:
         if self._is_draining():
--- a/src/cherrylane/http/server.py
+++ b/src/cherrylane/http/server.py
@@ -19,6 +19,7 @@
 )
 from cherrylane.errors import Refusal, SettingsError
 from cherrylane.http.deadlines import DEADLINES
+from cherrylane.http.messages import BODILESS_STATUSES, has_body
 from cherrylane.settings.schema import Endpoint
 
 # Time limit in seconds for a whole head.
@@ -132,8 +133,10 @@
             self._hand_over(response.body)
             return
         try:
-            for chunk in filter(None, response):
-                self.write(chunk)
+            # cheroot would write a body also where the head ends the response.
+            if has_body(self.req.method, int(self.req.status[:3])):
+                for chunk in filter(None, response):
+                    self.write(chunk)
         finally:
             self.req.ensure_headers_sent()
             if isinstance(response, StreamingBody):
@@ -226,7 +229,8 @@
     status = f"{response.status} {STATUS_TEXTS.get(response.status, 'Status')}"
     headers = list(response.headers.items())
     if isinstance(response.body, bytes):
-        headers.append(("Content-Length", str(len(response.body))))
+        if response.status not in BODILESS_STATUSES:
+            headers.append(("Content-Length", str(len(response.body))))
         start_response(status, headers)
         return [response.body]
     start_response(status, headers)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -94,6 +94,19 @@
             received = connection.recv(65536)
         self.assertIn(b" 4", received.split(b"\r\n")[0])
 
+    # Guards against a body behind a head that ends the answer, read as the next answer.
+    def test_the_answer_to_a_head_request_has_no_body(self) -> None:
+        head = b"HEAD / HTTP/1.1\r\nHost: x\r\n"
+        with create_connection(("127.0.0.1", self.server.port), WAIT_S) as connection:
+            connection.sendall(head + b"\r\n" + head + b"Connection: close\r\n\r\n")
+            received = b""
+            while part := connection.recv(65536):
+                received += part
+        first, second, end = received.split(b"\r\n\r\n")
+        self.assertTrue(first.startswith(b"HTTP/1.1 200 "), received)
+        self.assertTrue(second.startswith(b"HTTP/1.1 200 "), received)
+        self.assertEqual(b"", end)
+
 
 class StopTest(TestCase):
     # Guards against a stop that takes a running request's caller for disconnected after a second.
--- a/tests/test_relay_streams.py
+++ b/tests/test_relay_streams.py
@@ -21,6 +21,7 @@
     make_configuration,
     make_route,
     run,
+    send_raw,
     wait_for,
 )
 
@@ -42,6 +43,27 @@
     return script
 
 
+def fetch_twice(script: Script, method: str, extra: str) -> tuple[bytes, bytes]:
+    """Return the answers to a stream and to a request behind it on the same connection."""
+
+    async def choose(call: Call) -> None:
+        await (succeed if call.header("Attempt-Id") == "second" else script)(call)
+
+    async def scenario() -> tuple[bytes, bytes]:
+        fixture = await RelayFixture((choose,), make_configuration(RESUMABLE)).open()
+        assert fixture.server is not None
+        first = f"{method} /x/y HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: 1\r\n{extra}\r\n"
+        second = (
+            "POST /x/y HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: second\r\n"
+            "Connection: close\r\n\r\n"
+        )
+        received = await send_raw(fixture.server.port, (first + second).encode())
+        end = received.rindex(b"HTTP/1.1 ")
+        return received[:end], received[end:]
+
+    return run(scenario())
+
+
 class BrokenOffTest(TestCase):
     # Guards against a stream that ended inside an event reaching its caller as complete (inc1).
     def test_a_stream_that_ends_inside_an_event_does_not_look_complete(self) -> None:
@@ -96,6 +118,29 @@
             self.assertTrue(answer.endswith(LAST_CHUNK))
             self.assertEqual([1, 0], calls)
 
+    # Guards against bytes behind the end of an answer, where its caller expects the next one
+    # (review/1: an empty rest of a stream was ended twice).
+    def test_an_answer_without_a_body_is_followed_by_nothing_on_its_connection(self) -> None:
+        async def answer_nothing(call: Call) -> None:
+            identity = call.header("Attempt-Id")
+            call.writer.write(
+                f"HTTP/1.1 204 X\r\nAttempt-Id: {identity}\r\nServer-Seal: s\r\n\r\n".encode()
+            )
+
+        comment = end_regularly(b": ping\n\n", chunked=True)
+        for script, method, extra, end in (
+            (end_regularly(b"", chunked=True), "POST", "Last-Event-Id: 7\r\n", LAST_CHUNK),
+            (end_regularly(b"", chunked=False), "POST", "Last-Event-Id: 7\r\n", LAST_CHUNK),
+            (comment, "POST", "", encode_chunk(b": ping\n\n") + LAST_CHUNK),
+            (answer_nothing, "POST", "", b""),
+            (end_regularly(b"", chunked=True), "HEAD", "", b""),
+        ):
+            first, second = fetch_twice(script, method, extra)
+            _, _, body = first.partition(b"\r\n\r\n")
+            self.assertEqual(end, body, repr(first))
+            self.assertThat(second, StartsWith(b"HTTP/1.1 200 "))
+            self.assertIn(b"\r\n4\r\ndone\r\n" + LAST_CHUNK, second)
+
 
 class StreamsTest(TestCase):
     # Guards against a wait for the events of an answer that has no body.
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -313,6 +313,14 @@
             observed.disturbances = [Disturbance("host-1", "host killed", 0.9)]
             self.assertEqual([], find_violations(observed))
 
+    # Guards against stray bytes behind an answer passing for a closed connection (review/1).
+    def test_bytes_that_are_no_response_are_found_whatever_was_disturbed(self) -> None:
+        exchange = make_exchange(RequestKind.SAFE, Response(), ended=1.0)
+        exchange.ending = Ending.MALFORMED
+        disturbances = [Disturbance("host-1", "host killed", 0.9)]
+        observed = Observations([exchange], Counter(), [], disturbances=disturbances)
+        self.assertThat(find_violations(observed)[0], Contains("bytes that are no response"))
+
     def test_a_stream_may_break_off_with_its_upstream_or_at_its_deadline(self) -> None:
         for is_failed, ended, is_allowed in (
             (False, 1.0, False),
