Ask the store or peers before a stream of unknown origin goes on

What callers saw (users' report, ORDER): during a release one machine was out of step; streams that had begun at runners of the new version through other machines broke, were taken up there, and went on at another version.

Cause: a belief without evidence. A pending watch counted as the store's confirmation until it failed (up to 25 s), its age was told to peers as 0, and half of no peers counted as most of the fleet. Ruled out: a cut that resets (noticed, refused on only until the next call), a late heartbeat alone (it closes the window in 0.25 s; the take-up in the first moment went on all the same in a fleet of three).

Otherwise the take-up is refused, with Retry-After 0: another host may know more. The test that replaced is_current replaced the fault itself; it is replaced by ones of the confirmation, which ask more. The soak lets upstreams of another version join fleets of one version.

Cost: one store read for each group of such take-ups. Conclusion: the decision rests on an answer that is newer than the take-up, whatever the cut is.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,9 +10,9 @@
 
 from soak.checks import DRAIN_S
 from soak.disturbances import Disturbance
-from soak.fleet import SoakFleet, SoakHost
-from soak.proxy import Link, LinkState
-from soak.upstreams import Behaviour, NamedLimit
+from soak.fleet import SERVICES, SoakFleet, SoakHost
+from soak.proxy import LinkState
+from soak.upstreams import SOFTWARE, Behaviour, NamedLimit, SoakUpstream
 
 # Ranges of the time between the starts of two faults and of a fault's duration; about three
 # overlap.
@@ -25,6 +25,8 @@
 # The limits in requests a second that upstreams name, and the seconds for which they do at least.
 LIMITS = (0.5, 2.0, 5.0)
 MIN_LIMIT_S = 7.0
+# Most upstreams, with those that join.
+MAX_UPSTREAMS = 10
 # Most writes that a restored store has lost.
 MAX_LOST_WRITES = 8
 
@@ -49,6 +51,7 @@
     STORE_RESTORED = "store comes back from an older copy"
     UPSTREAM_LEAVES = "upstream says that it leaves"
     UPSTREAM_LIMITED = "upstream names a request limit"
+    UPSTREAM_RELEASED = "upstream of the newest version joins"
 
 
 # Relative frequency of each kind. Killing all hosts is rare, because little else is tested then.
@@ -131,10 +134,10 @@
                 await self._inject_departure(fault)
             case FaultKind.UPSTREAM_LIMITED:
                 await self._inject_limit(fault)
-            case FaultKind.STORE_LINK:
-                await self._inject_link_fault(fault, [host.store_link for host in self.fleet.hosts])
-            case FaultKind.UPSTREAM_LINK:
-                await self._inject_link_fault(fault, self.fleet.upstream_links)
+            case FaultKind.UPSTREAM_RELEASED:
+                await self._inject_release(fault)
+            case FaultKind.STORE_LINK | FaultKind.UPSTREAM_LINK:
+                await self._inject_link_fault(fault)
             case FaultKind.UPSTREAM_BEHAVIOUR:
                 await self._inject_upstream_fault(fault)
             case _:
@@ -212,7 +215,19 @@
 
         await self._run_exclusively(f"limit of {upstream.name}", apply)
 
-    async def _inject_link_fault(self, fault: Fault, links: list[Link]) -> None:
+    async def _inject_release(self, fault: Fault) -> None:
+        upstreams = self.fleet.upstreams
+        if len(upstreams) >= MAX_UPSTREAMS:
+            return
+        name, random = f"i-{len(upstreams)}", Random(fault.variant)
+        joining = SoakUpstream(name, random, upstreams[0].silences, software=SOFTWARE[-1])
+        service = SERVICES[fault.target % len(SERVICES)]
+        await self.fleet.release(await joining.open(), service)
+
+    async def _inject_link_fault(self, fault: Fault) -> None:
+        links = self.fleet.upstream_links
+        if fault.kind is FaultKind.STORE_LINK:
+            links = [host.store_link for host in self.fleet.hosts]
         link = links[fault.target % len(links)]
         faulty_states = [state for state in LinkState if state is not LinkState.PASS]
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -12,7 +12,7 @@
 
 from attrs import define, field
 
-from cherrylane.errors import ObjectNotFoundError, PlatformError
+from cherrylane.errors import ConflictError, ObjectNotFoundError, PlatformError
 from cherrylane.platform.client import AsyncPlatformClient
 from cherrylane.platform.objects import Kind, PlatformObject
 from cherrylane.settings.schema import PlatformSettings
@@ -170,17 +170,30 @@
             self.hosts[-1].start()
 
     async def _register(self, upstream: SoakUpstream, service: str) -> None:
-        link = await Link(upstream.scripted.port).open()
-        self.upstream_links.append(link)
-        upstream.link_port = link.port
+        if not upstream.link_port:
+            link = await Link(upstream.scripted.port).open()
+            self.upstream_links.append(link)
+            upstream.link_port = link.port
         registration = upstream.scripted.make_entry(
-            service, address=f"127.0.0.1:{link.port}", slots=64, version=upstream.software
+            service, address=f"127.0.0.1:{upstream.link_port}", slots=64, version=upstream.software
         )
         self._registrations[upstream.name] = registration
         await self._operator_client.create(
             PlatformObject(Kind.UPSTREAMS, upstream.name, registration)
         )
 
+    async def release(self, upstream: SoakUpstream, service: str) -> None:
+        """Let another upstream join a service, as soon as the store takes its registration."""
+        self.upstreams.append(upstream)
+        while True:
+            try:
+                await self._register(upstream, service)
+                return
+            except ConflictError:
+                return  # The write before was executed, and only its answer was lost.
+            except PlatformError:
+                await asyncio.sleep(REWRITE_DELAY_S)
+
     async def rejoin(self, upstream: SoakUpstream) -> None:
         """Bring an upstream that was leaving back, under a new incarnation."""
         upstream.incarnation += 1
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -23,9 +23,13 @@
 POLL_INTERVAL_S = 0.1
 
 
-def choose_software(number: int) -> str:
-    """Return the version of an upstream: each service has one version twice and another once."""
-    return SOFTWARE[number // len(SERVICES) % len(SOFTWARE)]
+def choose_software(seed: int, number: int) -> str:
+    """Return the version of an upstream.
+
+    Each service has one version twice and another once, or for even seeds only one version, until
+    an upstream of the other one joins.
+    """
+    return SOFTWARE[number // len(SERVICES) % len(SOFTWARE)] if seed % 2 else SOFTWARE[0]
 
 
 @frozen
@@ -54,7 +58,10 @@
     silences = Silences(options.seed)
     upstreams = [
         await SoakUpstream(
-            f"i-{number}", Random(options.seed + number), silences, choose_software(number)
+            f"i-{number}",
+            Random(options.seed + number),
+            silences,
+            choose_software(options.seed, number),
         ).open()
         for number in range(UPSTREAMS)
     ]
--- a/src/cherrylane/gateway/announcements.py
+++ b/src/cherrylane/gateway/announcements.py
@@ -207,7 +207,9 @@
                 binder.origins.record(key, origin, now)
         for use in heartbeat.versions:
             binder.versions.record_in_use(use.service, [use.software], now - use.age_ms / 1000)
-        if heartbeat.knows_versions:
+        # What a peer knows of before counts only if it has seen what this host has seen since.
+        own_version = self.routing_state.snapshot.upstreams_version
+        if heartbeat.knows_versions and NO_VERSION != own_version <= heartbeat.upstreams_version:
             binder.versions.knows_all = True
 
 
--- a/src/cherrylane/gateway/follower_selection.py
+++ b/src/cherrylane/gateway/follower_selection.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from random import Random
 
 from attrs import define, field
@@ -34,10 +35,15 @@
 
 @define
 class FollowerSelection:
-    """Decides whether this host follows the store, and starts or stops its ``watchers``."""
+    """Decides whether this host follows the store, and starts or stops its ``watchers``.
+
+    ``find_silent_since`` returns when the store last fell silent, None while it answers: a watch
+    that is pending may never be answered.
+    """
 
     members: Members
     watchers: list[AsyncWatcher]
+    find_silent_since: Callable[[float], float | None] = lambda now: None
     _confirmed_at: float = float("-inf")
     _needed_at: float = float("-inf")
     is_following: bool = False
@@ -67,12 +73,16 @@
     def get_state_age_ms(self, now: float) -> int:
         """Return how long ago the state of this host was confirmed, in milliseconds.
 
-        It is 0 while all watchers of this host are in contact with the store, and
-        ``UNCONFIRMED_MS`` if it never was confirmed.
+        It is 0 while this host watches the store and the store answers it, and ``UNCONFIRMED_MS``
+        if it never was confirmed.
         """
+        confirmed_at = self._confirmed_at
         if all(watcher.is_confirmed for watcher in self.watchers):
-            return 0
-        age_s = now - self._confirmed_at
+            silent_since = self.find_silent_since(now)
+            if silent_since is None:
+                return 0
+            confirmed_at = max(confirmed_at, silent_since)
+        age_s = now - confirmed_at
         return min(UNCONFIRMED_MS, round(age_s * 1000)) if age_s != float("inf") else UNCONFIRMED_MS
 
     def _is_needed(self, now: float) -> bool:
--- a/src/cherrylane/gateway/routing_state.py
+++ b/src/cherrylane/gateway/routing_state.py
@@ -36,7 +36,9 @@
     ``get_grace_s`` returns how many seconds are left in which a missing upstream is kept: after an
     outage of the store, upstreams whose entries have expired take a moment to register again.
     ``on_upstream_reset`` is called with the name of an upstream that is new, has restarted or was
-    removed.
+    removed, and ``on_upstream_listed`` with each entry as it is read, also one that is replaced
+    before the next snapshot. ``on_gap`` is called when a list replaces another one, since the
+    changes between them are not known.
     """
 
     listener: SnapshotListener
@@ -46,6 +48,8 @@
     config_document: Any = None
     entries: dict[str, Any] = field(factory=dict)
     on_upstream_reset: Callable[[str], None] = lambda name: None
+    on_upstream_listed: Callable[[Upstream], None] = lambda upstream: None
+    on_gap: Callable[[], None] = lambda: None
     _known: dict[str, KnownUpstream] = field(factory=dict)
     # Upstreams that had gone and that an older copy of the store lists again.
     _returned: dict[str, Any] = field(factory=dict)
@@ -141,6 +145,8 @@
             return
         if known_version != NO_VERSION and version.era > known_version.era:
             self._record_restored(known_version, version, source)
+        if known_version not in (NO_VERSION, version):
+            self.on_gap()
         for name in [name for name in self._known if name not in entries]:
             self._schedule_removal(name)
         for name, spec in entries.items():
@@ -176,6 +182,7 @@
             if name in self._known:
                 self._remove(name)
             return
+        self.on_upstream_listed(upstream)
         if self._hold_back_if_returned(upstream, spec):
             return
         upstream, spec = self._apply_departure(upstream, spec)
--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -21,6 +21,7 @@
 from cherrylane.gateway.stream_registry import StreamRegistry
 from cherrylane.gateway.tasks import keep_running
 from cherrylane.gateway.upkeep import Upkeep
+from cherrylane.gateway.version_confirmation import VERSIONS_PATH, VersionConfirmation
 from cherrylane.gateway.version_registry import VersionRegistry
 from cherrylane.gossip.members import Members
 from cherrylane.gossip.messages import Heartbeat, HostState
@@ -53,6 +54,7 @@
 from cherrylane.relay.service import RelayService
 from cherrylane.relay.stream_origins import StreamBinder
 from cherrylane.routing.snapshot import Snapshot
+from cherrylane.routing.upstreams import Upstream
 from cherrylane.settings.gateway import GatewaySettings
 from cherrylane.settings.schema import Endpoint, PlatformSettings
 from cherrylane.telemetry.counters import Telemetry
@@ -73,9 +75,6 @@
 # Polling interval while a stopping daemon has requests in progress, in seconds.
 DRAIN_POLL_S = 0.05
 BOOT_ID_BYTES = 6
-# Age in milliseconds up to which the store's confirmation of the upstreams counts as new.
-MAX_STATE_AGE_MS = 1500
-
 
 log = Logger("cherrylane.gateway")
 
@@ -129,10 +128,14 @@
             self._on_snapshot,
             self._get_removal_grace_s,
             on_upstream_reset=self._drop_upstream_state,
+            on_upstream_listed=self._record_listed,
+            on_gap=lambda: self._version_registry.record_gap(),
         )
         self._watchers = self._make_watchers()
-        self._follower_selection = FollowerSelection(self.members, self._watchers)
         self._store_probe = StoreProbe(self.store, settings.identity.name, self._watchers)
+        self._follower_selection = FollowerSelection(
+            self.members, self._watchers, self._store_probe.find_silent_since
+        )
         self._registry = HostRegistry(self.store, settings.identity, self._boot_id, self.members)
         self.store.on_new_era = self._handle_new_era
         self.backoffs = BackoffTracker()
@@ -169,7 +172,15 @@
         self._stream_registry = StreamRegistry(
             self.store, settings.identity.name, self.members, self._peer_sync, self.stream_binder
         )
-        self.stream_binder.is_current = self._is_current
+        self._version_confirmation = VersionConfirmation(
+            self.store,
+            self.members,
+            self.routing_state,
+            self._version_registry,
+            self.stream_binder.versions,
+            settings.listen.peers.port,
+        )
+        self.stream_binder.confirm = self._version_confirmation.confirm
         self.stream_binder.refresh = self._stream_registry.refresh
         self._cache_recovery = CacheRecovery(
             self.routing_state, self.members, self._peer_sync, self._registry.loaded
@@ -353,6 +364,9 @@
         )
 
     async def _handle_peer_request(self, request: Request, responder: Responder) -> None:
+        if request.head.target == VERSIONS_PATH:
+            await self._version_confirmation.handle_request(responder)
+            return
         self._peer_sync.handle_request(request, responder)
 
     @property
@@ -440,14 +454,8 @@
         self.outliers.forget(name)
         self.pool.forget(name)
 
-    def _is_current(self) -> bool:
-        """Return whether the store has confirmed the upstreams lately, or most hosts are live.
-
-        While the store is away from all hosts, no host knows of a newer list.
-        """
-        now = asyncio.get_running_loop().time()
-        is_confirmed = self._follower_selection.get_state_age_ms(now) <= MAX_STATE_AGE_MS
-        return is_confirmed or 2 * len(self.members.live(now)) >= len(self.members)
+    def _record_listed(self, upstream: Upstream) -> None:
+        self._upkeep.record_listed(upstream, asyncio.get_running_loop().time())
 
     def _get_state_age_s(self) -> float:
         return self._follower_selection.get_state_age_ms(asyncio.get_running_loop().time()) / 1000
--- a/src/cherrylane/gateway/store_probe.py
+++ b/src/cherrylane/gateway/store_probe.py
@@ -19,6 +19,8 @@
 
 # Mean seconds between reads; a stale read costs a tenth of a call.
 PROBE_INTERVAL_S = 1.0
+# Seconds after which a probe is overdue; the store usually responds within milliseconds.
+OVERDUE_S = 0.3
 
 log = Logger("cherrylane.platform")
 
@@ -30,7 +32,8 @@
     client: AsyncPlatformClient
     name: str
     watchers: list[AsyncWatcher]
-    _has_failed: bool = False
+    _silent_since: float | None = None
+    _probing_since: float | None = None
     _random: Random = field(factory=Random, repr=False)
 
     async def run(self) -> None:
@@ -42,17 +45,31 @@
 
     async def probe(self) -> None:
         """Read once; restart the watches if the read before has failed and this one succeeds."""
+        sent_at = self._probing_since = asyncio.get_running_loop().time()
         try:
             await self.client.get(Kind.ENTRY_HOSTS, self.name, stale=True)
         except ObjectNotFoundError:
             pass  # The store has answered.
         except PlatformError as error:
-            if not self._has_failed:
+            if self._silent_since is None:
                 log.info("store does not answer a probe", extra={"reason": str(error)})
-            self._has_failed = True
+                self._silent_since = sent_at
             return
-        if self._has_failed:
-            self._has_failed = False
+        finally:
+            self._probing_since = None
+        if self._silent_since is not None:
+            self._silent_since = None
             log.info("store answers probes again, starting the watches anew")
             for watcher in self.watchers:
                 watcher.restart()
+
+    def find_silent_since(self, now: float) -> float | None:
+        """Return when the first probe was sent that is not answered, None if there is none.
+
+        A probe counts ``OVERDUE_S`` after it was sent.
+        """
+        if self._silent_since is not None:
+            return self._silent_since
+        if self._probing_since is not None and now - self._probing_since > OVERDUE_S:
+            return self._probing_since
+        return None
--- a/src/cherrylane/gateway/upkeep.py
+++ b/src/cherrylane/gateway/upkeep.py
@@ -13,6 +13,7 @@
 from cherrylane.relay.stream_origins import StreamBinder
 from cherrylane.routing.routes import RouteTable
 from cherrylane.routing.snapshot import Snapshot
+from cherrylane.routing.upstreams import Upstream
 
 # Sweeps of heartbeats to all hosts for which a peer's last loads count, so that one may be lost.
 LOAD_LIFETIME_SWEEPS = 2
@@ -42,6 +43,10 @@
             self.stream_binder.record_routes(self._route_table, now)
             self._route_table = snapshot.table
 
+    def record_listed(self, upstream: Upstream, now: float) -> None:
+        """Take over the version of an upstream, which may be gone before the next snapshot."""
+        self.stream_binder.versions.record_in_use(upstream.service, [upstream.software], now)
+
     def update(self, now: float, *, is_ready: bool, uptime_s: float) -> None:
         """Bring all up to date; called at regular intervals."""
         sweep_s = self.gossip.rounds_to_reach_all * HEARTBEAT_INTERVAL_S
--- a/src/cherrylane/gateway/version_registry.py
+++ b/src/cherrylane/gateway/version_registry.py
@@ -36,11 +36,16 @@
 
 @define
 class VersionRegistry:
-    """Reads the stored versions when this host starts, and keeps them up to date."""
+    """Reads the stored versions when this host starts, and keeps them up to date.
+
+    ``has_gap`` is set when this host may have missed versions: its list of upstreams was replaced
+    by a newer one, without the changes between them.
+    """
 
     client: AsyncPlatformClient
     members: Members
     versions: SoftwareVersions
+    has_gap: bool = False
     _stored: dict[str, PlatformObject] = field(factory=dict)
     _changed_at: dict[str, float] = field(factory=dict)
 
@@ -57,6 +62,17 @@
                 await self._write_if_due(service, loop.time())
             await asyncio.sleep(CHECK_INTERVAL_S)
 
+    async def fill_gap(self) -> bool:
+        """Read the stored versions after a gap; returns whether the store has responded."""
+        self.has_gap = False
+        if not await self._load():
+            self.has_gap = True
+        return not self.has_gap
+
+    def record_gap(self) -> None:
+        """Record that versions may have come into use and gone without notice of this host."""
+        self.has_gap = True
+
     def record_restored(self) -> None:
         """Forget what was stored, since the store came back from a copy that may lack it."""
         self._stored.clear()
--- a/src/cherrylane/membership/software_versions.py
+++ b/src/cherrylane/membership/software_versions.py
@@ -60,8 +60,8 @@
         """Return whether it does not follow from the service which version began a stream."""
         return len(self.find_recent(service, now)) > 1
 
-    def list_mixed(self, now: float) -> dict[str, dict[str, float]]:
-        """Return the versions of each mixed service, with the seconds since their last use."""
+    def list_recent(self, now: float) -> dict[str, dict[str, float]]:
+        """Return the versions of each service, with the seconds since their last use."""
         return {
             service: {
                 version: now - used_at
@@ -69,9 +69,13 @@
                 if _is_recent(used_at, now)
             }
             for service, last_used_at in self._last_used_at.items()
-            if self.is_mixed(service, now)
         }
 
+    def list_mixed(self, now: float) -> dict[str, dict[str, float]]:
+        """Return what :meth:`list_recent` does, of services with several versions only."""
+        recent = self.list_recent(now)
+        return {service: ages for service, ages in recent.items() if len(ages) > 1}
+
     def list_services(self) -> list[str]:
         """Return the services with a version in memory."""
         return list(self._last_used_at)
--- a/src/cherrylane/relay/_attempt_log.py
+++ b/src/cherrylane/relay/_attempt_log.py
@@ -90,7 +90,7 @@
     )
 
 
-def log_unbound(request: CallerRequest) -> None:
+def log_unbound(request: CallerRequest, reason: str) -> None:
     """Log that a stream is not taken up, since it is not known which version began it."""
     log.info(
         "stream not taken up: the software version that began it is not known",
@@ -99,6 +99,7 @@
             "resumes": request.resumes,
             "last_event": request.resume_after,
             "route": request.route.name,
+            "reason": reason,
         },
     )
 
--- a/src/cherrylane/relay/attempts.py
+++ b/src/cherrylane/relay/attempts.py
@@ -38,11 +38,21 @@
     Unknown,
 )
 from cherrylane.relay.race import Attempt, AttemptRace, DeadlineReached, Ended, Stalled
-from cherrylane.relay.refusals import RETRY_ORIGIN_UNKNOWN_S, NoChoice, Refusals
+from cherrylane.relay.refusals import (
+    RETRY_ELSEWHERE_S,
+    RETRY_ORIGIN_UNKNOWN_S,
+    NoChoice,
+    Refusals,
+)
 from cherrylane.relay.request import CallerRequest
 from cherrylane.relay.selection import UpstreamSelector
 from cherrylane.relay.state import AttemptRecord, RequestState
-from cherrylane.relay.stream_origins import StreamBinder, StreamOrigin, UnknownOrigin
+from cherrylane.relay.stream_origins import (
+    StreamBinder,
+    StreamOrigin,
+    UnconfirmedOrigin,
+    UnknownOrigin,
+)
 from cherrylane.routing.snapshot import Snapshot
 
 # Number of unreachable upstreams after which a request is abandoned.
@@ -114,8 +124,11 @@
         request = state.request
         match await self.stream_binder.bind(request, asyncio.get_running_loop().time()):
             case UnknownOrigin():
-                log_unbound(request)
+                log_unbound(request, "several versions may have begun it")
                 return Rejection(Cause.ORIGIN_UNKNOWN, retry_after_s=RETRY_ORIGIN_UNKNOWN_S)
+            case UnconfirmedOrigin():
+                log_unbound(request, "neither the store nor a peer confirms the only known version")
+                return Rejection(Cause.ORIGIN_UNKNOWN, retry_after_s=RETRY_ELSEWHERE_S)
             case StreamOrigin(service=service) as origin:
                 if service not in {share.service for share in request.route.shares}:
                     return Rejection(Cause.ORIGIN_GONE)
--- a/src/cherrylane/relay/refusals.py
+++ b/src/cherrylane/relay/refusals.py
@@ -27,6 +27,9 @@
 RETRY_NO_UPSTREAM_S = 0.5
 # Retry-After, in seconds, while peers may still tell where a stream began.
 RETRY_ORIGIN_UNKNOWN_S = 0.5
+# Retry-After, in seconds, from a host that others may know more than; the caller may try another
+# host at once.
+RETRY_ELSEWHERE_S = 0.0
 # Seconds over which callers are spread when an upstream accepts requests again.
 BACKOFF_SPREAD_S = 0.25
 
--- a/src/cherrylane/relay/stream_origins.py
+++ b/src/cherrylane/relay/stream_origins.py
@@ -34,6 +34,21 @@
     """It is not known which of several versions began a stream."""
 
 
+@frozen
+class PresumedOrigin:
+    """The only one that can have begun a stream, unless this host has missed another version."""
+
+    origin: StreamOrigin
+
+
+@frozen
+class UnconfirmedOrigin:
+    """This host cannot find out now whether it has missed another version."""
+
+
+BoundOrigin = StreamOrigin | UnknownOrigin | UnconfirmedOrigin | None
+
+
 @define
 class StreamOrigins:
     """The origins of recent streams, for ``STREAM_LIFETIME_S`` at least.
@@ -77,44 +92,64 @@
     return
 
 
+async def _confirm_all() -> bool:
+    return True
+
+
 @define
 class StreamBinder:
     """Finds where a stream that a caller takes up has to go on.
 
     ``on_begun`` is called with the streams that peers have to know of; ``refresh`` reads what other
-    hosts have stored. ``is_current`` says whether this host would know of a version that others
-    use: one that is cut off from them may not take the version that it knows for the only one.
+    hosts have stored. ``confirm`` brings ``versions`` up to date, and returns whether no other
+    version is in use now: a host that was cut off, or stood still, may have missed one.
     """
 
     origins: StreamOrigins = field(factory=StreamOrigins)
     versions: SoftwareVersions = field(factory=SoftwareVersions)
     on_begun: Callable[[str, StreamOrigin], None] = lambda key, origin: None
     refresh: Callable[[], Awaitable[None]] = _refresh_nothing
-    is_current: Callable[[], bool] = lambda: True
+    confirm: Callable[[], Awaitable[bool]] = _confirm_all
     _former_services: dict[tuple[str, str], dict[str, float]] = field(factory=dict)
     _running: dict[str, _RunningStream] = field(factory=dict)
 
-    async def bind(self, request: CallerRequest, now: float) -> StreamOrigin | UnknownOrigin | None:
-        """Return what :meth:`find` does, after reading what other hosts have stored if need be."""
+    async def bind(self, request: CallerRequest, now: float) -> BoundOrigin:
+        """Return the origin of the stream that a request takes up, None if it begins a stream.
+
+        What this host does not know for certain, it asks the store or its peers.
+        """
         origin = self.find(request, now)
-        if isinstance(origin, UnknownOrigin) and request.resumes:
-            await self.refresh()
+        if isinstance(origin, PresumedOrigin):
+            if not await self.confirm():
+                return UnconfirmedOrigin()
             origin = self.find(request, now)
-        return origin
-
-    def find(self, request: CallerRequest, now: float) -> StreamOrigin | UnknownOrigin | None:
-        """Return the origin of the stream that a request takes up, None if it begins a stream."""
+        if isinstance(origin, UnknownOrigin):
+            return await self._find_stored(request)
+        return origin.origin if isinstance(origin, PresumedOrigin) else origin
+
+    async def _find_stored(self, request: CallerRequest) -> StreamOrigin | UnknownOrigin:
+        """Return where a stream began if other hosts have stored that."""
+        if not request.resumes:
+            return UnknownOrigin()
+        await self.refresh()
+        return self._find_recorded(request) or UnknownOrigin()
+
+    def find(
+        self, request: CallerRequest, now: float
+    ) -> StreamOrigin | PresumedOrigin | UnknownOrigin | None:
+        """Return the origin of the stream that a request takes up, as far as this host knows."""
         if not request.resume_after:
             return None
-        origin = self.origins.find(identify_stream(request.resumes)) if request.resumes else None
+        origin = self._find_recorded(request)
         if origin is not None:
             return origin
         services = self._list_services(request.route, now)
         possible = self._list_possible(services, now)
         are_known = all(map(self.versions.is_known, services))
-        if len(possible) == 1 and are_known and self.is_current():
-            return possible[0]
-        return UnknownOrigin()
+        return PresumedOrigin(possible[0]) if len(possible) == 1 and are_known else UnknownOrigin()
+
+    def _find_recorded(self, request: CallerRequest) -> StreamOrigin | None:
+        return self.origins.find(identify_stream(request.resumes)) if request.resumes else None
 
     def record_begun(self, request: CallerRequest, origin: StreamOrigin, now: float) -> None:
         """Record that an attempt has brought the first event of its part of a stream."""
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -27,9 +27,10 @@
 from cherrylane.placement.loads import LoadTracker
 from cherrylane.platform.client import AsyncPlatformClient
 from cherrylane.platform.objects import Kind, PlatformObject, WatchEvent, WatchEvents
-from cherrylane.platform.versions import StoreVersion
+from cherrylane.platform.versions import NO_VERSION, StoreVersion
 from cherrylane.relay.stream_origins import StreamBinder, StreamOrigin, identify_stream
 from cherrylane.routing.routes import RequestKind, ServiceShare
+from cherrylane.routing.snapshot import Snapshot
 from cherrylane.settings.gateway import HostIdentity
 from cherrylane.settings.schema import Endpoint, PlatformSettings
 from tests.test_platform_documents import ENTRY
@@ -346,9 +347,15 @@
 
         self.assertEqual(self.ORIGIN, run(scenario()))
 
-    def test_a_host_that_starts_hears_of_earlier_versions(self) -> None:
+    def hear_at_start(
+        self, old_list: StoreVersion, own_list: StoreVersion
+    ) -> tuple[frozenset[str], bool]:
+        """Return what a host that has started with a list knows after a peer's heartbeat."""
+
         async def scenario() -> tuple[frozenset[str], bool]:
             old, new = self.make_hosts(2)
+            for host, version in ((old, old_list), (new, own_list)):
+                host.routing_state.snapshot = Snapshot(upstreams_version=version)
             old.stream_binder.versions.knows_all = True
             old.stream_binder.versions.record_in_use("s", ["v1"], 0.0)
             old.stream_binder.versions.record_in_use("s", ["v2"], 5.0)
@@ -356,7 +363,18 @@
             versions = new.stream_binder.versions
             return versions.find_recent("s", 6.0), versions.is_known("s")
 
-        self.assertEqual((frozenset({"v1", "v2"}), True), run(scenario()))
+        return run(scenario())
+
+    def test_a_host_that_starts_hears_of_earlier_versions(self) -> None:
+        both = frozenset({"v1", "v2"})
+        for old_list in (StoreVersion(1, 7), StoreVersion(1, 8)):
+            self.assertEqual((both, True), self.hear_at_start(old_list, StoreVersion(1, 7)))
+
+    # Guards against a host that is cut off from the store vouching for versions to one that starts.
+    def test_a_peer_that_has_seen_less_of_the_store_does_not_vouch_for_all_versions(self) -> None:
+        both = frozenset({"v1", "v2"})
+        self.assertEqual((both, False), self.hear_at_start(StoreVersion(1, 6), StoreVersion(1, 7)))
+        self.assertEqual((both, False), self.hear_at_start(StoreVersion(1, 9), NO_VERSION))
 
     def test_hosts_of_the_release_before_understand_and_are_understood(self) -> None:
         async def scenario() -> Heartbeat:
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -14,13 +14,14 @@
     StreamBinder,
     StreamOrigin,
     StreamOrigins,
+    UnconfirmedOrigin,
     UnknownOrigin,
     identify_stream,
 )
 from cherrylane.routing.routes import RequestKind, Route, RouteTable, ServiceShare
 from cherrylane.routing.upstreams import Upstream, UpstreamState
 from cherrylane.settings.schema import Endpoint
-from tests.wire import make_configuration, make_request, make_route, make_snapshot
+from tests.wire import make_configuration, make_request, make_route, make_snapshot, run
 
 ROUTE = make_route(RequestKind.STREAM, is_resumable=True)
 V1, V2 = StreamOrigin("desk", "v1"), StreamOrigin("desk", "v2")
@@ -97,7 +98,7 @@
         self.binder.versions.record_in_use(service, versions, now)
 
     def find(self, request: CallerRequest, now: float = 1.0) -> object:
-        return self.binder.find(request, now)
+        return run(self.binder.bind(request, now))
 
     def test_a_request_that_takes_up_nothing_is_free(self) -> None:
         self.use("v1", "v2")
@@ -139,13 +140,43 @@
 
     # Guards against a host that is cut off, beside a release, joining what it knows to what it
     # cannot know (ORDER holds for all hosts).
-    def test_a_host_that_is_cut_off_refuses_unknown_streams(self) -> None:
+    def test_a_host_that_cannot_confirm_its_versions_refuses_unknown_streams(self) -> None:
+        async def fail() -> bool:
+            return False
+
         self.use("v1")
         self.binder.record_begun(begin("a"), V1, 0.0)
-        self.binder.is_current = lambda: False
-        self.assertIsInstance(self.find(take_up("elsewhere")), UnknownOrigin)
+        self.binder.confirm = fail
+        for resumes in ("elsewhere", ""):
+            self.assertIsInstance(self.find(take_up(resumes)), UnconfirmedOrigin)
         self.assertEqual(V1, self.find(take_up("a")))
 
+    # Guards against a stream that goes on at the only version that a host knew before it asked.
+    def test_a_version_that_a_confirmation_brings_may_have_begun_an_unknown_stream(self) -> None:
+        async def learn() -> bool:
+            self.use("v2", now=1.0)
+            return True
+
+        self.use("v1")
+        self.binder.confirm = learn
+        self.assertIsInstance(self.find(take_up("elsewhere")), UnknownOrigin)
+
+    def test_only_a_stream_of_presumed_origin_needs_a_confirmation(self) -> None:
+        asked = []
+
+        async def count() -> bool:
+            asked.append(True)
+            return True
+
+        self.binder.confirm = count
+        self.use("v1")
+        self.binder.record_begun(begin("a"), V1, 0.0)
+        for request in (begin("new"), take_up("a")):
+            self.find(request)
+        self.use("v2")
+        self.find(take_up("elsewhere"))
+        self.assertEqual([], asked)
+
     def test_what_the_store_names_is_enough_where_it_is_the_only_version(self) -> None:
         self.binder.versions.knows_all = False
         self.use("v2")
