Refuse fewer sound streams while the store is silent, and after a start

Ten in the first two seconds of a silent store, before a call had failed at any host, though all six peers had answered; two in the 4 ms between a peer's first heartbeat and the list of a host that had started, since the peer's word was not remembered. Ruled out: another version in use (there was no release).

Change: if all other hosts answer and know all earlier versions, what they know is all that there is; a peer's word is kept until the list is there.

Tests: test_confirmation, test_version_confirmation, test_announcements, test_out_of_step.

--- a/src/cherrylane/gateway/announcements.py
+++ b/src/cherrylane/gateway/announcements.py
@@ -22,7 +22,7 @@
 from cherrylane.placement.caches import CacheMap
 from cherrylane.placement.loads import LoadTracker
 from cherrylane.platform.client import AsyncPlatformClient
-from cherrylane.platform.versions import NO_VERSION
+from cherrylane.platform.versions import NO_VERSION, StoreVersion
 from cherrylane.relay.stream_origins import StreamBinder, StreamOrigin, group_streams
 from cherrylane.routing.upstreams import Upstream
 from cherrylane.settings.gateway import HostIdentity
@@ -69,6 +69,8 @@
     _streams: UpdateQueue[tuple[str, StreamOrigin]] = field(
         factory=lambda: UpdateQueue(newest_first=True)
     )
+    # The newest list of a peer that knows all versions before it.
+    _vouched_version: StoreVersion = NO_VERSION
     _turn: int = 0
     _rates_turn: int = 0
     _heartbeats: int = 0
@@ -207,10 +209,19 @@
                 binder.origins.record(key, origin, now)
         for use in heartbeat.versions:
             binder.versions.record_in_use(use.service, [use.software], now - use.age_ms / 1000)
-        # What a peer knows of before counts only if it has seen what this host has seen since.
+        if heartbeat.knows_versions:
+            self._vouched_version = max(self._vouched_version, heartbeat.upstreams_version)
+            self.accept_vouched_versions()
+
+    def accept_vouched_versions(self) -> None:
+        """Take a peer's word that it knows all earlier versions, if it has seen this host's list.
+
+        What has come into use and gone between the list of such a peer and a later one of this host
+        would be known to neither. Called when a list of this host has arrived as well.
+        """
         own_version = self.routing_state.snapshot.upstreams_version
-        if heartbeat.knows_versions and NO_VERSION != own_version <= heartbeat.upstreams_version:
-            binder.versions.knows_all = True
+        if NO_VERSION != own_version <= self._vouched_version:
+            self.stream_binder.versions.knows_all = True
 
 
 def _report_rate(known: KnownLimit, now: float) -> UpstreamRate:
--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -414,6 +414,7 @@
     def _on_snapshot(self, snapshot: Snapshot) -> None:
         self._peer_sync.reset_lag_timer()
         self._upkeep.record_snapshot(snapshot, asyncio.get_running_loop().time())
+        self._announcements.accept_vouched_versions()
         if self._follower_selection.must_notify_peers:
             self._gossip.send_round(to_all=True)
         if self._has_routing_data:
--- a/src/cherrylane/gateway/version_confirmation.py
+++ b/src/cherrylane/gateway/version_confirmation.py
@@ -115,8 +115,7 @@
             if _is_true(store):
                 return True
             poll = await self._poll_peers(store)
-            is_outage = self.has_lost_store and poll.shows_outage
-            is_confirmed = _is_true(store) or poll.is_confirmed or is_outage
+            is_confirmed = _is_true(store) or poll.is_confirmed or self._is_outage(poll)
         log.info(
             "software versions not confirmed by the store in time",
             extra={
@@ -181,11 +180,16 @@
                 _, pending = await asyncio.wait(
                     pending, timeout=until - loop.time(), return_when=asyncio.FIRST_COMPLETED
                 )
-                has_outage = self.has_lost_store and poll.shows_outage
-                if _is_true(store) or poll.is_confirmed or (has_outage and pending <= {store}):
+                if _is_true(store) or poll.is_confirmed:
+                    break
+                if pending <= {store} and self._is_outage(poll):
                     break
         return poll
 
+    def _is_outage(self, poll: PeerPoll) -> bool:
+        """Return whether the store names no new versions to any host, as far as peers tell."""
+        return poll.is_unanimous or (self.has_lost_store and poll.shows_outage)
+
     async def _ask_peer(self, address: str, poll: PeerPoll) -> None:
         endpoint = Endpoint(address, self.peers_port)
         try:
--- a/src/cherrylane/membership/confirmation.py
+++ b/src/cherrylane/membership/confirmation.py
@@ -52,6 +52,16 @@
         """Whether a peer knows all versions that are in use now."""
         return any(one.is_confirmed and one.is_complete for one in self._statements)
 
+    @property
+    def is_unanimous(self) -> bool:
+        """Whether all other hosts have told all versions that they know.
+
+        A version that has begun a stream is known to the host that it began through, or, if that
+        has just started again, to those that were there before.
+        """
+        complete = sum(1 for one in self._statements if one.is_complete)
+        return bool(self.members) and complete == self.members
+
     @property
     def shows_outage(self) -> bool:
         """Whether most of the fleet has lost the store, this host being one that has.
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -376,6 +376,20 @@
         self.assertEqual((both, False), self.hear_at_start(StoreVersion(1, 6), StoreVersion(1, 7)))
         self.assertEqual((both, False), self.hear_at_start(StoreVersion(1, 9), NO_VERSION))
 
+    # Guards against refusing streams until the next heartbeat, which comes after the list.
+    def test_a_peers_word_holds_for_a_list_that_arrives_later(self) -> None:
+        async def scenario(listed: StoreVersion) -> bool:
+            old, new = self.make_hosts(2)
+            old.routing_state.snapshot = Snapshot(upstreams_version=StoreVersion(1, 7))
+            old.stream_binder.versions.knows_all = True
+            new.handle_heartbeat(send_heartbeat(old, 6.0), 6.0)
+            new.routing_state.snapshot = Snapshot(upstreams_version=listed)
+            new.accept_vouched_versions()
+            return new.stream_binder.versions.knows_all
+
+        self.assertTrue(run(scenario(StoreVersion(1, 7))))
+        self.assertFalse(run(scenario(StoreVersion(1, 8))))
+
     def test_hosts_of_the_release_before_understand_and_are_understood(self) -> None:
         async def scenario() -> Heartbeat:
             (host,) = self.make_hosts(1)
--- a/tests/test_confirmation.py
+++ b/tests/test_confirmation.py
@@ -34,6 +34,15 @@
         self.assertFalse(poll(LOST, LOST).shows_outage)
         self.assertFalse(poll(LOST, LOST, WAITING, WAITING, WAITING, WAITING).shows_outage)
 
+    # Guards against refusing what is sound in the first seconds of an outage, before calls fail.
+    def test_what_all_hosts_know_is_all_that_there_is(self) -> None:
+        self.assertTrue(poll(*[WAITING] * 6).is_unanimous)
+        self.assertTrue(poll(WAITING, LOST, asked=2, live=2, members=2).is_unanimous)
+        self.assertFalse(poll(*[WAITING] * 5).is_unanimous)
+        self.assertFalse(poll(*[WAITING] * 5, STARTED).is_unanimous)
+        self.assertFalse(poll(*[WAITING] * 12, asked=12, live=40, members=40).is_unanimous)
+        self.assertFalse(poll(asked=0, live=0, members=0).is_unanimous)
+
     # Guards against a part of the fleet that hears only itself taking its part for the whole.
     def test_a_minority_that_has_lost_the_store_is_cut_off(self) -> None:
         self.assertFalse(poll(LOST, LOST, asked=2, live=2, members=6).shows_outage)
