Match an answer to a request by its id only

Cause: the first answer on a new connection was believed though it named no request, of several ids the first one counted, and after two late answers the right one was not awaited. Ruled out: refusals with the earlier id alone (skipped before as well), and refusals after or around an answer.

Change: a response belongs to a request only if it names it and no other; others are skipped, logged, and bounded. The gateway's own calls skip responses that name a caller's request. Upstreams of the soak write refusals of other requests before their answers.

Conclusion: no decision depends on the order of responses.

--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -24,6 +24,14 @@
 PROCESSING_S = 0.02
 # How long a hanging upstream waits before it resets the connection.
 HANG_S = 4.0
+# Ids by which a repeated refusal does not name the request that it precedes, and most copies.
+FOREIGN_IDS = (
+    "Attempt-Id: r000000\r\n",
+    "",
+    "Attempt-Id: \r\n",
+    "Attempt-Id: {id}\r\nAttempt-Id: r000000\r\n",
+)
+MAX_REPEATED_REFUSALS = 6
 # The pause that an upstream asks for, in seconds, and the size of the parts of endless bytes.
 BACK_OFF_S = 1.5
 ENDLESS_PART_BYTES = 16 * 1024
@@ -41,7 +49,8 @@
     ``CUT_STREAM`` resets a stream within an event, ``TRUNCATE`` does so too and ends other bodies
     early, and ``SURPLUS`` sends a second response that belongs to no request. ``BACK_OFF`` refuses
     and asks for a pause, the endless ones send until the connection is closed. ``UNFRAMED`` sends
-    streams that end with their connection, half of them within an event.
+    streams that end with their connection, half of them within an event. ``REPEAT_REFUSAL`` sends
+    refusals of other requests before its response.
     """
 
     NORMAL = "well"
@@ -56,6 +65,7 @@
     ENDLESS_HEAD = "endless head"
     ENDLESS_BODY = "endless body"
     UNFRAMED = "unframed"
+    REPEAT_REFUSAL = "repeat refusal"
 
 
 async def _send_without_end(call: Call, behaviour: Behaviour) -> None:
@@ -161,6 +171,10 @@
         silence = None
         if behaviour is Behaviour.NORMAL:
             silence = self.silences.draw(call.header("Attempt-Id"), self.name)
+        if behaviour is Behaviour.REPEAT_REFUSAL:
+            ids = self.random.choice(FOREIGN_IDS).format(id=call.header("Attempt-Id"))
+            refusal = f"HTTP/1.1 503 X\r\n{ids}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            call.writer.write(refusal.encode() * self.random.randint(1, MAX_REPEATED_REFUSALS))
         match behaviour:
             case Behaviour.FAIL:
                 call.answer(b"failed", status=500, extra=self._make_limit())
--- a/src/cherrylane/gateway/calls.py
+++ b/src/cherrylane/gateway/calls.py
@@ -2,19 +2,24 @@
 
 import asyncio
 
-from cherrylane.errors import UpstreamError
-from cherrylane.http.messages import encode_request
-from cherrylane.http.outbound import open_connection
+from cherrylane.errors import IncompleteResponseError, UpstreamError
+from cherrylane.http.messages import ResponseHead, encode_request
+from cherrylane.http.outbound import OutboundConnection, open_connection
+from cherrylane.platform.headers import read_request_id
 from cherrylane.settings.schema import Endpoint
 
+# Number of responses to other requests after which the one to a call is no longer awaited.
+MAX_FOREIGN_RESPONSES = 8
+
 
 async def call(
     endpoint: Endpoint, target: bytes, *, body: bytes | None = None, timeout_s: float
 ) -> bytes:
     """Send a GET, or a POST if ``body`` is given, and return the body of the response.
 
-    Raises :class:`UpstreamError` if the call fails or the status is 300 or above, and
-    ``TimeoutError`` if it takes longer than ``timeout_s`` seconds.
+    A response that names a caller's request is not the one to this call, and is skipped. Raises
+    :class:`UpstreamError` if the call fails or the status is 300 or above, and ``TimeoutError`` if
+    it takes longer than ``timeout_s`` seconds.
     """
     async with asyncio.timeout(timeout_s):
         connection = await open_connection(endpoint, timeout_s)
@@ -23,8 +28,7 @@
             headers = [(b"Host", str(endpoint).encode())]
             has_body = body is not None
             connection.send(encode_request(method, target, headers, body or b"", has_body=has_body))
-            head = await connection.read_head()
-            response_body = await connection.read_body()
+            head, response_body = await _read_response(connection)
         finally:
             connection.close()
     if head.status >= 300:
@@ -34,3 +38,16 @@
             sent=True,
         )
     return response_body
+
+
+async def _read_response(connection: OutboundConnection) -> tuple[ResponseHead, bytes]:
+    for _ in range(MAX_FOREIGN_RESPONSES):
+        head = await connection.read_head()
+        body = await connection.read_body()
+        if not read_request_id(head):
+            return head, body
+    raise IncompleteResponseError(
+        f"{MAX_FOREIGN_RESPONSES} responses to other requests",
+        remedy="check the server",
+        sent=True,
+    )
--- a/src/cherrylane/platform/headers.py
+++ b/src/cherrylane/platform/headers.py
@@ -92,6 +92,15 @@
     return head.find_text(REQUEST_ID.lower()).strip()
 
 
+def read_answered_id(head: ResponseHead) -> str:
+    """Return the id of the request that a response answers, empty if it names none or several.
+
+    Upstreams repeat the id of a request in all responses to it; only that tells to which request a
+    response belongs.
+    """
+    return read_request_id(head) if head.count(REQUEST_ID.lower()) == 1 else ""
+
+
 def read_caller_timeout(head: RequestHead) -> float | None:
     """Return how many seconds the caller waits for the response, or None if it does not say."""
     milliseconds = _read_number(head.find_text(DEADLINE.lower()))
--- a/src/cherrylane/relay/exchange.py
+++ b/src/cherrylane/relay/exchange.py
@@ -1,16 +1,18 @@
 """One request to one upstream, and the classification of its outcome."""
 
 from attrs import define, frozen
+from logbook import Logger
 
 from cherrylane.errors import ConnectError, IncompleteResponseError
 from cherrylane.http.messages import EVENT_STREAM_TYPE, ResponseHead, encode_request
 from cherrylane.http.outbound import ConnectionPool, OutboundConnection
 from cherrylane.platform.headers import (
+    MAX_ID_CHARACTERS,
     Dispatch,
     encode_dispatch,
     is_misdirected,
     is_not_executed,
-    read_request_id,
+    read_answered_id,
     read_signature,
 )
 from cherrylane.relay.outcomes import Answered, Failed, NotRun, Outcome, Unknown
@@ -20,8 +22,10 @@
 # Statuses of requests that were not run; the upstream must also say so in a header.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 FIRST_SERVER_ERROR = 500
-# Number of answers to earlier requests after which the answer to this one is no longer awaited.
-MAX_LATE_ANSWERS = 2
+# Number of answers to other requests after which the answer to this one is no longer awaited.
+MAX_FOREIGN_ANSWERS = 32
+
+log = Logger("cherrylane.relay")
 
 
 @frozen
@@ -47,7 +51,6 @@
     ) -> OpenAnswer | Outcome:
         """Send the request and wait for the head of its answer."""
         connection = self.pool.take_idle(upstream.name) if request.route.is_idempotent else None
-        is_reused = connection is not None
         if connection is None:
             try:
                 connection = await self.pool.open(upstream.endpoint)
@@ -55,7 +58,7 @@
                 return NotRun(error.problem, was_sent=False)
         try:
             connection.send(_encode(request, dispatch))
-            head = await _read_matching_head(connection, request.id, is_reused=is_reused)
+            head = await _read_matching_head(connection, request.id, upstream.name)
         except IncompleteResponseError as error:
             connection.close()
             if not error.sent:
@@ -121,21 +124,34 @@
 
 
 async def _read_matching_head(
-    connection: OutboundConnection, request_id: str, *, is_reused: bool
+    connection: OutboundConnection, request_id: str, upstream: str
 ) -> ResponseHead:
-    late_answers = 0
-    while late_answers <= MAX_LATE_ANSWERS:
+    """Return the head of the answer that names this request, and skip those that do not.
+
+    A faulty upstream may send an answer again, late, on any connection. So the place of an answer
+    says nothing: a refusal that names another request, or none, promises nothing of this one.
+    """
+    skipped = 0
+    while skipped <= MAX_FOREIGN_ANSWERS:
         head = await connection.read_head()
-        answered_id = read_request_id(head)
-        if answered_id == request_id or (not answered_id and not is_reused):
+        answered_id = read_answered_id(head)
+        if answered_id == request_id:
             return head
-        # A late answer to an earlier request. The answer to this request may follow, but the
-        # connection is not reused afterwards.
+        # The answer to this request may follow, but the connection is not reused afterwards.
         connection.is_reusable = False
-        late_answers += 1
+        skipped += 1
+        log.info(
+            "answer to another request skipped",
+            extra={
+                "request": request_id,
+                "upstream": upstream,
+                "status": head.status,
+                "answered": answered_id[:MAX_ID_CHARACTERS],
+            },
+        )
         await connection.read_body()
     raise IncompleteResponseError(
-        f"{late_answers} answers to other requests", remedy="use another connection", sent=True
+        f"{skipped} answers to other requests", remedy="use another connection", sent=True
     )
 
 
