Refuse or read odd values in chats of the thread daemon

Cause: only some decoding errors were caught, and the hash of a chat takes no such text. Change: all of DECODING_ERRORS are an invalid body; a hash takes any text (unchanged for all others, the test of the known hash holds). The command line skips log lines and answers of that kind instead of ending. Conclusion: each reader of JSON now answers for all that the decoder raises.

--- a/src/cherrylane/cli/inspect.py
+++ b/src/cherrylane/cli/inspect.py
@@ -1,7 +1,7 @@
 """``cherrylane get``, ``status`` and ``explain``: queries of the platform and of hosts."""
 
 from argparse import Namespace
-from json import JSONDecodeError, loads
+from json import loads
 from time import monotonic, sleep
 from typing import Any
 from urllib.parse import urlencode
@@ -14,7 +14,7 @@
 from cherrylane.cli.output import OutputFormat, Table, print_table
 from cherrylane.configuration.merging import FleetConfiguration
 from cherrylane.configuration.store import ConfigurationStore
-from cherrylane.errors import ObjectNotFoundError, PlatformUnavailableError
+from cherrylane.errors import DECODING_ERRORS, ObjectNotFoundError, PlatformUnavailableError
 from cherrylane.membership.roster import HostRecord, Roster, read_roster
 from cherrylane.membership.runners import read_runners
 from cherrylane.platform.client import PlatformClient
@@ -220,5 +220,5 @@
             "GET", f"http://{host.operators}{path}", timeout=Timeout(total=OPERATOR_TIMEOUT_S)
         )
         return dict(loads(response.data))
-    except (HTTPError, OSError, JSONDecodeError):
+    except (HTTPError, OSError, *DECODING_ERRORS):
         return None
--- a/src/cherrylane/cli/trace.py
+++ b/src/cherrylane/cli/trace.py
@@ -7,7 +7,7 @@
 from argparse import Namespace
 from collections.abc import Iterable, Iterator
 from datetime import datetime, timedelta
-from json import JSONDecodeError, loads
+from json import loads
 from pathlib import Path
 from sys import stdin
 from typing import Any
@@ -15,7 +15,7 @@
 from attrs import frozen
 
 from cherrylane.cli.output import Table, print_table
-from cherrylane.errors import ObjectNotFoundError, SettingsError
+from cherrylane.errors import DECODING_ERRORS, ObjectNotFoundError, SettingsError
 
 # State changes are included from this long before the first line of the request.
 CONTEXT_WINDOW = timedelta(seconds=5)
@@ -106,7 +106,7 @@
                 request=str(record.get("request", "")),
                 fields={name: record[name] for name in record if name not in COMMON_FIELDS},
             )
-        except (JSONDecodeError, KeyError, TypeError, ValueError):
+        except DECODING_ERRORS:
             continue
 
 
--- a/src/cherrylane/delivery/chats.py
+++ b/src/cherrylane/delivery/chats.py
@@ -1,6 +1,6 @@
 """Delivery of chat completion requests to engines."""
 
-from json import JSONDecodeError, loads
+from json import loads
 from socket import socket
 from time import perf_counter
 from typing import Any
@@ -21,7 +21,7 @@
 from cherrylane.delivery.relay import StreamRelay
 from cherrylane.delivery.responses import JSON_TYPE, CallerResponse
 from cherrylane.delivery.streams import StreamLoop
-from cherrylane.errors import Refusal, UpstreamError
+from cherrylane.errors import DECODING_ERRORS, Refusal, UpstreamError
 from cherrylane.http.messages import EVENT_STREAM_TYPE
 from cherrylane.limits.work import AdmissionRequest
 from cherrylane.routing.chat import ChatCall, read_chat_call
@@ -220,7 +220,7 @@
 def _parse(body: bytes) -> Result[Any, Refusal]:
     try:
         return Ok(loads(body))
-    except (JSONDecodeError, UnicodeDecodeError, RecursionError) as error:
+    except DECODING_ERRORS as error:
         return Err(
             Refusal(
                 status=400,
--- a/src/cherrylane/routing/chat.py
+++ b/src/cherrylane/routing/chat.py
@@ -5,7 +5,7 @@
 from attrs import frozen
 from result import Err, Ok, Result
 
-from cherrylane.errors import Refusal
+from cherrylane.errors import DECODING_ERRORS, Refusal
 from cherrylane.routing.rendezvous import hash_text
 
 CHARACTERS_PER_TOKEN = 4
@@ -39,7 +39,11 @@
     if problem is not None:
         return Err(_refuse(problem))
     messages: list[dict[str, Any]] = body["messages"]
-    effective_id = chat_id or _read_body_chat_id(body) or _hash_prefix(messages)
+    try:
+        effective_id = chat_id or _read_body_chat_id(body) or _hash_prefix(messages)
+        prompt_tokens = _estimate_tokens(messages)
+    except DECODING_ERRORS:
+        return Err(_refuse("a message is nested too deeply, or has a number of too many digits"))
     if len(effective_id) > MAX_CHAT_ID_CHARACTERS:
         return Err(_refuse(f"the chat id is longer than {MAX_CHAT_ID_CHARACTERS} characters"))
     limit = body.get("max_completion_tokens") or body.get("max_tokens")
@@ -48,7 +52,7 @@
         ChatCall(
             model=body["model"],
             key=hash_chat(account, effective_id),
-            prompt_tokens=_estimate_tokens(messages),
+            prompt_tokens=prompt_tokens,
             answer_tokens=answer_tokens,
         )
     )
--- a/src/cherrylane/routing/rendezvous.py
+++ b/src/cherrylane/routing/rendezvous.py
@@ -27,7 +27,8 @@
 
 def hash_text(text: str) -> int:
     """Return a 64-bit hash of ``text`` that is the same on all hosts and in all releases."""
-    return xxh3_64_intdigest(text.encode())
+    # JSON may hold halves of surrogate pairs, which callers write into their chats.
+    return xxh3_64_intdigest(text.encode(errors="surrogatepass"))
 
 
 class RendezvousTable:
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -72,6 +72,8 @@
         for status, code, headers, body in (
             (401, "invalid_api_key", {"Authorization": "Bearer nobody"}, b"{}"),
             (400, "invalid_json", AUTHORIZED, b"{"),
+            (400, "invalid_json", AUTHORIZED, b'{"seed": %s}' % (b"9" * 5000)),
+            (400, "invalid_json", AUTHORIZED, b"[" * 5000),
             (400, "invalid_request", AUTHORIZED, b'{"model": "drafting-8b", "messages": []}'),
             (404, "model_not_found", AUTHORIZED, b'{"model": "other", "messages": []}'),
             (400, "invalid_header", {**AUTHORIZED, "Cherrylane-Chat": "a b"}, b"{}"),
