--- a/src/cherrylane/fields.py
+++ b/src/cherrylane/fields.py
@@ -25,7 +25,7 @@
     Example::
 
         read_name("hsinchu-a")  # "hsinchu-a"
-        read_name("a\\r\\nTenant: b")  # raises ValueError
+        read_name("a\\r\\nHost: b")  # raises ValueError
     """
     if not isinstance(value, str):
         raise TypeError(f"{show(value)} is not a string")
