Let a stream go on only at an upstream that answers for its incarnation

Change: it is left out like one that cannot be reached, and another one is tried; one that answers, but has no report or names no incarnation, is taken for the listed one as before. Conclusion: a question without an answer is no yes.

--- a/src/cherrylane/gateway/incarnations.py
+++ b/src/cherrylane/gateway/incarnations.py
@@ -6,7 +6,7 @@
 
 from logbook import Logger
 
-from cherrylane.errors import UpstreamError
+from cherrylane.errors import ConnectError, IncompleteResponseError, UpstreamError
 from cherrylane.gateway.calls import call
 from cherrylane.platform.reports import REPORT_PATH, decode_incarnation
 from cherrylane.routing.upstreams import Upstream
@@ -18,14 +18,24 @@
 
 
 async def is_listed_incarnation(upstream: Upstream) -> bool:
-    """Ask an upstream; returns False only if it says that it is another incarnation."""
+    """Ask an upstream; returns False if it is another incarnation, or does not answer.
+
+    One that answers, but reports no incarnation, is taken for the one that is listed.
+    """
     if not upstream.incarnation:
         return True
     try:
         body = await call(upstream.endpoint, REPORT_PATH, timeout_s=REPORT_TIMEOUT_S)
         incarnation = decode_incarnation(body)
-    except (UpstreamError, TimeoutError) as error:
-        reason = f"{type(error).__name__}: {error}"
-        log.info("upstream does not report", extra={"upstream": upstream.name, "reason": reason})
+    except (ConnectError, IncompleteResponseError, TimeoutError) as error:
+        _log_no_report(upstream, error)
+        return False
+    except UpstreamError as error:
+        _log_no_report(upstream, error)
         return True
     return incarnation in (None, upstream.incarnation)
+
+
+def _log_no_report(upstream: Upstream, error: Exception) -> None:
+    reason = f"{type(error).__name__}: {error}"
+    log.info("upstream does not report", extra={"upstream": upstream.name, "reason": reason})
--- a/src/cherrylane/relay/forwarding.py
+++ b/src/cherrylane/relay/forwarding.py
@@ -68,7 +68,8 @@
         upstream = attempt.choice.upstream
         attempt.record_progress(find_patience(request))
         if state.origin is not None and not await self.is_listed_incarnation(upstream):
-            return NotRun("the upstream has started again since it was listed", was_sent=False)
+            reason = "the upstream has started again since it was listed, or does not report"
+            return NotRun(reason, was_sent=False)
         answer = await self.client.begin(request, upstream, _make_dispatch(state, attempt.choice))
         if not isinstance(answer, OpenAnswer):
             return answer
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -5,7 +5,7 @@
 from testtools.matchers import Contains
 
 from cherrylane.routing.snapshot import KnownUpstream
-from tests.relay_fixture import RESUMABLE, RelayFixture, events, never_answer, stream
+from tests.relay_fixture import RESUMABLE, RelayFixture, events, never_answer, reset, stream
 from tests.wire import Call, Script, make_configuration, make_snapshot, run
 
 VERSIONS = ("v1", "v2", "v1")
@@ -73,7 +73,9 @@
 
 
 class RestartedUpstreamTest(TestCase):
-    async def play(self, *reported: int | None) -> tuple[bytes, list[int], list[int]]:
+    async def play(
+        self, *reported: int | None, report: Script | None = None
+    ) -> tuple[bytes, list[int], list[int]]:
         """Break a stream at i0 of three upstreams that are listed as incarnation 1."""
         scripts = (stream(1, 3, cut=True), stream_rest, stream_rest)
         fixture = await RelayFixture(scripts, make_configuration(RESUMABLE)).open()
@@ -81,6 +83,7 @@
         fixture.snapshot = make_snapshot(listed, make_configuration(RESUMABLE))
         for upstream, incarnation in zip(fixture.upstreams, reported, strict=True):
             upstream.reported_incarnation = incarnation
+        fixture.upstreams[1].report = report
         answer = await fixture.fetch("POST")
         return answer, fixture.calls, [upstream.reports for upstream in fixture.upstreams]
 
@@ -91,6 +94,21 @@
         self.assertEqual(([1, 0, 1], [0, 1, 1]), (calls, reports))
         self.assertEqual([1, 2, 3, 4, 5, 6], events(answer))
 
+    # Guards against a question without an answer that counts as a yes (ORDER).
+    def test_a_stream_does_not_go_on_at_an_upstream_that_does_not_answer_the_question(self) -> None:
+        for report in (never_answer, reset):
+            answer, calls, reports = run(self.play(1, 1, 1, report=report))
+            self.assertEqual(([1, 0, 1], [0, 1, 1]), (calls, reports))
+            self.assertEqual([1, 2, 3, 4, 5, 6], events(answer))
+
+    def test_an_upstream_without_reports_is_trusted(self) -> None:
+        async def refuse(call: Call) -> None:
+            call.writer.write(b"HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n")
+
+        answer, calls, _ = run(self.play(1, 1, 1, report=refuse))
+        self.assertEqual([1, 1, 0], calls)
+        self.assertEqual([1, 2, 3, 4, 5, 6], events(answer))
+
     def test_an_upstream_that_does_not_say_is_trusted(self) -> None:
         answer, calls, _ = run(self.play(1, None, 1))
         self.assertEqual([1, 1, 0], calls)
--- a/tests/wire.py
+++ b/tests/wire.py
@@ -117,12 +117,14 @@
 class ScriptedUpstream:
     """Listens on loopback and passes each request to ``script``, which writes the response.
 
-    Asked for a report, it gives its incarnation; ``reports`` counts that.
+    Asked for a report, it gives its incarnation, or does what ``report`` says; ``reports`` counts
+    the questions.
     """
 
     script: Script
     reported_incarnation: int | None = None
     reports: int = 0
+    report: Script | None = None
     calls: list[Call] = field(factory=list)
     connections: int = 0
     closed_connections: int = 0
@@ -150,6 +152,9 @@
             while (call := await read_call(reader, writer)) is not None:
                 if call.lines[0].split()[1] == "/report":
                     self.reports += 1
+                    if self.report is not None:
+                        await self.report(call)
+                        continue
                     call.answer(dumps({"born": self.reported_incarnation}).encode())
                     continue
                 self.calls.append(call)
