--- a/src/cherrylane/relay/race.py
+++ b/src/cherrylane/relay/race.py
@@ -133,7 +133,9 @@
         self._events.put_nowait(Stalled(attempt))
 
     def _end(self, attempt: Attempt) -> None:
-        attempt.stall_timer.stop()
+        # Otherwise the attempt, the race and the request would refer to each other in a circle, and
+        # the bodies be kept until the garbage collector finds it.
+        attempt.stall_timer.end()
         attempt.in_flight.end()
         if attempt in self.running:
             self._events.put_nowait(Ended(attempt))
--- a/src/cherrylane/relay/stalls.py
+++ b/src/cherrylane/relay/stalls.py
@@ -13,6 +13,10 @@
 MIN_PATIENCE_S = 0.06
 
 
+def _do_nothing() -> None:
+    return
+
+
 @define
 class StallTimer:
     """Calls ``on_stall`` each time that an attempt has made no progress for some seconds.
@@ -34,6 +38,11 @@
         self._seconds = seconds
         self._handle = asyncio.get_running_loop().call_later(seconds, self._report)
 
+    def end(self) -> None:
+        """Report nothing any more, and let go of ``on_stall`` and all that it refers to."""
+        self.stop()
+        self.on_stall = _do_nothing
+
     def stop(self) -> None:
         """Expect no progress from now on."""
         if self._handle is not None:
--- a/tests/test_race.py
+++ b/tests/test_race.py
@@ -1,7 +1,10 @@
 import asyncio
+import gc
 import time
 from collections.abc import Awaitable, Callable
+from weakref import ref
 
+from attrs import frozen
 from testtools import TestCase
 
 from cherrylane.placement.choice import Choice
@@ -198,3 +201,33 @@
             return event, len(race.race.cancel())
 
         self.assertEqual((DeadlineReached(), 1), run(scenario()))
+
+
+@frozen(eq=False)
+class Body:
+    """Something that a request refers to."""
+
+
+class CircleTest(TestCase):
+    # Guards against bodies that stay in memory until the garbage collector finds them (review/4).
+    def test_a_race_that_has_ended_is_freed_without_the_garbage_collector(self) -> None:
+        async def stall_once(attempt: Attempt) -> Outcome:
+            attempt.record_progress(60.0)
+            return Completed()
+
+        async def play(body: Body) -> None:
+            race = Race(stall_once)
+            race.race.on_superseded = lambda attempt: print(body)
+            await race.wait()
+
+        async def scenario() -> bool:
+            body = Body()
+            freed = ref(body)
+            await play(body)
+            await asyncio.sleep(0)
+            del body
+            return freed() is None
+
+        gc.disable()
+        self.addCleanup(gc.enable)
+        self.assertTrue(run(scenario()))
