Give the bodies that are held whole a share of the memory together

Cause: each body had a limit of its own, and nothing bounded the sum; a success without a signature was read to its end though it is never passed on.

Change (http/memory.py): a body may hold a quarter of what is still free of the bodies' memory (dynamic thresholds), so that the largest is cut first and small ones always fit; a request that does not fit is refused at its head, 503 with Retry-After; an unsigned success is given up at its head. Large bodies are sent without being copied to their heads, and the task of an idle connection keeps nothing of its last request.

Conclusion: memory stays within a share, whoever sends.

--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -28,6 +28,7 @@
 from cherrylane.gossip.node import GossipNode
 from cherrylane.http.limits import InboundLimits
 from cherrylane.http.listener import InboundServer
+from cherrylane.http.memory import SHARE_OF_MEMORY, BodyMemory
 from cherrylane.http.messages import Request
 from cherrylane.http.outbound import ConnectionPool
 from cherrylane.http.responder import Responder
@@ -109,6 +110,7 @@
         self.settings = settings
         self.telemetry = Telemetry()
         self._writer = writer
+        self._body_memory = BodyMemory(int(settings.memory_bytes * SHARE_OF_MEMORY))
         self._boot_id = urandom(BOOT_ID_BYTES).hex()
         self._is_stopping = False
         self._started_at = monotonic()
@@ -346,7 +348,12 @@
             crash_guard,
             self.stream_binder,
         )
-        return RelayService(attempt_runner, lambda: self.routing_state.snapshot, self.telemetry)
+        return RelayService(
+            attempt_runner,
+            lambda: self.routing_state.snapshot,
+            self.telemetry,
+            memory=self._body_memory,
+        )
 
     def _make_listeners(self) -> Listeners:
         lifetime_s = min(ADDRESS_LIFETIME_S, self.settings.bounds.address_lifetime_s)
@@ -355,7 +362,10 @@
         )
         return Listeners(
             callers=InboundServer(
-                self._relay.handle, InboundLimits(), self._relay.record_read_failure
+                self._relay.handle,
+                InboundLimits(),
+                self._relay.record_read_failure,
+                self._body_memory,
             ),
             readiness=InboundServer(endpoints.handle_readiness, InboundLimits()),
             directory=InboundServer(endpoints.handle_directory, InboundLimits()),
@@ -484,6 +494,7 @@
         telemetry.add_gauge("knowledge_age_seconds", self._get_state_age_s)
         telemetry.add_gauge("quarantined_parts", self.quarantine.count_in_force)
         telemetry.add_gauge("upstreams_with_rate_limit", self.rate_limits.count_in_force)
+        telemetry.add_gauge("body_memory_bytes", lambda: self._body_memory.held_bytes)
         telemetry.add_gauge("caller_connections", lambda: len(callers.connections))
         telemetry.add_gauge("requests_in_work", lambda: callers.busy)
         telemetry.add_gauge("store_calls", lambda: self.store.calls)
--- a/src/cherrylane/http/framing.py
+++ b/src/cherrylane/http/framing.py
@@ -39,12 +39,14 @@
 class ReadFailure:
     """A request that could not be read.
 
-    If ``silent``, the connection is closed without a response.
+    If ``silent``, the connection is closed without a response. ``retry_after_s`` is when a retry
+    makes sense, if that is known.
     """
 
     status: HTTPStatus
     reason: str
     silent: bool = False
+    retry_after_s: float | None = None
 
 
 def find_framing_problem(head: RequestHead) -> str:
--- a/src/cherrylane/http/inbound.py
+++ b/src/cherrylane/http/inbound.py
@@ -18,6 +18,7 @@
 
 from cherrylane.http.framing import ReadFailure
 from cherrylane.http.limits import InboundLimits
+from cherrylane.http.memory import BodyMemory
 from cherrylane.http.messages import (
     Request,
     Response,
@@ -44,6 +45,7 @@
     """What all connections of a listener share: handler, limits and state."""
 
     limits: InboundLimits
+    memory: BodyMemory
     draining: bool
 
     @property
@@ -67,6 +69,7 @@
         self._loop = asyncio.get_running_loop()
         self._reader = RequestReader(
             lambda: server.limits,
+            server.memory,
             on_queued=self._notify_request,
             on_due=self._restart_timer,
             on_continue=self._send_continue,
@@ -114,6 +117,7 @@
             self._writable.set_result(None)
         if self._task is not None:
             self._task.cancel()
+        self._reader.discard()
 
     def pause_writing(self) -> None:
         self._writable = self._loop.create_future()
@@ -203,17 +207,19 @@
     async def _serve(self) -> None:
         try:
             while not self._lingering:
-                request = await self._next_request()
-                match request:
-                    case ReadFailure():
-                        self._respond_to_failure(request)
-                        return
-                    case Request():
-                        await self._handle(request)
+                await self._serve_next()
         except asyncio.CancelledError:
             if not self.is_lost:
                 self._transport.abort()
 
+    async def _serve_next(self) -> None:
+        """Serve one request; a task that waits for the next one holds nothing of it."""
+        match await self._next_request():
+            case ReadFailure() as failure:
+                self._respond_to_failure(failure)
+            case Request() as request:
+                await self._handle(request)
+
     async def _handle(self, request: Request) -> None:
         self.is_busy = True
         self.served += 1
@@ -239,6 +245,8 @@
             self._end_failed(responder, error)
         finally:
             self.is_busy = False
+            if request.held is not None:
+                request.held.release()
             self._response_due_at = self._loop.time() + self._server.limits.body_timeout_s
         if not responder.keeps_connection:
             self.close()
@@ -279,6 +287,8 @@
             self.close()
             return
         headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+        if failure.retry_after_s is not None:
+            headers.append((b"Retry-After", b"%.2f" % failure.retry_after_s))
         self.write(encode_response_head(failure.status, headers))
         self.close()
 
--- a/src/cherrylane/http/listener.py
+++ b/src/cherrylane/http/listener.py
@@ -9,6 +9,7 @@
 
 from cherrylane.http.inbound import FailureListener, Handler, InboundConnection
 from cherrylane.http.limits import InboundLimits
+from cherrylane.http.memory import BodyMemory
 
 log = Logger("cherrylane.http")
 
@@ -20,6 +21,7 @@
     handle: Handler
     limits: InboundLimits
     on_read_failure: FailureListener = lambda failure: None
+    memory: BodyMemory = field(factory=BodyMemory)
     connections: set[InboundConnection] = field(factory=set)
     draining: bool = False
     # Chosen by the kernel if port 0 was requested; known also when the listener is closed.
--- a/src/cherrylane/http/messages.py
+++ b/src/cherrylane/http/messages.py
@@ -4,6 +4,8 @@
 
 from attrs import field, frozen
 
+from cherrylane.http.memory import HeldMemory
+
 Header = tuple[bytes, bytes]
 
 # Hop-by-hop headers, which apply to a single connection only (RFC 9110, section 7.6.1).
@@ -81,10 +83,11 @@
 
 @frozen
 class Request:
-    """A complete request as read from a connection."""
+    """A complete request as read from a connection, and the memory that its body holds."""
 
     head: RequestHead
     body: bytes = b""
+    held: HeldMemory | None = field(default=None, eq=False, repr=False)
 
 
 @frozen
@@ -124,11 +127,18 @@
 
         encode_request(b"GET", b"/ready", [(b"Host", b"10.0.0.1")], b"", has_body=False)
     """
+    return encode_request_head(method, target, headers, len(body) if has_body else None) + body
+
+
+def encode_request_head(
+    method: bytes, target: bytes, headers: list[Header], body_bytes: int | None
+) -> bytes:
+    """Return the head of a request whose body has ``body_bytes`` bytes, None without a body."""
     lines = [method + b" " + target + b" HTTP/1.1"]
     lines += [name + b": " + value for name, value in headers]
-    if has_body:
-        lines.append(b"Content-Length: %d" % len(body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+    if body_bytes is not None:
+        lines.append(b"Content-Length: %d" % body_bytes)
+    return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
 def encode_response_head(status: int, headers: list[Header]) -> bytes:
--- a/src/cherrylane/http/outbound.py
+++ b/src/cherrylane/http/outbound.py
@@ -16,6 +16,7 @@
 from cherrylane.fields import read_digits
 from cherrylane.http.framing import FramingMeter
 from cherrylane.http.limits import ResponseLimits
+from cherrylane.http.memory import SMALL_BYTES, HeldMemory
 from cherrylane.http.messages import BODILESS_STATUSES, Header, ResponseHead
 from cherrylane.settings.schema import Endpoint
 
@@ -145,15 +146,23 @@
             self._has_advanced = True
             self._queue(_END)
 
-    def send(self, data: bytes) -> None:
-        """Send a request; raises :class:`IncompleteResponseError` if the connection has failed."""
+    def send(self, data: bytes, body: bytes = b"") -> None:
+        """Send a request, and its ``body`` if that is not in ``data``.
+
+        Raises :class:`IncompleteResponseError` if the connection has failed.
+        """
         if self._failure:
             raise IncompleteResponseError(
                 self._failure, remedy="use another connection", sent=False
             )
         self._awaiting_response = True
         self.exchanges += 1
-        self._transport.write(data)
+        # A large body is not copied to be sent with its head.
+        if len(body) > SMALL_BYTES:
+            self._transport.write(data)
+            self._transport.write(body)
+        else:
+            self._transport.write(data + body)
 
     @property
     def is_flushed(self) -> bool:
@@ -184,22 +193,32 @@
             case _:
                 return None
 
-    async def read_body(self) -> bytes:
-        """Return the whole body, unless it is larger than the limit."""
+    async def read_body(self, held: HeldMemory | None = None) -> bytes:
+        """Return the whole body, unless it is larger than the limit, or than ``held`` may grow.
+
+        What it holds is released if it is not returned.
+        """
         parts: list[bytes] = []
         size = 0
-        while (part := await self.read_part()) is not None:
-            parts.append(part)
-            size += len(part)
-            if size > self._limits.max_body_bytes:
-                self.close()
-                raise IncompleteResponseError(
-                    f"a body of more than {self._limits.max_body_bytes} bytes",
-                    remedy="check the server",
-                    sent=True,
-                )
+        try:
+            while (part := await self.read_part()) is not None:
+                if held is not None and not held.grow(len(part)):
+                    raise self._refuse_body(f"a body of {size} bytes without memory for more")
+                parts.append(part)
+                size += len(part)
+                if size > self._limits.max_body_bytes:
+                    limit = self._limits.max_body_bytes
+                    raise self._refuse_body(f"a body of more than {limit} bytes")
+        except BaseException:
+            if held is not None:
+                held.shrink(size)
+            raise
         return b"".join(parts)
 
+    def _refuse_body(self, problem: str) -> IncompleteResponseError:
+        self.close()
+        return IncompleteResponseError(problem, remedy="check the server", sent=True)
+
     def release(self, head: ResponseHead) -> bool:
         """End an exchange; returns whether the connection can be used for another one."""
         has_extra_data = bool(self._parts)
--- a/src/cherrylane/http/request_reader.py
+++ b/src/cherrylane/http/request_reader.py
@@ -9,10 +9,13 @@
 
 from cherrylane.http.framing import FramingMeter, ReadFailure, find_framing_problem, measure_head
 from cherrylane.http.limits import InboundLimits
+from cherrylane.http.memory import BodyMemory, HeldMemory
 from cherrylane.http.messages import Header, Request, RequestHead
 
 # Requests that may be queued behind the one being handled; RFC 9112 lets a server limit pipelining.
 MAX_PIPELINED = 16
+# Retry-After, in seconds, while the bodies of other requests hold the memory.
+RETRY_NO_MEMORY_S = 0.5
 
 
 class RequestReader:
@@ -26,11 +29,14 @@
     def __init__(
         self,
         get_limits: Callable[[], InboundLimits],
+        memory: BodyMemory,
         on_queued: Callable[[], None],
         on_due: Callable[[float], None],
         on_continue: Callable[[], None],
     ) -> None:
         self._get_limits = get_limits
+        self._memory = memory
+        self._held = memory.open()
         self._on_queued = on_queued
         self._on_due = on_due
         self._on_continue = on_continue
@@ -53,6 +59,16 @@
     def stop(self) -> None:
         """Ignore what arrives from now on."""
         self.is_stopped = True
+        self._body = []
+        self._held.release()
+
+    def discard(self) -> None:
+        """Drop what was read, since nobody waits for a response."""
+        self.stop()
+        while self.requests:
+            match self.requests.popleft():
+                case Request(held=HeldMemory() as held):
+                    held.release()
 
     def feed(self, data: bytes) -> None:
         """Read the next bytes."""
@@ -142,8 +158,12 @@
             self.fail(
                 ReadFailure(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "request head too large")
             )
-        elif int(head.find(b"content-length") or 0) > limits.max_body_bytes:
+            return
+        length = int(head.find(b"content-length") or 0)
+        if length > limits.max_body_bytes:
             self.fail(ReadFailure(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "request body too large"))
+        elif not self._held.grow(length):
+            self._fail_without_memory()
         elif head.find_text(b"expect").lower() == "100-continue":
             self.owes_continue = True
             self._on_continue()
@@ -153,6 +173,10 @@
             return
         self._body.append(data)
         self._body_bytes += len(data)
+        # A body with a length holds all of it from its head on.
+        if self._body_bytes > self._held.size and not self._held.grow(len(data)):
+            self._fail_without_memory()
+            return
         if self._meter is not None:
             self._meter.data += len(data)
         limits = self._get_limits()
@@ -166,16 +190,27 @@
             return
         self.is_reading = False
         self._head_bytes = 0
-        self.requests.append(Request(self._head, b"".join(self._body)))
+        self.requests.append(Request(self._head, b"".join(self._body), self._held))
+        self._held = self._memory.open()
+        self._body = []
         self._head = None
         self._meter = None
         self.owes_continue = False
         self._on_queued()
 
+    def _fail_without_memory(self) -> None:
+        self.fail(
+            ReadFailure(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                "no memory for the body of the request",
+                retry_after_s=RETRY_NO_MEMORY_S,
+            )
+        )
+
     def fail(self, failure: ReadFailure) -> None:
         """Queue a failure and read nothing more."""
         if self.is_stopped:
             return
-        self.is_stopped = True
+        self.stop()
         self.requests.append(failure)
         self._on_queued()
--- a/src/cherrylane/platform/bootfile.py
+++ b/src/cherrylane/platform/bootfile.py
@@ -6,7 +6,8 @@
 from typing import TypeVar
 
 from cherrylane.errors import SettingsError
-from cherrylane.fields import read_digits
+from cherrylane.fields import read_digits, read_number
+from cherrylane.http.memory import DEFAULT_MEMORY_BYTES
 from cherrylane.settings.gateway import (
     FleetBounds,
     GatewaySettings,
@@ -19,6 +20,7 @@
 
 BOOT_VARIABLE = "CHERRYLANE_BOOT"
 DEFAULT_PATH = "/etc/cherrylane/boot.conf"
+BYTES_PER_MEGABYTE = 1024 * 1024
 
 T = TypeVar("T")
 
@@ -77,6 +79,7 @@
             window_s=fields.read("bounds.budget_window_s", float),
             slack=fields.read("bounds.budget_slack", float),
         ),
+        memory_bytes=fields.read("limits.memory_mb", _parse_megabytes, DEFAULT_MEMORY_BYTES),
         is_first_start=fields.read("bootstrap", str, default="false") == "true",
     )
 
@@ -123,6 +126,10 @@
     return Endpoint(address, read_digits(port))
 
 
+def _parse_megabytes(text: str) -> int:
+    return int(read_number(float(text)) * BYTES_PER_MEGABYTE)
+
+
 def _parse_seeds(text: str) -> tuple[str, ...]:
     return tuple(_parse_endpoint(seed.strip()).address for seed in text.split(",") if seed.strip())
 
--- a/src/cherrylane/relay/exchange.py
+++ b/src/cherrylane/relay/exchange.py
@@ -4,7 +4,8 @@
 from logbook import Logger
 
 from cherrylane.errors import ConnectError, IncompleteResponseError
-from cherrylane.http.messages import EVENT_STREAM_TYPE, ResponseHead, encode_request
+from cherrylane.http.memory import HeldMemory
+from cherrylane.http.messages import EVENT_STREAM_TYPE, ResponseHead, encode_request_head
 from cherrylane.http.outbound import ConnectionPool, OutboundConnection
 from cherrylane.platform.headers import (
     MAX_ID_CHARACTERS,
@@ -57,7 +58,7 @@
             except ConnectError as error:
                 return NotRun(error.problem, was_sent=False)
         try:
-            connection.send(_encode(request, dispatch))
+            connection.send(_encode_head(request, dispatch), request.body)
             head = await _read_matching_head(connection, request.id, upstream.name)
         except IncompleteResponseError as error:
             connection.close()
@@ -70,15 +71,19 @@
         return OpenAnswer(connection, head)
 
     async def finish(
-        self, request: CallerRequest, upstream: Upstream, answer: OpenAnswer
+        self, request: CallerRequest, upstream: Upstream, answer: OpenAnswer, held: HeldMemory
     ) -> Outcome:
-        """Read the rest of an answer and classify it."""
+        """Read the rest of an answer, which ``held`` grows by, and classify it."""
+        if 200 <= answer.head.status < 300 and not is_success(answer.head):
+            # Whatever follows is not passed on, and it may have no end.
+            answer.connection.close()
+            return classify_answer(answer.head, b"")
         if request.method == b"HEAD":
             # Content-Length gives the length of a body that is not sent.
             answer.connection.close()
             return classify_answer(answer.head, b"")
         try:
-            body = await answer.connection.read_body()
+            body = await answer.connection.read_body(held)
         except IncompleteResponseError as error:
             answer.connection.close()
             if is_not_executed(answer.head):
@@ -155,8 +160,7 @@
     )
 
 
-def _encode(request: CallerRequest, dispatch: Dispatch) -> bytes:
+def _encode_head(request: CallerRequest, dispatch: Dispatch) -> bytes:
     headers = encode_dispatch(list(request.headers), dispatch)
-    return encode_request(
-        request.method, request.target, headers, request.body, has_body=request.has_body
-    )
+    body_bytes = len(request.body) if request.has_body else None
+    return encode_request_head(request.method, request.target, headers, body_bytes)
--- a/src/cherrylane/relay/forwarding.py
+++ b/src/cherrylane/relay/forwarding.py
@@ -76,7 +76,7 @@
         state.framing = answer.head.framing
         self._record_upstream_state(upstream, answer.head)
         if not _has_events(request, answer.head):
-            return await self.client.finish(request, upstream, answer)
+            return await self.client.finish(request, upstream, answer, state.held)
         self._record_cached(request, upstream.name)
         relay = StreamRelay(
             request,
--- a/src/cherrylane/relay/service.py
+++ b/src/cherrylane/relay/service.py
@@ -7,6 +7,7 @@
 from logbook import Logger
 
 from cherrylane.http.framing import ReadFailure
+from cherrylane.http.memory import BodyMemory
 from cherrylane.http.messages import Request, Response
 from cherrylane.http.responder import Responder
 from cherrylane.platform.headers import REQUEST_ID, encode_retry_after, read_request_id
@@ -48,6 +49,7 @@
     read_snapshot: Callable[[], Snapshot]
     telemetry: Telemetry
     admission: Admission = field(factory=Admission)
+    memory: BodyMemory = field(factory=BodyMemory)
     is_closed: bool = False
     snapshot_available: asyncio.Event = field(factory=asyncio.Event)
     _startup_wait_until: float = float("-inf")
@@ -94,13 +96,15 @@
         )
 
     async def _relay(self, request: Request, admitted: CallerRequest, responder: Responder) -> None:
-        state = RequestState(admitted, StreamProgress(last_id=admitted.resume_after))
+        progress = StreamProgress(last_id=admitted.resume_after)
+        state = RequestState(admitted, progress, held=self.memory.open())
         outcome = "caller left"
         status = 0
         try:
             result = await self.attempt_runner.run(state, responder)
             outcome, status = self._answer(request, result, responder)
         finally:
+            state.held.release()
             self._log_request(state, outcome, status)
 
     def _answer(
--- a/src/cherrylane/relay/state.py
+++ b/src/cherrylane/relay/state.py
@@ -2,6 +2,7 @@
 
 from attrs import define, field
 
+from cherrylane.http.memory import BodyMemory, HeldMemory
 from cherrylane.relay.outcomes import Broken, Failed, Outcome, Superseded, Unknown
 from cherrylane.relay.request import CallerRequest
 from cherrylane.relay.stream_origins import StreamOrigin
@@ -35,6 +36,8 @@
     failure: Failed | None = None
     framing: str = ""
     origin: StreamOrigin | None = None
+    # The memory that the bodies of its answers hold.
+    held: HeldMemory = field(factory=lambda: BodyMemory().open())
 
     def record(self, outcome: Outcome) -> None:
         """Record the outcome of an attempt that was sent but did not answer the request."""
--- a/src/cherrylane/settings/gateway.py
+++ b/src/cherrylane/settings/gateway.py
@@ -2,6 +2,7 @@
 
 from attrs import field, frozen
 
+from cherrylane.http.memory import DEFAULT_MEMORY_BYTES
 from cherrylane.settings.schema import Endpoint
 
 
@@ -72,5 +73,7 @@
     is_first_start: bool = False
     zones: dict[str, str] = field(factory=dict)
     seeds: tuple[str, ...] = ()
+    # Memory of the process, beyond which the platform ends it.
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
     # Port on which metrics are served, 0 for none; the default is the port in deploy/system.toml.
     metrics_port: int = 9464
