Keep no upstream that has left after a cut of this host alone

Cause: the grace period for entries that lapse in an outage of the store started though only this machine had lost it. Ruled out: a late list (applied within 0.1 s of the return). Change: heartbeats say for how long the store has answered their sender; what is missing is not kept if a peer was served from before the loss until now. Entries lapse after 3.6 s, and followers probe each second, so no peer can vouch for an outage in which entries lapsed.

Conclusion: the grace is for the store's outage, not for one's own.

--- a/src/cherrylane/gateway/announcements.py
+++ b/src/cherrylane/gateway/announcements.py
@@ -115,6 +115,7 @@
         rounds_to_reach_all: int,
         has_full_cache_map: bool,
         confirmation_age_ms: int,
+        contact_ms: int = 0,
         now: float,
     ) -> Heartbeat:
         """Return the next heartbeat, without the list of hosts."""
@@ -162,6 +163,7 @@
             ),
             has_full_cache_map=has_full_cache_map,
             confirmation_age_ms=confirmation_age_ms,
+            contact_ms=contact_ms,
         )
 
     def _take_rates(self) -> list[KnownLimit]:
--- a/src/cherrylane/gateway/follower_selection.py
+++ b/src/cherrylane/gateway/follower_selection.py
@@ -85,6 +85,18 @@
         age_s = now - confirmed_at
         return min(UNCONFIRMED_MS, round(age_s * 1000)) if age_s != float("inf") else UNCONFIRMED_MS
 
+    def get_contact_s(self, now: float) -> float:
+        """Return for how many seconds the store has answered this host without a failure.
+
+        It is 0 while it does not, and while this host does not watch it.
+        """
+        watchers = self.watchers
+        if not watchers or not all(watcher.is_confirmed for watcher in watchers):
+            return 0.0
+        if self.find_silent_since(now) is not None:
+            return 0.0
+        return max(0.0, now - max(watcher.contact_since for watcher in watchers))
+
     def _is_needed(self, now: float) -> bool:
         own = self.members.own_address
         hosts = [own, *(member.address for member in self.members.live(now))]
--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -15,7 +15,8 @@
 from cherrylane.gateway.peer_sync import PeerSync
 from cherrylane.gateway.recovery import CacheRecovery
 from cherrylane.gateway.registry import HostRegistry
-from cherrylane.gateway.routing_state import REMOVAL_GRACE_S, RoutingState
+from cherrylane.gateway.removal_grace import RemovalGrace
+from cherrylane.gateway.routing_state import RoutingState
 from cherrylane.gateway.sockets import ListeningSockets
 from cherrylane.gateway.store_probe import StoreProbe
 from cherrylane.gateway.stream_registry import StreamRegistry
@@ -24,7 +25,7 @@
 from cherrylane.gateway.version_confirmation import VERSIONS_PATH, VersionConfirmation
 from cherrylane.gateway.version_registry import VersionRegistry
 from cherrylane.gossip.members import Members
-from cherrylane.gossip.messages import Heartbeat, HostState
+from cherrylane.gossip.messages import UNCONFIRMED_MS, Heartbeat, HostState
 from cherrylane.gossip.node import GossipNode
 from cherrylane.http.limits import InboundLimits
 from cherrylane.http.listener import InboundServer
@@ -40,6 +41,7 @@
 from cherrylane.limits.rate_limits import UpstreamRateLimits
 from cherrylane.limits.retries import HostRetryBudget
 from cherrylane.membership.software_versions import SoftwareVersions
+from cherrylane.membership.store_contacts import StoreContacts
 from cherrylane.placement.caches import CacheMap
 from cherrylane.placement.choice import Chooser
 from cherrylane.placement.heat import ChatHeat
@@ -128,12 +130,13 @@
         self.caches = CacheMap()
         self.routing_state = RoutingState(
             self._on_snapshot,
-            self._get_removal_grace_s,
+            lambda: self._removal_grace.find_remaining_s(asyncio.get_running_loop().time()),
             on_upstream_reset=self._drop_upstream_state,
             on_upstream_listed=self._record_listed,
             on_gap=lambda: self._version_registry.record_gap(),
         )
         self._watchers = self._make_watchers()
+        self._removal_grace = RemovalGrace(self._watchers[1], StoreContacts())
         self._store_probe = StoreProbe(self.store, settings.identity.name, self._watchers)
         self._follower_selection = FollowerSelection(
             self.members, self._watchers, self._store_probe.find_silent_since
@@ -400,11 +403,14 @@
             rounds_to_reach_all=self._gossip.rounds_to_reach_all,
             has_full_cache_map=self._peer_sync.has_full_cache_map,
             confirmation_age_ms=self._follower_selection.get_state_age_ms(now),
+            contact_ms=min(UNCONFIRMED_MS, int(self._follower_selection.get_contact_s(now) * 1000)),
             now=now,
         )
 
     def _handle_heartbeat(self, address: str, heartbeat: Heartbeat, is_new: bool) -> None:
-        self._announcements.handle_heartbeat(heartbeat, asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        self._announcements.handle_heartbeat(heartbeat, now)
+        self._removal_grace.contacts.record(heartbeat.host, heartbeat.contact_ms / 1000, now)
         self._follower_selection.handle_heartbeat(heartbeat)
         self._peer_sync.handle_heartbeat(address, heartbeat, is_new)
 
@@ -432,12 +438,6 @@
         if snapshot.table is not None:
             self._listeners.callers.limits = snapshot.table.configuration.limits
 
-    def _get_removal_grace_s(self) -> float:
-        watcher = self._watchers[1]
-        if watcher.unavailable_since is not None:
-            return REMOVAL_GRACE_S
-        return watcher.recovered_at + REMOVAL_GRACE_S - asyncio.get_running_loop().time()
-
     def _find_max_idle_connections(self, upstream: str) -> int:
         max_connections = self.routing_state.snapshot.get_max_connections(upstream)
         return share_idle_connections(max_connections, self._count_hosts())
--- a/src/cherrylane/gossip/messages.py
+++ b/src/cherrylane/gossip/messages.py
@@ -129,7 +129,8 @@
     have recently left in engine caches, and ``has_full_cache_map`` says whether it also knows what
     was cached before it started. ``hosts`` are some of the other live hosts.
     ``confirmation_age_ms`` is how long ago a host that follows the store last confirmed that the
-    state of this host is current. ``leaving`` are upstreams that have lately said in an answer that
+    state of this host is current, and ``contact_ms`` for how long the store has answered the sender
+    without a failure. ``leaving`` are upstreams that have lately said in an answer that
     they leave, and ``backing_off`` those that want nothing from this host for a while. ``rates``
     are some of the request limits that upstreams have named. ``streams`` are streams that may be
     taken up elsewhere, ``versions`` those of services which have several, and ``knows_versions``
@@ -148,6 +149,7 @@
     loads: tuple[tuple[str, Load], ...] = ()
     hosts: tuple[PeerLiveness, ...] = ()
     confirmation_age_ms: int = UNCONFIRMED_MS
+    contact_ms: int = 0
     cached: tuple[CachedPart, ...] = ()
     has_full_cache_map: bool = False
     leaving: tuple[UpstreamLeaving, ...] = ()
@@ -211,6 +213,7 @@
             "t": {name: load.unread_tokens for name, load in self.loads if load.unread_tokens},
             "m": [(peer.address, peer.age_ms) for peer in self.hosts],
             "f": self.confirmation_age_ms,
+            "v": self.contact_ms,
             "k": [(part.upstream, part.key, part.tokens) for part in self.cached],
         }
         if self.leaving:
@@ -255,6 +258,7 @@
                 for host, age in fields.get("m", ())
             ),
             confirmation_age_ms=_decode_age(fields.get("f", UNCONFIRMED_MS)),
+            contact_ms=_decode_age(fields.get("v", 0)),
             cached=tuple(
                 CachedPart(read_name(upstream), read_name(key), read_count(tokens))
                 for upstream, key, tokens in fields.get("k", ())
--- a/src/cherrylane/platform/async_watcher.py
+++ b/src/cherrylane/platform/async_watcher.py
@@ -31,7 +31,9 @@
 
     The callbacks' last data stays in use while the store is unavailable. ``last_success_at`` is
     when a call last succeeded, ``unavailable_since`` is set while calls fail, and ``recovered_at``
-    is when calls last succeeded again after a failure, all in seconds of the loop's clock.
+    is when calls last succeeded again after a failure. ``lost_at`` is the last success before that
+    failure, and ``contact_since`` when the calls began to succeed that have not failed since. All
+    are in seconds of the loop's clock.
     """
 
     client: AsyncPlatformClient
@@ -41,6 +43,8 @@
     last_success_at: float = float("-inf")
     unavailable_since: float | None = None
     recovered_at: float = float("-inf")
+    lost_at: float = float("-inf")
+    contact_since: float = float("inf")
     _random: Random = field(factory=Random, repr=False)
     _delay_s: float = RETRY_MIN_S
     _version: StoreVersion | None = None
@@ -66,6 +70,7 @@
             self._task = None
             self.unavailable_since = None
             self.last_success_at = float("-inf")
+            self.contact_since = float("inf")
         else:
             self._task = asyncio.get_running_loop().create_task(self._run())
 
@@ -88,7 +93,8 @@
             return
         self._task.cancel()
         loop = asyncio.get_running_loop()
-        self.recovered_at = loop.time()
+        self.lost_at = self.last_success_at
+        self.recovered_at = self.contact_since = loop.time()
         self._task = loop.create_task(self._run())
 
     async def _run(self) -> None:
@@ -153,6 +159,7 @@
     def _record_success(self) -> None:
         now = asyncio.get_running_loop().time()
         self.last_success_at = now
+        self.contact_since = min(self.contact_since, now)
         self._delay_s = RETRY_MIN_S
         if self.unavailable_since is not None:
             away_s = round(now - self.unavailable_since, 3)
@@ -163,4 +170,6 @@
     def _record_failure(self, error: PlatformError) -> None:
         if self.unavailable_since is None:
             self.unavailable_since = asyncio.get_running_loop().time()
+            self.lost_at = self.last_success_at
+            self.contact_since = float("inf")
             log.warning("store lost", extra={"kind": self.kind.value, "reason": str(error)})
