Log what tells a late host from a late soak

The logs cannot tell a host that stood still, an end of the interpreter that took long, and a soak that stood still itself from each other. Added: a host logs when its event loop was late and when it has closed; the soak's summary says how late its own loop was. No check is changed.

--- a/soak/runs.py
+++ b/soak/runs.py
@@ -67,11 +67,12 @@
     ]
     callers = Callers(fleet, Random(options.seed))
     injector = FaultInjector(fleet)
+    delays = [0.0]
     try:
         await fleet.start(options.hosts, upstreams)
         unrecovered = await _wait_until_serving(fleet, callers)
         writer = asyncio.create_task(_write_configurations(fleet))
-        watcher = asyncio.create_task(_watch_processes(fleet))
+        watcher = asyncio.create_task(_watch_processes(fleet, delays))
         until = asyncio.get_running_loop().time() + options.seconds
         caller_loops = [callers.run(until) for _ in range(options.callers)]
         await asyncio.gather(injector.run(faults), *caller_loops)
@@ -96,7 +97,7 @@
     status_counts = ", ".join(f"{status or 'none'}: {n}" for status, n in sorted(statuses.items()))
     summary = (
         f"{len(faults)} faults, {len(observed.silences)} silences, "
-        f"responses by status: {status_counts}"
+        f"responses by status: {status_counts}, the soak was up to {max(delays):.2f} s late"
     )
     return SoakReport(summary, find_violations(observed))
 
@@ -112,11 +113,15 @@
             continue
 
 
-async def _watch_processes(fleet: SoakFleet) -> None:
+async def _watch_processes(fleet: SoakFleet, delays: list[float]) -> None:
+    """Record ends of processes, and by how many seconds the loop of the soak itself is late."""
+    loop = asyncio.get_running_loop()
     while True:
         for host in fleet.hosts:
             host.record_unexpected_end()
+        due_at = loop.time() + POLL_INTERVAL_S
         await asyncio.sleep(POLL_INTERVAL_S)
+        delays.append(loop.time() - due_at)
 
 
 async def _wait_until_serving(fleet: SoakFleet, callers: Callers) -> list[str]:
--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -71,6 +71,9 @@
 MAX_IDLE_S = 4.0
 # Seconds between maintenance runs, which close idle connections and flush buffered log lines.
 MAINTENANCE_INTERVAL_S = 0.25
+# Seconds by which the event loop may be late, because it is busy or the process stood still, before
+# that is logged.
+STALL_LOGGED_S = 0.5
 # Minimum number of hosts by which fleet-wide limits are divided, since some may not be known yet.
 MIN_HOSTS_ASSUMED = 8
 # Seconds of the grace period reserved for the exit of the process, before it is killed.
@@ -472,8 +475,13 @@
         return self._follower_selection.get_state_age_ms(asyncio.get_running_loop().time()) / 1000
 
     async def _run_maintenance(self) -> None:
+        loop = asyncio.get_running_loop()
         while True:
+            due_at = loop.time() + MAINTENANCE_INTERVAL_S
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
+            late_s = loop.time() - due_at
+            if late_s > STALL_LOGGED_S:
+                log.warning("event loop was late", extra={"late_s": round(late_s, 3)})
             self.pool.close_stale()
             self._upkeep.update(
                 asyncio.get_running_loop().time(),
--- a/src/cherrylane/gateway/serving.py
+++ b/src/cherrylane/gateway/serving.py
@@ -29,6 +29,9 @@
     level = lookup_level(log_level)
     with RateLimitedHandler(writer, settings.identity.name, level=level).applicationbound():
         asyncio.run(_serve(path, settings, sockets, writer))
+        # All tasks have ended; what remains is the end of the interpreter.
+        log.notice("event loop closed")
+        writer.flush()
 
 
 async def _serve(
