Count responses until their callers have read them

Change: what a caller has not read is held in the memory for bodies until it has left, and a response for which there is none is given up with a reset, so that it does not look complete.

--- a/src/cherrylane/http/inbound.py
+++ b/src/cherrylane/http/inbound.py
@@ -76,6 +76,8 @@
         )
         self._request_queued: asyncio.Future[None] | None = None
         self._writable: asyncio.Future[None] | None = None
+        # The memory that a response holds which its caller has not read yet.
+        self._unsent = server.memory.open()
         self._transport: asyncio.Transport
         self._task: asyncio.Task[None] | None = None
         self._timeout_handle: asyncio.TimerHandle | None = None
@@ -118,11 +120,13 @@
         if self._task is not None:
             self._task.cancel()
         self._reader.discard()
+        self._unsent.release()
 
     def pause_writing(self) -> None:
         self._writable = self._loop.create_future()
 
     def resume_writing(self) -> None:
+        self._unsent.release()
         if self._writable is not None and not self._writable.done():
             self._writable.set_result(None)
         self._writable = None
@@ -247,6 +251,7 @@
             self.is_busy = False
             if request.held is not None:
                 request.held.release()
+            self._hold_unsent()
             self._response_due_at = self._loop.time() + self._server.limits.body_timeout_s
         if not responder.keeps_connection:
             self.close()
@@ -257,6 +262,19 @@
         else:
             self._start_idle_timer()
 
+    def _hold_unsent(self) -> None:
+        """Count what the caller has not read of the response, or give that up without memory."""
+        unsent_bytes = self._transport.get_write_buffer_size()
+        if unsent_bytes <= WRITE_BUFFER_BYTES:
+            return
+        self._unsent.release()
+        if not self._unsent.grow(unsent_bytes):
+            log.warning(
+                "response given up: no memory for what its caller has not read",
+                extra={"bytes": unsent_bytes},
+            )
+            self.abort()
+
     @property
     def _is_cancelled(self) -> bool:
         """Whether the task was asked to end: the caller has left, or the process ends."""
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -1,6 +1,7 @@
 """Memory for bodies: its rule without a network, and what callers and upstreams see of it."""
 
 import asyncio
+from contextlib import suppress
 
 from attrs import evolve
 from hypothesis import given
@@ -15,10 +16,14 @@
 from cherrylane.http.responder import Responder
 from tests.relay_fixture import SAFE, UNSAFE, RelayFixture, fail, fetch, succeed
 from tests.test_endless_bytes import CHUNKED, HEAD
-from tests.wire import Call, make_configuration, open_listener, run, send_raw
+from tests.test_inbound import open_slow_caller
+from tests.wire import Call, make_configuration, open_listener, run, send_raw, wait_for
 
 LIMIT = 10_000_000
 BODY = b"x" * 500_000
+# More than the buffers of both sockets hold, and the memory for what they do not.
+UNREAD = b"x" * 6_000_000
+UNREAD_LIMIT = 20_000_000
 
 
 class BodyMemoryTest(TestCase):
@@ -91,6 +96,37 @@
                 self.assertThat(answer, Contains(b"Retry-After: 0.50\r\n"))
         self.assertEqual(0, left)
 
+    # Guards against responses that nobody reads filling the memory (REPORT.md of the review).
+    def test_responses_that_are_read_slowly_are_counted_until_they_have_left(self) -> None:
+        async def scenario() -> tuple[int, int, int, int]:
+            handled = []
+
+            async def handle(request: Request, responder: Responder) -> None:
+                responder.send(Response(200, (), UNREAD))
+                handled.append(request)
+
+            memory = BodyMemory(UNREAD_LIMIT)
+            server = InboundServer(handle, InboundLimits(), memory=memory)
+            await server.listen(open_listener())
+            callers = [await open_slow_caller(server.port) for _ in range(8)]
+            for _, writer in callers:
+                writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            await wait_for(lambda: len(handled) == 8)
+            held, most = memory.held_bytes, memory.limit_bytes
+            whole = 0
+            for reader, writer in callers:
+                with suppress(ConnectionError, asyncio.IncompleteReadError):
+                    await reader.readuntil(b"\r\n\r\n")
+                    whole += len(await reader.readexactly(len(UNREAD))) == len(UNREAD)
+                writer.close()
+            await wait_for(lambda: not memory.held_bytes)
+            return held, most, whole, memory.held_bytes
+
+        held, most, whole, left = run(scenario())
+        self.assertTrue(0 < held < most, held)
+        self.assertTrue(0 < whole < 8, whole)
+        self.assertEqual(0, left)
+
     def test_a_chunked_body_is_counted_as_it_arrives(self) -> None:
         async def scenario() -> tuple[bytes, int]:
             async def handle(request: Request, responder: Responder) -> None:
