Take heartbeats that waited in a buffer for as old as they are

The class of the host out of step (a belief without evidence), read: a host that stood still finds heartbeats in its buffer that look new, so peers count as live, their confirmations as fresh, and since their contact with the store as lasting, though all of that is from before. Ruled out as a cause of the report itself: a stream of unknown origin asks the store or peers now, and their answers come after the question.

Conclusion: what a woken host hears is as old as it is.

--- a/src/cherrylane/gossip/members.py
+++ b/src/cherrylane/gossip/members.py
@@ -50,7 +50,10 @@
         self._by_address.pop(address, None)
 
     def record_heartbeat(self, address: str, heartbeat: Heartbeat, now: float) -> bool:
-        """Record a heartbeat; returns whether its host was unknown, silent or has restarted."""
+        """Record a heartbeat that was sent at ``now`` or a little before.
+
+        Returns whether its host was unknown, silent or has restarted.
+        """
         if address == self.own_address:
             return False
         self.add(address)
@@ -63,7 +66,7 @@
             or not member.is_live(now)
         )
         member.heartbeat = heartbeat
-        member.last_heard_at = now
+        member.last_heard_at = max(now, member.last_heard_at)
         return is_new
 
     def _record_liveness(self, other: PeerLiveness, now: float) -> None:
--- a/src/cherrylane/gossip/messages.py
+++ b/src/cherrylane/gossip/messages.py
@@ -150,6 +150,7 @@
     hosts: tuple[PeerLiveness, ...] = ()
     confirmation_age_ms: int = UNCONFIRMED_MS
     contact_ms: int = 0
+    stamp_ms: int = 0
     cached: tuple[CachedPart, ...] = ()
     has_full_cache_map: bool = False
     leaving: tuple[UpstreamLeaving, ...] = ()
@@ -162,6 +163,14 @@
     answered: tuple[PartAnswered, ...] = ()
     verdicts: tuple[PartVerdict, ...] = ()
 
+    def make_older(self, delay_ms: int) -> "Heartbeat":
+        """Return what the heartbeat says, read ``delay_ms`` after it could have been read.
+
+        The sender may have lost the store meanwhile.
+        """
+        age_ms = min(self.confirmation_age_ms + delay_ms, UNCONFIRMED_MS)
+        return evolve(self, confirmation_age_ms=age_ms, contact_ms=0)
+
     def encode(self) -> bytes:
         """Return the datagram.
 
@@ -214,6 +223,7 @@
             "m": [(peer.address, peer.age_ms) for peer in self.hosts],
             "f": self.confirmation_age_ms,
             "v": self.contact_ms,
+            "@": self.stamp_ms,
             "k": [(part.upstream, part.key, part.tokens) for part in self.cached],
         }
         if self.leaving:
@@ -259,6 +269,7 @@
             ),
             confirmation_age_ms=_decode_age(fields.get("f", UNCONFIRMED_MS)),
             contact_ms=_decode_age(fields.get("v", 0)),
+            stamp_ms=read_count(fields.get("@", 0)),
             cached=tuple(
                 CachedPart(read_name(upstream), read_name(key), read_count(tokens))
                 for upstream, key, tokens in fields.get("k", ())
--- a/src/cherrylane/gossip/node.py
+++ b/src/cherrylane/gossip/node.py
@@ -9,6 +9,7 @@
 from logbook import Logger
 
 from cherrylane.errors import PeerMessageError
+from cherrylane.gossip.delays import ArrivalDelays, read_stamp_ms
 from cherrylane.gossip.members import Members
 from cherrylane.gossip.messages import Heartbeat, PeerLiveness, decode_heartbeat
 from cherrylane.settings.schema import Endpoint
@@ -22,6 +23,8 @@
 # Maximum number of hosts that are sent a heartbeat in one round. A larger fleet is reached over
 # several rounds; meanwhile its hosts get each other's liveness from the heartbeats of third hosts.
 FAN_OUT = 12
+# Milliseconds beyond which a heartbeat counts as late: it waited in a buffer, here or on its way.
+LATE_MS = 500
 
 log = Logger("cherrylane.gossip")
 
@@ -46,6 +49,7 @@
     _rounds: int = 0
     _live: set[str] = field(factory=set)
     _pending: list[str] = field(factory=list)
+    _delays: ArrivalDelays = field(factory=ArrivalDelays)
 
     @property
     def rounds_to_reach_all(self) -> int:
@@ -97,7 +101,7 @@
             PeerLiveness(member.address, round((now - member.last_heard_at) * 1000))
             for member in sample
         ]
-        return evolve(heartbeat, hosts=tuple(hosts)).encode()
+        return evolve(heartbeat, hosts=tuple(hosts), stamp_ms=read_stamp_ms()).encode()
 
     def _send(self, data: bytes, address: str) -> None:
         assert self._transport is not None
@@ -125,14 +129,26 @@
             log.warning("invalid datagram ignored", extra={"peer": address, "reason": str(error)})
             return
         now = asyncio.get_running_loop().time()
+        delay_ms = self._find_delay_ms(heartbeat)
+        if delay_ms > LATE_MS:
+            heartbeat = heartbeat.make_older(delay_ms)
+            now -= delay_ms / 1000
         is_new = self.members.record_heartbeat(address, heartbeat, now)
         if is_new:
+            now = asyncio.get_running_loop().time()
             self._live.add(address)
             # Respond at once, so that a host that has just started need not wait for a round.
             self._send(self._encode(now), address)
             log.info("host live", extra={"peer": heartbeat.host, "boot": heartbeat.boot_id})
         self.on_heartbeat(address, heartbeat, is_new)
 
+    def _find_delay_ms(self, heartbeat: Heartbeat) -> int:
+        """Return for how long a heartbeat waited, 0 if its sender does not stamp it."""
+        if not heartbeat.stamp_ms:
+            return 0
+        sender = f"{heartbeat.host}/{heartbeat.boot_id}"
+        return self._delays.estimate_ms(sender, heartbeat.stamp_ms, read_stamp_ms())
+
 
 class _HeartbeatProtocol(asyncio.DatagramProtocol):
     def __init__(self, node: GossipNode) -> None:
