Name what an answer of all peers shows by what it is

Read as a newcomer: _is_outage also returned True where all other hosts had answered, outage or not. Renamed to _is_all_known, and the module of the decision says so.

--- a/src/cherrylane/gateway/version_confirmation.py
+++ b/src/cherrylane/gateway/version_confirmation.py
@@ -115,7 +115,7 @@
             if _is_true(store):
                 return True
             poll = await self._poll_peers(store)
-            is_confirmed = _is_true(store) or poll.is_confirmed or self._is_outage(poll)
+            is_confirmed = _is_true(store) or poll.is_confirmed or self._is_all_known(poll)
         log.info(
             "software versions not confirmed by the store in time",
             extra={
@@ -153,7 +153,7 @@
             changes = await self.client.watch(Kind.UPSTREAMS, version, wait_s=WATCH_WAIT_S)
         except WatchExpiredError:
             # Versions may have come into use and gone since.
-            self.registry.has_gap = True
+            self.registry.record_gap()
             return (await self.client.list(Kind.UPSTREAMS)).objects
         return [event.object for event in changes.events]
 
@@ -182,12 +182,12 @@
                 )
                 if _is_true(store) or poll.is_confirmed:
                     break
-                if pending <= {store} and self._is_outage(poll):
+                if pending <= {store} and self._is_all_known(poll):
                     break
         return poll
 
-    def _is_outage(self, poll: PeerPoll) -> bool:
-        """Return whether the store names no new versions to any host, as far as peers tell."""
+    def _is_all_known(self, poll: PeerPoll) -> bool:
+        """Return whether no host can know of more versions, though the store has not answered."""
         return poll.is_unanimous or (self.has_lost_store and poll.shows_outage)
 
     async def _ask_peer(self, address: str, poll: PeerPoll) -> None:
--- a/src/cherrylane/membership/confirmation.py
+++ b/src/cherrylane/membership/confirmation.py
@@ -3,8 +3,9 @@
 A version that came into use while a host was cut off, or stood still, is unknown to it, and nothing
 on the host shows that: calls that are pending have not failed, and messages that waited in a buffer
 look new. So only answers to a question that was asked now count. The store's answer is enough, and
-so is that of a peer to which the store has answered. A store that is lost to all names no new
-versions to anybody; that is believed if most of the fleet has lost it.
+so is that of a peer to which the store has answered. Otherwise all other hosts together know all,
+and a store that is lost to all names no new versions to anybody, which is believed if most of the
+fleet has lost it.
 """
 
 from attrs import define, field, frozen
