Log which answers were skipped and whose answer was passed on

What callers saw: successes for requests that their upstream had answered with a failure. The log couldn't tell the hypotheses of docs/incidents/2026-12-05-answered-twice.md apart: an attempt that answered left no trace of the answers that were skipped before, `attempt failed` named no status and not whether the connection was a kept one, and nothing named the signature that was passed on.

Change: each attempt has an AnswerTrace, which the exchange fills in: the attempt's number, the number of the exchange on its connection (1: a new one), the status and the shortened signature of the answer, and the statuses and ids of the answers skipped before it (all counted, four described). `attempt failed` and `request` carry it, `request` with `answered_by`; `answer to another request skipped` names the exchange. No new line; what was skipped is there only if there is any.

With it: hypothesis 1 is a `request` line with `skipped_answers` without an id, 2 a line with `exchange` above 1, nothing skipped and an `attempt failed` of the same id before it, 3 a `Superseded` attempt or an `answered_by` other than the upstream of the failure.

--- a/src/cherrylane/relay/_attempt_log.py
+++ b/src/cherrylane/relay/_attempt_log.py
@@ -11,6 +11,7 @@
 from cherrylane.relay.outcomes import Outcome
 from cherrylane.relay.request import CallerRequest
 from cherrylane.relay.selection import Overloaded, RateLimited
+from cherrylane.relay.state import AttemptRecord
 from cherrylane.routing.snapshot import Snapshot
 
 log = Logger("cherrylane.relay")
@@ -105,7 +106,7 @@
 
 
 def log_failed_attempt(
-    request: CallerRequest, upstream: str, outcome: Outcome, seconds: float, has_started: bool
+    request: CallerRequest, record: AttemptRecord, outcome: Outcome, has_started: bool
 ) -> None:
     """Log an attempt that gave no answer to pass on; ``has_started`` if a first event had come."""
     log.info(
@@ -113,11 +114,12 @@
         extra={
             "request": request.id,
             "fingerprint": request.fingerprint,
-            "upstream": upstream,
-            "outcome": type(outcome).__name__,
+            "upstream": record.upstream,
+            "outcome": record.outcome,
             "reason": getattr(outcome, "reason", ""),
             "has_started": has_started,
-            "ms": round(seconds * 1000, 1),
+            "ms": round(record.seconds * 1000, 1),
+            **record.trace.to_fields(),
         },
     )
 
--- a/src/cherrylane/relay/attempts.py
+++ b/src/cherrylane/relay/attempts.py
@@ -140,16 +140,18 @@
         self, state: RequestState, responder: Responder, race: AttemptRace, choice: Choice
     ) -> None:
         last_event = state.progress.last_id
-        log_choice(state.request, len(state.tried) + 1, last_event, choice, self.read_snapshot())
+        number = len(state.tried) + 1
+        log_choice(state.request, number, last_event, choice, self.read_snapshot())
         self.selector.record_dispatch(choice.upstream, asyncio.get_running_loop().time())
         name = choice.upstream.name
         state.tried.add(name)
         in_flight = self.load_tracker.begin(name, Load(1, choice.unread_tokens))
-        race.start(
+        attempt = race.start(
             choice,
             in_flight,
             lambda attempt: self.forwarder.forward(state, attempt, race, responder),
         )
+        attempt.trace.attempt = number
 
     async def _handle_end(
         self,
@@ -276,11 +278,10 @@
                     BrokenAttempt(state.request, upstream, attempt.started_at, answered_at)
                 )
         seconds = now - attempt.started_at
-        state.attempts.append(AttemptRecord(upstream.name, type(outcome).__name__, seconds))
+        record = AttemptRecord(upstream.name, type(outcome).__name__, seconds, attempt.trace)
+        state.attempts.append(record)
         if not isinstance(outcome, Answered | Completed):
-            log_failed_attempt(
-                state.request, upstream.name, outcome, seconds, answered_at is not None
-            )
+            log_failed_attempt(state.request, record, outcome, answered_at is not None)
 
     def _record_health(
         self, request: CallerRequest, upstream: str, outcome: Outcome, now: float
--- a/src/cherrylane/relay/exchange.py
+++ b/src/cherrylane/relay/exchange.py
@@ -16,6 +16,7 @@
     read_answered_id,
     read_signature,
 )
+from cherrylane.relay.answer_trace import AnswerTrace
 from cherrylane.relay.outcomes import Answered, Failed, NotRun, Outcome, Unknown
 from cherrylane.relay.request import CallerRequest
 from cherrylane.routing.upstreams import Upstream
@@ -48,9 +49,9 @@
     pool: ConnectionPool
 
     async def begin(
-        self, request: CallerRequest, upstream: Upstream, dispatch: Dispatch
+        self, request: CallerRequest, upstream: Upstream, dispatch: Dispatch, trace: AnswerTrace
     ) -> OpenAnswer | Outcome:
-        """Send the request and wait for the head of its answer."""
+        """Send the request and wait for the head of its answer; ``trace`` records what comes."""
         connection = self.pool.take_idle(upstream.name) if request.route.is_idempotent else None
         if connection is None:
             try:
@@ -59,7 +60,9 @@
                 return NotRun(error.problem, was_sent=False)
         try:
             connection.send(_encode_head(request, dispatch), request.body)
-            head = await _read_matching_head(connection, request.id, upstream.name)
+            trace.exchange = connection.exchanges
+            head = await _read_matching_head(connection, request.id, upstream.name, trace)
+            trace.record_answer(head.status, read_signature(head))
         except IncompleteResponseError as error:
             connection.close()
             if not error.sent:
@@ -129,7 +132,7 @@
 
 
 async def _read_matching_head(
-    connection: OutboundConnection, request_id: str, upstream: str
+    connection: OutboundConnection, request_id: str, upstream: str, trace: AnswerTrace
 ) -> ResponseHead:
     """Return the head of the answer that names this request, and skip those that do not.
 
@@ -145,6 +148,7 @@
         # The answer to this request may follow, but the connection is not reused afterwards.
         connection.is_reusable = False
         skipped += 1
+        trace.record_skipped(head.status, answered_id[:MAX_ID_CHARACTERS])
         log.info(
             "answer to another request skipped",
             extra={
@@ -152,6 +156,7 @@
                 "upstream": upstream,
                 "status": head.status,
                 "answered": answered_id[:MAX_ID_CHARACTERS],
+                "exchange": trace.exchange,
             },
         )
         await connection.read_body()
--- a/src/cherrylane/relay/forwarding.py
+++ b/src/cherrylane/relay/forwarding.py
@@ -70,7 +70,8 @@
         if state.origin is not None and not await self.is_listed_incarnation(upstream):
             reason = "the upstream has started again since it was listed, or does not report"
             return NotRun(reason, was_sent=False)
-        answer = await self.client.begin(request, upstream, _make_dispatch(state, attempt.choice))
+        dispatch = _make_dispatch(state, attempt.choice)
+        answer = await self.client.begin(request, upstream, dispatch, attempt.trace)
         if not isinstance(answer, OpenAnswer):
             return answer
         state.framing = answer.head.framing
--- a/src/cherrylane/relay/race.py
+++ b/src/cherrylane/relay/race.py
@@ -14,6 +14,7 @@
 
 from cherrylane.placement.choice import Choice
 from cherrylane.placement.loads import InFlightRequest
+from cherrylane.relay.answer_trace import AnswerTrace
 from cherrylane.relay.outcomes import Outcome, Unknown
 from cherrylane.relay.stalls import StallTimer
 
@@ -32,6 +33,7 @@
     started_at: float
     stall_timer: StallTimer
     stalls: int = 0
+    trace: AnswerTrace = field(factory=AnswerTrace)
     task: asyncio.Task[Outcome] = field(init=False)
 
     def record_progress(self, patience_s: float | None) -> None:
@@ -85,13 +87,14 @@
         choice: Choice,
         in_flight: InFlightRequest,
         run: Callable[[Attempt], Coroutine[Any, Any, Outcome]],
-    ) -> None:
-        """Start an attempt beside those in progress."""
+    ) -> Attempt:
+        """Start an attempt beside those in progress, and return it."""
         loop = asyncio.get_running_loop()
         attempt = Attempt(choice, in_flight, loop.time(), StallTimer(lambda: self._stall(attempt)))
         self.running.append(attempt)
         attempt.task = loop.create_task(run(attempt))
         attempt.task.add_done_callback(lambda _: self._end(attempt))
+        return attempt
 
     async def wait(self, deadline: float) -> Ended | Stalled | DeadlineReached:
         """Return what happens next to the attempts in progress."""
--- a/src/cherrylane/relay/service.py
+++ b/src/cherrylane/relay/service.py
@@ -152,10 +152,12 @@
 
     def _log_request(self, state: RequestState, outcome: str, status: int) -> None:
         request = state.request
+        kind_of_outcome = outcome.partition(":")[0]
+        answering = state.find_attempt(kind_of_outcome.capitalize())
         now = asyncio.get_running_loop().time()
         kind = request.route.kind.value
         # Without the reason, of which there may be any number.
-        self.telemetry.count("requests", kind=kind, outcome=outcome.partition(":")[0])
+        self.telemetry.count("requests", kind=kind, outcome=kind_of_outcome)
         self.telemetry.observe("request", now - request.received, kind=kind)
         first_at = state.progress.first_at
         if first_at is not None:
@@ -177,5 +179,7 @@
                 "ms": round((now - request.received) * 1000, 1),
                 "first_ms": round((first_at - request.received) * 1000, 1) if first_at else None,
                 "left_ms": round((request.deadline - now) * 1000),
+                "answered_by": answering.upstream if answering else "",
+                **(answering.trace.to_fields() if answering else {}),
             },
         )
--- a/src/cherrylane/relay/state.py
+++ b/src/cherrylane/relay/state.py
@@ -3,6 +3,7 @@
 from attrs import define, field
 
 from cherrylane.http.memory import BodyMemory, HeldMemory
+from cherrylane.relay.answer_trace import AnswerTrace
 from cherrylane.relay.outcomes import Broken, Failed, Outcome, Superseded, Unknown
 from cherrylane.relay.request import CallerRequest
 from cherrylane.relay.stream_origins import StreamOrigin
@@ -16,6 +17,7 @@
     upstream: str
     outcome: str
     seconds: float
+    trace: AnswerTrace = field(factory=AnswerTrace)
 
 
 @define
@@ -39,6 +41,11 @@
     # The memory that the bodies of its answers hold.
     held: HeldMemory = field(factory=lambda: BodyMemory().open())
 
+    def find_attempt(self, outcome: str) -> AttemptRecord | None:
+        """Return the last attempt that ended with this outcome, such as ``Failed``, or None."""
+        ended = (attempt for attempt in reversed(self.attempts) if attempt.outcome == outcome)
+        return next(ended, None)
+
     def record(self, outcome: Outcome) -> None:
         """Record the outcome of an attempt that was sent but did not answer the request."""
         match outcome:
