End an attempt at an answer that names no single request

What callers saw: a success for a request that its upstream had answered with a failure. The failure named no request (or several, or the request in another spelling); it was skipped as a stray one, and the late success behind it was passed on.

Cause: "names another request" and "does not say which" were one case. The first is certainly not the answer; the second may be. Its class: a guess where an answer can't be matched to its request.

Ruled out: to believe an answer without an id on a new connection again (a repeated refusal would again be read as a promise, see test_repeated_refusals), and to skip it where its status promises something only (500 and 404 are answered twice as well).

Change: a response belongs to this request, to another one, or is unclear. One that names exactly one other id is skipped as before, 32 at most. An unclear one ends the attempt as unknown, and its connection is closed, so nothing behind it is passed on and it promises nothing: a safe request or a resumable stream goes to another upstream within its budget, any other gets 502. Its Retry-After and limit are not read. Ids that differ in letter case or blanks only are unclear too.

Replaced expectation: test_a_refusal_that_names_another_request_or_none_is_skipped asked for the answer behind refusals that name none or several to be passed on. That can't hold beside the promise above: the refusal may be the upstream's answer to this very request. Its cases with another request's id stay as they are; those five others now ask for a sound answer of the other upstream ([1, 1] calls) or 502 without Retry-After ([1, 0]), with 1, 4 and 32 copies on four routes, and that nothing of what follows is passed on. That a refusal without an id promises nothing stays asked for.

Why it works: no answer is passed on any more unless it is the first on its connection, after those that certainly belong to others, and names the request and nothing else.

What it costs: a safe request in front of whose answer a stray one without an id comes runs at another upstream, and any other such request gets 502 though its answer may have followed.

--- a/src/cherrylane/platform/headers.py
+++ b/src/cherrylane/platform/headers.py
@@ -1,5 +1,6 @@
 """Headers of the platform's protocol: decoding from messages and encoding for upstreams."""
 
+from enum import Enum
 from http import HTTPStatus
 from math import ceil
 
@@ -66,6 +67,17 @@
 )
 
 
+class Addressee(Enum):
+    """To which request a response belongs, by the ids that it names.
+
+    A response that names none or several, or the id in another spelling, is ``UNCLEAR``.
+    """
+
+    THIS_REQUEST = "this_request"
+    ANOTHER_REQUEST = "another_request"
+    UNCLEAR = "unclear"
+
+
 @frozen
 class UpstreamLoad:
     """The load that an upstream reported in a response."""
@@ -92,13 +104,29 @@
     return head.find_text(REQUEST_ID.lower()).strip()
 
 
-def read_answered_id(head: ResponseHead) -> str:
-    """Return the id of the request that a response answers, empty if it names none or several.
+def read_answered_ids(head: ResponseHead) -> list[str]:
+    """Return the ids of requests that a response names; usually there is one."""
+    name = REQUEST_ID.lower()
+    return [value.decode("latin-1").strip() for key, value in head.headers if key.lower() == name]
+
 
-    Upstreams repeat the id of a request in all responses to it; only that tells to which request a
-    response belongs.
+def find_addressee(answered_ids: list[str], request_id: str) -> Addressee:
+    """Return to which request a response belongs that names ``answered_ids``.
+
+    Upstreams repeat the id of a request in all responses to it; only that identifies a response.
+
+    Example::
+
+        find_addressee(["a1"], "a1")  # Addressee.THIS_REQUEST
+        find_addressee(["b2"], "a1")  # Addressee.ANOTHER_REQUEST
+        find_addressee([], "a1")  # Addressee.UNCLEAR, as with ["A1"], ["a1", "b2"] and ["a1, b2"]
     """
-    return read_request_id(head) if head.count(REQUEST_ID.lower()) == 1 else ""
+    match answered_ids:
+        case [answered_id] if answered_id == request_id:
+            return Addressee.THIS_REQUEST
+        case [answered_id] if _is_other_id(answered_id, request_id):
+            return Addressee.ANOTHER_REQUEST
+    return Addressee.UNCLEAR
 
 
 def read_caller_timeout(head: RequestHead) -> float | None:
@@ -210,6 +238,13 @@
     return (RETRY_AFTER, f"{ceil(seconds * 100) / 100:.2f}".encode())
 
 
+def _is_other_id(answered_id: str, request_id: str) -> bool:
+    """Return whether an id is a single one that differs in more than letter case and blanks."""
+    if not answered_id or "," in answered_id:
+        return False
+    return "".join(answered_id.split()).lower() != "".join(request_id.split()).lower()
+
+
 def _read_parts(text: str) -> list[PromptPart]:
     parts: list[PromptPart] = []
     for entry in text.split(","):
--- a/src/cherrylane/relay/answer_trace.py
+++ b/src/cherrylane/relay/answer_trace.py
@@ -30,7 +30,7 @@
         """Record an answer that was read before the one to the request."""
         self.skipped += 1
         if len(self.described) < MAX_DESCRIBED:
-            self.described += (f"{status} {answered_id or 'without an id'}",)
+            self.described += (f"{status} {answered_id}",)
 
     def record_answer(self, status: int, signature: str) -> None:
         """Record the answer after which the attempt awaits no other one."""
--- a/src/cherrylane/relay/exchange.py
+++ b/src/cherrylane/relay/exchange.py
@@ -9,11 +9,13 @@
 from cherrylane.http.outbound import ConnectionPool, OutboundConnection
 from cherrylane.platform.headers import (
     MAX_ID_CHARACTERS,
+    Addressee,
     Dispatch,
     encode_dispatch,
+    find_addressee,
     is_misdirected,
     is_not_executed,
-    read_answered_id,
+    read_answered_ids,
     read_signature,
 )
 from cherrylane.relay.answer_trace import AnswerTrace
@@ -62,7 +64,6 @@
             connection.send(_encode_head(request, dispatch), request.body)
             trace.exchange = connection.exchanges
             head = await _read_matching_head(connection, request.id, upstream.name, trace)
-            trace.record_answer(head.status, read_signature(head))
         except IncompleteResponseError as error:
             connection.close()
             if not error.sent:
@@ -134,34 +135,47 @@
 async def _read_matching_head(
     connection: OutboundConnection, request_id: str, upstream: str, trace: AnswerTrace
 ) -> ResponseHead:
-    """Return the head of the answer that names this request, and skip those that do not.
+    """Return the head of the answer that names this request, and skip those that name another.
 
-    A faulty upstream may send an answer again, late, on any connection. So the place of an answer
-    says nothing: a refusal that names another request, or none, promises nothing of this one.
+    A faulty upstream may send an answer again, late, on any connection, so the place of an answer
+    says nothing. After one that names no single request, it is not known what the upstream has
+    answered, and whatever follows on the connection answers nothing: that is raised as an error.
     """
-    skipped = 0
-    while skipped <= MAX_FOREIGN_ANSWERS:
+    while trace.skipped <= MAX_FOREIGN_ANSWERS:
         head = await connection.read_head()
-        answered_id = read_answered_id(head)
-        if answered_id == request_id:
-            return head
+        answered_ids = read_answered_ids(head)
+        addressee = find_addressee(answered_ids, request_id)
+        if addressee is not Addressee.ANOTHER_REQUEST:
+            trace.record_answer(head.status, read_signature(head))
+            if addressee is Addressee.THIS_REQUEST:
+                return head
+            raise _make_unclear_error(head, answered_ids)
         # The answer to this request may follow, but the connection is not reused afterwards.
         connection.is_reusable = False
-        skipped += 1
-        trace.record_skipped(head.status, answered_id[:MAX_ID_CHARACTERS])
+        answered_id = answered_ids[0][:MAX_ID_CHARACTERS]
+        trace.record_skipped(head.status, answered_id)
         log.info(
             "answer to another request skipped",
             extra={
                 "request": request_id,
                 "upstream": upstream,
                 "status": head.status,
-                "answered": answered_id[:MAX_ID_CHARACTERS],
+                "answered": answered_id,
                 "exchange": trace.exchange,
             },
         )
         await connection.read_body()
     raise IncompleteResponseError(
-        f"{skipped} answers to other requests", remedy="use another connection", sent=True
+        f"{trace.skipped} answers to other requests", remedy="use another connection", sent=True
+    )
+
+
+def _make_unclear_error(head: ResponseHead, answered_ids: list[str]) -> IncompleteResponseError:
+    named = repr(", ".join(answered_ids)[:MAX_ID_CHARACTERS]) if answered_ids else "no request"
+    return IncompleteResponseError(
+        f"an answer with status {head.status} that names {named}",
+        remedy="use another connection",
+        sent=True,
     )
 
 
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -5,10 +5,11 @@
 report).
 """
 
+from itertools import product
 from json import dumps
 
 from testtools import TestCase
-from testtools.matchers import Contains, StartsWith
+from testtools.matchers import Contains, Not, StartsWith
 
 from cherrylane.errors import UpstreamError
 from cherrylane.gateway.calls import call as call_endpoint
@@ -34,14 +35,14 @@
 )
 # The headers by which a refusal of another request may name it, or not.
 EARLIER = "Attempt-Id: earlier\r\n"
-FOREIGN_IDS = {
-    "the earlier one": EARLIER,
+UNCLEAR_IDS = {
     "none": "",
     "an empty one": "Attempt-Id: \r\n",
     "its own after the earlier one": EARLIER + "Attempt-Id: 1\r\n",
     "its own before the earlier one": "Attempt-Id: 1\r\n" + EARLIER,
     "both in one": "Attempt-Id: 1, earlier\r\n",
 }
+FOREIGN_IDS = {"the earlier one": EARLIER} | UNCLEAR_IDS
 ROUTES = (SAFE, UNSAFE, RESUMABLE, STREAM)
 
 
@@ -64,6 +65,13 @@
     return stream(1, 3) if route in (RESUMABLE, STREAM) else succeed
 
 
+def answer_other(route: Route) -> Script:
+    async def script(call: Call) -> None:
+        call.answer(b"other")
+
+    return stream(7, 9) if route in (RESUMABLE, STREAM) else script
+
+
 class RepeatedRefusalTest(TestCase):
     def assert_answered(self, route: Route, received: bytes, message: str) -> None:
         self.assertThat(received, StartsWith(b"HTTP/1.1 200 "), message)
@@ -72,14 +80,30 @@
         else:
             self.assertThat(received, Contains(b"done"), message)
 
-    def test_a_refusal_that_names_another_request_or_none_is_skipped(self) -> None:
+    def test_a_refusal_that_names_another_request_is_skipped(self) -> None:
         for route in ROUTES:
-            for what, ids in FOREIGN_IDS.items():
-                for copies in (1, 4, MAX_FOREIGN_ANSWERS):
-                    script = repeat_refusal(ids, answer(route), copies=copies)
-                    received, calls = fetch(route, script, answer(route), method="POST")
-                    self.assert_answered(route, received, f"{what}, {copies} copies")
-                    self.assertEqual([1, 0], calls, f"{what}, {copies} copies")
+            for copies in (1, 4, MAX_FOREIGN_ANSWERS):
+                script = repeat_refusal(EARLIER, answer(route), copies=copies)
+                received, calls = fetch(route, script, answer(route), method="POST")
+                self.assert_answered(route, received, f"{copies} copies")
+                self.assertEqual([1, 0], calls, f"{copies} copies")
+
+    # Guards against the answer behind a refusal that does not say which request it answers.
+    def test_nothing_behind_a_refusal_that_names_none_or_several_is_passed_on(self) -> None:
+        for route, (what, ids), copies in product(
+            ROUTES, UNCLEAR_IDS.items(), (1, 4, MAX_FOREIGN_ANSWERS)
+        ):
+            message = f"{route.kind} {what}, {copies} copies"
+            script = repeat_refusal(ids, answer_other(route), copies=copies)
+            received, calls = fetch(route, script, answer(route), method="POST")
+            if route.is_idempotent:
+                self.assert_answered(route, received, message)
+                self.assertEqual([1, 1], calls, message)
+            else:
+                self.assertThat(received, StartsWith(b"HTTP/1.1 502 "), message)
+                self.assertThat(received, Not(Contains(b"Retry-After")), message)
+                self.assertEqual([1, 0], calls, message)
+            self.assertThat(received, Not(Contains(b"other")), message)
 
     def test_a_refusal_of_another_request_promises_nothing(self) -> None:
         for what, ids in FOREIGN_IDS.items():
