Send an id over a connection to an upstream once

What callers saw: a request that had failed was asked again with the same id, and was answered with the late success of the upstream's first run. (The protocol gives each attempt of a caller its own id, so this needs a caller that breaks it; nothing here relied on that.)

Cause: a connection to an upstream was kept after an answer and could carry the id again, and answers are told apart by id alone.

Ruled out: the attempts of one request here (each goes to another upstream, so to another connection), and to remember the ids without end.

Change: a connection knows the hashes of the ids that it has carried; the pool takes another idle one, or a new one is opened. After 128 exchanges a connection is not reused, which bounds what it remembers (13 KB) and costs one new connection for 128 requests.

Why it works: an answer that names an id can only belong to the one request with it that its connection has carried.

--- a/src/cherrylane/http/outbound.py
+++ b/src/cherrylane/http/outbound.py
@@ -28,6 +28,8 @@
 # Bytes of response that may be queued for a reader before reading from the connection pauses.
 READ_BUFFER_BYTES = 256 * 1024
 DEFAULT_LIMITS = ResponseLimits()
+# Exchanges after which a connection is not reused; bounds what it remembers of its requests.
+MAX_EXCHANGES = 128
 
 
 @frozen
@@ -59,6 +61,8 @@
         self._failure = ""
         self._paused = False
         self._awaiting_response = False
+        # Hashes of the ids of its requests, which may be long.
+        self._carried_ids: set[int] = set()
         self.exchanges = 0
         self.idle_since = 0.0
         self.keep_alive_s: float | None = None
@@ -146,9 +150,10 @@
             self._has_advanced = True
             self._queue(_END)
 
-    def send(self, data: bytes, body: bytes = b"") -> None:
+    def send(self, data: bytes, body: bytes = b"", *, request_id: str = "") -> None:
         """Send a request, and its ``body`` if that is not in ``data``.
 
+        The connection is not reused for another request with the same ``request_id``.
         Raises :class:`IncompleteResponseError` if the connection has failed.
         """
         if self._failure:
@@ -157,6 +162,8 @@
             )
         self._awaiting_response = True
         self.exchanges += 1
+        if request_id:
+            self._carried_ids.add(hash(request_id))
         # A large body is not copied to be sent with its head.
         if len(body) > SMALL_BYTES:
             self._transport.write(data)
@@ -164,6 +171,10 @@
         else:
             self._transport.write(data + body)
 
+    def has_carried(self, request_id: str) -> bool:
+        """Whether a request with this id was sent, to which late answers may come."""
+        return hash(request_id) in self._carried_ids
+
     @property
     def is_flushed(self) -> bool:
         """Whether the kernel has taken everything that was sent."""
@@ -225,6 +236,7 @@
         if (
             has_extra_data
             or self._failure
+            or self.exchanges >= MAX_EXCHANGES
             or not (head.keep_alive and self.is_reusable and self.is_flushed)
         ):
             self.close()
@@ -302,8 +314,10 @@
     """Idle connections by the name of their upstream.
 
     A connection is reused only within ``max_idle_s`` and within half of the keep-alive time that
-    the upstream announced, so that the upstream does not close it at that moment. ``get_max_idle``
-    returns how many idle connections may be kept to an upstream; without it there is no limit.
+    the upstream announced, so that the upstream does not close it at that moment. It never carries
+    two requests with one id, since a late answer to the first would be taken for that to the
+    second. ``get_max_idle`` returns how many idle connections may be kept to an upstream; without
+    it there is no limit.
     """
 
     max_idle_s: float
@@ -313,12 +327,14 @@
     opened: int = 0
     _idle: dict[str, list[OutboundConnection]] = field(factory=dict)
 
-    def take_idle(self, name: str) -> OutboundConnection | None:
-        """Return a connection that was idle only briefly, or None."""
+    def take_idle(self, name: str, request_id: str = "") -> OutboundConnection | None:
+        """Return a connection that was idle only briefly and has not carried this id, or None."""
         now = asyncio.get_running_loop().time()
         connections = self._idle.get(name, [])
-        while connections:
-            connection = connections.pop()
+        for index in reversed(range(len(connections))):
+            if connections[index].has_carried(request_id):
+                continue
+            connection = connections.pop(index)
             limit_s = min(self.max_idle_s, (connection.keep_alive_s or self.max_idle_s * 2) / 2)
             if connection.is_open and now - connection.idle_since <= limit_s:
                 return connection
--- a/src/cherrylane/relay/exchange.py
+++ b/src/cherrylane/relay/exchange.py
@@ -54,14 +54,17 @@
         self, request: CallerRequest, upstream: Upstream, dispatch: Dispatch, trace: AnswerTrace
     ) -> OpenAnswer | Outcome:
         """Send the request and wait for the head of its answer; ``trace`` records what comes."""
-        connection = self.pool.take_idle(upstream.name) if request.route.is_idempotent else None
+        connection = None
+        if request.route.is_idempotent:
+            connection = self.pool.take_idle(upstream.name, request.id)
         if connection is None:
             try:
                 connection = await self.pool.open(upstream.endpoint)
             except ConnectError as error:
                 return NotRun(error.problem, was_sent=False)
         try:
-            connection.send(_encode_head(request, dispatch), request.body)
+            head_bytes = _encode_head(request, dispatch)
+            connection.send(head_bytes, request.body, request_id=request.id)
             trace.exchange = connection.exchanges
             head = await _read_matching_head(connection, request.id, upstream.name, trace)
         except IncompleteResponseError as error:
--- a/tests/test_outbound.py
+++ b/tests/test_outbound.py
@@ -4,10 +4,16 @@
 
 from cherrylane.errors import ConnectError, IncompleteResponseError
 from cherrylane.http.messages import ResponseHead, encode_request
-from cherrylane.http.outbound import ConnectionPool, OutboundConnection, open_connection
+from cherrylane.http.outbound import (
+    MAX_EXCHANGES,
+    ConnectionPool,
+    OutboundConnection,
+    open_connection,
+)
 from cherrylane.settings.schema import Endpoint
 from tests.wire import LOOPBACK, Call, Script, ScriptedUpstream, run
 
+EMPTY_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 REQUEST = encode_request(b"GET", b"/", [(b"Host", b"h")], b"", has_body=False)
 
 
@@ -24,6 +30,14 @@
     return head, body, connection.release(head)
 
 
+async def carry(connection: OutboundConnection, request_id: str) -> bool:
+    """Carry a request; returns whether the connection can carry another one."""
+    connection.send(REQUEST, request_id=request_id)
+    head = await connection.read_head()
+    await connection.read_body()
+    return connection.release(head)
+
+
 def make_raw_script(*parts: bytes, reset: bool = False, close: bool = False) -> Script:
     async def script(call: Call) -> None:
         for part in parts:
@@ -129,6 +143,30 @@
         with ExpectedException(ConnectError):
             run(scenario())
 
+    # Guards against a late answer to a request being taken for that to another one with its id.
+    def test_a_connection_carries_an_id_once_and_others_carry_it_meanwhile(self) -> None:
+        async def scenario() -> None:
+            upstream = await ScriptedUpstream(make_raw_script(EMPTY_ANSWER)).start()
+            pool = ConnectionPool(max_idle_s=5.0, connect_timeout_s=1.0)
+            connections = [await pool.open(Endpoint(LOOPBACK, upstream.port)) for _ in range(3)]
+            for connection, request_id in zip(connections, "abb", strict=True):
+                self.assertTrue(await carry(connection, request_id))
+                pool.put("i", connection)
+            self.assertIs(connections[0], pool.take_idle("i", "b"))
+            self.assertIs(None, pool.take_idle("i", "b"))
+            self.assertIs(connections[2], pool.take_idle("i", "c"))
+            self.assertIs(connections[1], pool.take_idle("i"))
+
+        run(scenario())
+
+    # Guards against a memory of ids that grows as long as a connection is kept.
+    def test_a_connection_is_retired_after_a_number_of_exchanges(self) -> None:
+        async def scenario() -> list[bool]:
+            connection = await connect(make_raw_script(EMPTY_ANSWER))
+            return [await carry(connection, str(number)) for number in range(MAX_EXCHANGES)]
+
+        self.assertEqual([True] * (MAX_EXCHANGES - 1) + [False], run(scenario()))
+
     def test_an_idle_connection_is_reused_only_for_a_limited_time(self) -> None:
         async def scenario() -> tuple[bool, bool]:
             answer = make_raw_script(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
