Never read an answer as the rest of one that was cut off

What callers saw: on safe routes, a 200 with the id, the signature and the body of a run that its upstream had answered with 500. One run, no failed attempt, and nothing skipped.

Cause: an upstream writes the begin of another answer behind a whole one, cut in its status line or in a header's value: `HTTP/1.1 200 O`. The answer to the next request on the connection is then parsed as its rest: the status is that of the begin, the last header's value or the reason phrase swallows the true status line, and all else is the true answer's. It happens (a) if such bytes come with an answer, since a connection was given back as long as no whole head was left over; (b) if they wait in the socket's buffer of a host that stood still, or was slow, when the connection is taken for the next request (bytes that come while none is awaited close it, but only once they are read); (c) if they are under way just then. Its class: the place of bytes on a connection taken for what they belong to, as with whole answers before.

Ruled out: an answer's id as a defence (the id is the true one's), and to close a connection after each answer (most of an upstream's connections would be new).

Change: (a) a connection on which a message has begun is not given back; (b) an idle connection is taken only if nothing waits in its socket (poll); (c) a head with a status line in its reason phrase or in a value is malformed, and nothing behind it is parsed. `Via: HTTP/1.1 name` is no status line. (c) holds for the store's calls and the gateway's own ones as well, which use the same class.

Why it works: a head is passed on only if it was begun after its request was sent on a connection on which nothing was left, or shows no second status line.

--- a/src/cherrylane/http/outbound.py
+++ b/src/cherrylane/http/outbound.py
@@ -1,12 +1,15 @@
 """Client side of HTTP/1.1: connections to upstreams and to the platform.
 
 A response that arrives while none is awaited, or data past the end of one, belongs to no request;
-the connection is then closed and not reused.
+the connection is then closed and not reused. Such data may be the begin of a response that was cut
+off: the next response must not be read as its rest.
 """
 
 import asyncio
+import re
 from collections import deque
 from collections.abc import Callable
+from select import POLLIN, poll
 from socket import IPPROTO_TCP, SO_KEEPALIVE, SOL_SOCKET, TCP_KEEPCNT, TCP_KEEPIDLE, TCP_KEEPINTVL
 
 from attrs import define, field, frozen
@@ -28,6 +31,7 @@
 # Bytes of response that may be queued for a reader before reading from the connection pauses.
 READ_BUFFER_BYTES = 256 * 1024
 DEFAULT_LIMITS = ResponseLimits()
+STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}(?: |$)")
 # Exchanges after which a connection is not reused; bounds what it remembers of its requests.
 MAX_EXCHANGES = 128
 
@@ -55,7 +59,13 @@
         self._queued_bytes = 0
         self._part_queued: asyncio.Future[None] | None = None
         self._transport: asyncio.Transport
+        self._file_number = -1
         self._headers: list[Header] = []
+        self._reason_phrase = b""
+        # Whether a status line may be inside the head that is read.
+        self._may_be_merged = False
+        # Whether the begin of a response was received, but not its end.
+        self._in_message = False
         self._until_eof = False
         self._in_body = False
         self._failure = ""
@@ -72,6 +82,7 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         sock = transport.get_extra_info("socket")
+        self._file_number = sock.fileno()
         sock.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
         sock.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
         sock.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
@@ -81,12 +92,14 @@
         if not self._awaiting_response:
             self._fail("bytes that belong to no request")
             return
+        # Nearly all heads arrive in one piece, with one status line.
+        self._may_be_merged = self._in_message or data.find(b"HTTP/", 1) > 0
         try:
             self._parser.feed_data(data)
         except HttpParserUpgrade:
             self._fail("an upgrade that was not asked for")
         except HttpParserError as error:
-            self._fail(f"malformed answer: {error}")
+            self._fail(f"malformed answer: {error.__context__ or error}")
         self._check_size(len(data))
         if self._queued_bytes > READ_BUFFER_BYTES and not self._paused:
             self._paused = True
@@ -118,11 +131,19 @@
 
     def on_message_begin(self) -> None:
         self._headers = []
+        self._reason_phrase = b""
+        self._in_message = True
+
+    def on_status(self, reason_phrase: bytes) -> None:
+        self._reason_phrase += reason_phrase
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
+        if self._may_be_merged and self._has_status_line_inside():
+            # An exception ends the parsing of what follows.
+            raise ValueError("the head of an answer inside another one")
         names = {name.lower(): value for name, value in self._headers}
         status = self._parser.get_status_code()
         has_length = (
@@ -138,6 +159,10 @@
         keep_alive = self._parser.should_keep_alive() and has_length
         self._queue(ResponseHead(tuple(self._headers), status, keep_alive, has_length))
 
+    def _has_status_line_inside(self) -> bool:
+        values = (self._reason_phrase, *(value for _, value in self._headers))
+        return any(STATUS_LINE.search(value) for value in values)
+
     def on_body(self, data: bytes) -> None:
         self._queued_bytes += len(data)
         if self._meter is not None:
@@ -145,6 +170,7 @@
         self._queue(data)
 
     def on_message_complete(self) -> None:
+        self._in_message = False
         if self._in_body:
             self._in_body = False
             self._has_advanced = True
@@ -232,7 +258,7 @@
 
     def release(self, head: ResponseHead) -> bool:
         """End an exchange; returns whether the connection can be used for another one."""
-        has_extra_data = bool(self._parts)
+        has_extra_data = bool(self._parts) or self._in_message
         if (
             has_extra_data
             or self._failure
@@ -251,6 +277,16 @@
         """Whether the connection can still be written to, as far as this process knows."""
         return not self._failure and not self._transport.is_closing()
 
+    def has_unread_bytes(self) -> bool:
+        """Whether bytes, or the end of the connection, have arrived and were not read yet.
+
+        Those that come while this process stands still are only read after the next request is
+        sent, as if they answered it.
+        """
+        poller = poll()
+        poller.register(self._file_number, POLLIN)
+        return bool(poller.poll(0))
+
     def close(self) -> None:
         """Close at once; a response that is being read is abandoned."""
         self._fail("closed here")
@@ -336,7 +372,8 @@
                 continue
             connection = connections.pop(index)
             limit_s = min(self.max_idle_s, (connection.keep_alive_s or self.max_idle_s * 2) / 2)
-            if connection.is_open and now - connection.idle_since <= limit_s:
+            is_fresh = connection.is_open and now - connection.idle_since <= limit_s
+            if is_fresh and not connection.has_unread_bytes():
                 return connection
             connection.close()
         return None
--- a/tests/test_answered_twice.py
+++ b/tests/test_answered_twice.py
@@ -279,6 +279,8 @@
             call.answer(b"done" if is_warm_up else b"oops", status=200 if is_warm_up else 500)
             if is_warm_up and not with_answer:
                 call.writer.write(begin)
+            if with_answer and not is_warm_up:
+                call.answer(b"second")
 
         fixture = await RelayFixture((script,), make_configuration(SAFE)).open()
         await fixture.fetch(request_id=WARM_UP)
--- a/tests/test_outbound.py
+++ b/tests/test_outbound.py
@@ -107,6 +107,30 @@
         _, body, reusable = run(exchange(make_raw_script(answer + answer)))
         self.assertEqual((b"a", False), (body, reusable))
 
+    def test_a_connection_with_a_begin_of_a_second_response_is_not_reused(self) -> None:
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"
+        for cut in range(1, len(answer)):
+            _, body, reusable = run(exchange(make_raw_script(answer + answer[:cut])))
+            self.assertEqual((b"a", False), (body, reusable), repr(answer[:cut]))
+
+    # Guards against the status of a response that was cut off being taken for that of the next.
+    def test_a_status_line_inside_a_head_is_an_error(self) -> None:
+        answer = b"HTTP/1.0 500 X\r\nContent-Length: 0\r\n\r\n"
+        for begin in (
+            b"HTTP/1.1 200 ",
+            b"HTTP/1.1 200 O",
+            b"HTTP/1.1 200 OK\r\nA: ",
+            b"HTTP/1.1 200 OK\r\nA: b",
+        ):
+            for parts in ((begin + answer,), (begin, answer), (begin + answer[:8], answer[8:])):
+                with ExpectedException(IncompleteResponseError):
+                    run(exchange(make_raw_script(*parts)))
+
+    def test_a_header_that_names_a_protocol_is_no_error(self) -> None:
+        answer = b"HTTP/1.1 200 HTTP\r\nVia: HTTP/1.1 proxy-500\r\nContent-Length: 1\r\n\r\na"
+        head, body, _ = run(exchange(make_raw_script(answer)))
+        self.assertEqual((200, b"a"), (head.status, body))
+
     def test_extra_bytes_after_a_response_do_not_affect_it(self) -> None:
         answer = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"
         _, body, reusable = run(exchange(make_raw_script(answer + b"\x00spare")))
@@ -143,6 +167,22 @@
         with ExpectedException(ConnectError):
             run(scenario())
 
+    # Guards against bytes that came while the host stood still being read as the next answer.
+    def test_a_connection_with_unread_bytes_is_not_reused(self) -> None:
+        async def scenario(data: bytes) -> None:
+            upstream = await ScriptedUpstream(make_raw_script(EMPTY_ANSWER)).start()
+            pool = ConnectionPool(max_idle_s=5.0, connect_timeout_s=1.0)
+            connection = await pool.open(Endpoint(LOOPBACK, upstream.port))
+            await carry(connection, "a")
+            pool.put("i", connection)
+            # The loop does not run in between, so that the bytes stay in the socket's buffer.
+            upstream.calls[0].writer.write(data)
+            self.assertIs(None, pool.take_idle("i", "b"))
+            self.assertFalse(connection.is_open)
+
+        for data in (EMPTY_ANSWER, EMPTY_ANSWER[:14], b"\r", b"\x00"):
+            run(scenario(data))
+
     # Guards against a late answer to a request being taken for that to another one with its id.
     def test_a_connection_carries_an_id_once_and_others_carry_it_meanwhile(self) -> None:
         async def scenario() -> None:
