Tests of second answers beside another attempt, in resumed streams and as bodies

- A silent upstream that answers with a failure and then with a success while another one is asked as well: the other one's answer is passed on.
- A resumed stream whose next upstream answers with a failure and then with a stream: the stream goes on at a third one.
- A body behind a 204, a 304, an answer to HEAD or one that is longer than its length, also one that looks like the begin of an answer: never part of the next answer.

--- a/tests/test_answered_twice.py
+++ b/tests/test_answered_twice.py
@@ -9,14 +9,14 @@
 from itertools import product
 from typing import Any
 
-from attrs import frozen
+from attrs import evolve, frozen
 from logbook import TestHandler
 from testtools import TestCase
 from testtools.matchers import Contains, Not, StartsWith
 
 from cherrylane.errors import UpstreamError
 from cherrylane.gateway.calls import call as call_endpoint
-from cherrylane.routing.routes import Route
+from cherrylane.routing.routes import RequestKind, Route
 from cherrylane.settings.schema import Endpoint
 from tests.relay_fixture import (
     RESUMABLE,
@@ -63,7 +63,7 @@
 
     @property
     def is_stream(self) -> bool:
-        return self.route in (RESUMABLE, STREAM)
+        return self.route.kind is RequestKind.STREAM
 
     @property
     def sound_answer(self) -> Script:
@@ -233,6 +233,70 @@
             self.assert_sound(way, received, f"{status} {ids!r}")
             self.assertEqual([1, 0], calls)
 
+    # Guards against the second answer of a silent upstream while another one is asked as well.
+    def test_a_success_behind_a_failure_beside_another_attempt_is_not_passed_on(self) -> None:
+        route = evolve(SAFE, target_s=0.1)
+
+        async def scenario(ids: str) -> tuple[bytes, list[int]]:
+            is_beside, has_answered = asyncio.Event(), asyncio.Event()
+
+            async def answer_twice_when_beside(call: Call) -> None:
+                await is_beside.wait()
+                call.writer.write(encode_answer("500", ids, "oops"))
+                call.answer(b"second")
+                has_answered.set()
+
+            async def succeed_afterwards(call: Call) -> None:
+                is_beside.set()
+                await has_answered.wait()
+                call.answer(b"done")
+
+            scripts = (answer_twice_when_beside, succeed_afterwards)
+            fixture = await RelayFixture(scripts, make_configuration(route)).open()
+            return await fixture.fetch(), fixture.calls
+
+        for ids in (OWN, *UNCLEAR_IDS.values()):
+            received, calls = run(scenario(ids))
+            self.assertThat(received, Contains(b"done"), ids)
+            self.assertEqual([1, 1], calls)
+
+    # Guards against a stream that goes on with the second answer of an upstream that failed.
+    def test_a_stream_does_not_go_on_behind_an_answer_without_an_id(self) -> None:
+        route = evolve(RESUMABLE, max_attempts=3)
+
+        async def scenario(status: str, ids: str) -> tuple[bytes, list[int]]:
+            fail_and_go_on = answer_twice(
+                encode_answer(status, ids, "oops"), Way(route, is_kept=False), is_late=False
+            )
+            scripts = (stream(1, 3, cut=True), fail_and_go_on, stream(4, 6))
+            fixture = await RelayFixture(scripts, make_configuration(route)).open()
+            return await fixture.fetch(), fixture.calls
+
+        for status, ids in product(("500", REFUSAL, "200"), (OWN, *UNCLEAR_IDS.values())):
+            received, calls = run(scenario(status, ids))
+            self.assertEqual([1, 2, 3, 4, 5, 6], events(received), f"{status!r} {ids!r}")
+            self.assertEqual([1, 1, 1], calls)
+
+    # Guards against a body where none belongs being read as the begin of the next answer.
+    def test_a_body_where_none_belongs_is_no_part_of_the_next_answer(self) -> None:
+        bodies = ("oops", "HTTP/1.1 200 ", "HTTP/1.1 200 OK\r\nServer-Seal: s\r\nX: ")
+        heads = ("204 X", "304 X", "200 X\r\nContent-Length: 0", "200 X\r\nContent-Length: 2")
+
+        async def scenario(head: str, body: str, method: str) -> bytes:
+            async def script(call: Call) -> None:
+                if call.header("Attempt-Id") != WARM_UP:
+                    call.answer(b"oops", status=500)
+                    return
+                ids = f"Attempt-Id: {WARM_UP}\r\nServer-Seal: s"
+                call.writer.write(f"HTTP/1.1 {head}\r\n{ids}\r\n\r\n{body}".encode())
+
+            fixture = await RelayFixture((script,), make_configuration(SAFE)).open()
+            await fixture.fetch(method, request_id=WARM_UP)
+            return await fixture.fetch()
+
+        for case in product(heads, bodies, ("GET", "HEAD")):
+            self.assertThat(run(scenario(*case)), StartsWith(b"HTTP/1.1 500 "), repr(case))
+
     # Guards against the late second answer to the first of two requests that have the same id.
     def test_a_connection_carries_an_id_once(self) -> None:
         answered: set[Any] = set()
