--- a/tests/test_answered_twice.py
+++ b/tests/test_answered_twice.py
@@ -16,6 +16,7 @@
 
 from cherrylane.errors import UpstreamError
 from cherrylane.gateway.calls import call as call_endpoint
+from cherrylane.http.outbound import ConnectionPool, OutboundConnection
 from cherrylane.routing.routes import RequestKind, Route
 from cherrylane.settings.schema import Endpoint
 from tests.relay_fixture import (
@@ -354,6 +355,31 @@
     def test_a_begin_behind_an_answer_is_no_part_of_the_next_one(self) -> None:
         self.assert_status(b"500 ", with_answer=False)
 
+    # Guards against bytes that wait in the buffers of a host that stood still.
+    def test_a_begin_that_came_while_the_host_stood_still_is_no_part_of_an_answer(self) -> None:
+        take_idle = ConnectionPool.take_idle
+
+        async def scenario(begin: bytes) -> bytes:
+            def stand_still(pool: ConnectionPool, *arguments: str) -> OutboundConnection | None:
+                # Between two steps of the loop, so that nothing of it is read before.
+                fixture.upstreams[0].calls[0].writer.write(begin)
+                return take_idle(pool, *arguments)
+
+            async def script(call: Call) -> None:
+                is_warm_up = call.header("Attempt-Id") == WARM_UP
+                call.answer(b"done" if is_warm_up else b"oops", status=200 if is_warm_up else 500)
+
+            fixture = await RelayFixture((script,), make_configuration(SAFE)).open()
+            await fixture.fetch(request_id=WARM_UP)
+            self.patch(ConnectionPool, "take_idle", stand_still)
+            received = await fixture.fetch()
+            self.patch(ConnectionPool, "take_idle", take_idle)
+            return received
+
+        received = [run(scenario(self.BEGIN[:cut])) for cut in range(1, len(self.BEGIN) + 1)]
+        statuses = [one.split()[1] for one in received]
+        self.assertEqual([b"500"] * len(self.BEGIN), statuses)
+
     # Guards against the status of a cut answer that is taken for that of the one behind it.
     def test_a_begin_in_front_of_an_answer_is_no_part_of_it(self) -> None:
         self.assert_status(b"502 ", with_answer=True)
