--- a/src/cherrylane/http/outbound.py
+++ b/src/cherrylane/http/outbound.py
@@ -1,12 +1,15 @@
 """Client side of HTTP/1.1: connections to upstreams and to the platform.
 
 A response that arrives while none is awaited, or data past the end of one, belongs to no request;
-the connection is then closed and not reused.
+the connection is then closed and not reused. Such data may be the begin of a response that was cut
+off: the next response must not be read as its rest.
 """
 
 import asyncio
+import re
 from collections import deque
 from collections.abc import Callable
+from select import POLLIN, poll
 from socket import IPPROTO_TCP, SO_KEEPALIVE, SOL_SOCKET, TCP_KEEPCNT, TCP_KEEPIDLE, TCP_KEEPINTVL
 
 from attrs import define, field, frozen
@@ -28,6 +31,9 @@
 # Bytes of response that may be queued for a reader before reading from the connection pauses.
 READ_BUFFER_BYTES = 256 * 1024
 DEFAULT_LIMITS = ResponseLimits()
+STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}(?: |$)")
+# Exchanges after which a connection is not reused; bounds what it remembers of its requests.
+MAX_EXCHANGES = 128
 
 
 @frozen
@@ -53,12 +59,20 @@
         self._queued_bytes = 0
         self._part_queued: asyncio.Future[None] | None = None
         self._transport: asyncio.Transport
+        self._file_number = -1
         self._headers: list[Header] = []
+        self._reason_phrase = b""
+        # Whether a status line may be inside the head that is read.
+        self._may_be_merged = False
+        # Whether the begin of a response was received, but not its end.
+        self._in_message = False
         self._until_eof = False
         self._in_body = False
         self._failure = ""
         self._paused = False
         self._awaiting_response = False
+        # Hashes of the ids of its requests, which may be long.
+        self._carried_ids: set[int] = set()
         self.exchanges = 0
         self.idle_since = 0.0
         self.keep_alive_s: float | None = None
@@ -68,6 +82,7 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         sock = transport.get_extra_info("socket")
+        self._file_number = sock.fileno()
         sock.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
         sock.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
         sock.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
@@ -77,12 +92,14 @@
         if not self._awaiting_response:
             self._fail("bytes that belong to no request")
             return
+        # Nearly all heads arrive in one piece, with one status line.
+        self._may_be_merged = self._in_message or data.find(b"HTTP/", 1) > 0
         try:
             self._parser.feed_data(data)
         except HttpParserUpgrade:
             self._fail("an upgrade that was not asked for")
         except HttpParserError as error:
-            self._fail(f"malformed answer: {error}")
+            self._fail(f"malformed answer: {error.__context__ or error}")
         self._check_size(len(data))
         if self._queued_bytes > READ_BUFFER_BYTES and not self._paused:
             self._paused = True
@@ -114,11 +131,19 @@
 
     def on_message_begin(self) -> None:
         self._headers = []
+        self._reason_phrase = b""
+        self._in_message = True
+
+    def on_status(self, reason_phrase: bytes) -> None:
+        self._reason_phrase += reason_phrase
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
+        if self._may_be_merged and self._has_status_line_inside():
+            # An exception ends the parsing of what follows.
+            raise ValueError("the head of an answer inside another one")
         names = {name.lower(): value for name, value in self._headers}
         status = self._parser.get_status_code()
         has_length = (
@@ -134,6 +159,10 @@
         keep_alive = self._parser.should_keep_alive() and has_length
         self._queue(ResponseHead(tuple(self._headers), status, keep_alive, has_length))
 
+    def _has_status_line_inside(self) -> bool:
+        values = (self._reason_phrase, *(value for _, value in self._headers))
+        return any(STATUS_LINE.search(value) for value in values)
+
     def on_body(self, data: bytes) -> None:
         self._queued_bytes += len(data)
         if self._meter is not None:
@@ -141,14 +170,16 @@
         self._queue(data)
 
     def on_message_complete(self) -> None:
+        self._in_message = False
         if self._in_body:
             self._in_body = False
             self._has_advanced = True
             self._queue(_END)
 
-    def send(self, data: bytes, body: bytes = b"") -> None:
+    def send(self, data: bytes, body: bytes = b"", *, request_id: str = "") -> None:
         """Send a request, and its ``body`` if that is not in ``data``.
 
+        The connection is not reused for another request with the same ``request_id``.
         Raises :class:`IncompleteResponseError` if the connection has failed.
         """
         if self._failure:
@@ -157,6 +188,8 @@
             )
         self._awaiting_response = True
         self.exchanges += 1
+        if request_id:
+            self._carried_ids.add(hash(request_id))
         # A large body is not copied to be sent with its head.
         if len(body) > SMALL_BYTES:
             self._transport.write(data)
@@ -164,6 +197,10 @@
         else:
             self._transport.write(data + body)
 
+    def has_carried(self, request_id: str) -> bool:
+        """Whether a request with this id was sent, to which late answers may come."""
+        return hash(request_id) in self._carried_ids
+
     @property
     def is_flushed(self) -> bool:
         """Whether the kernel has taken everything that was sent."""
@@ -221,10 +258,11 @@
 
     def release(self, head: ResponseHead) -> bool:
         """End an exchange; returns whether the connection can be used for another one."""
-        has_extra_data = bool(self._parts)
+        has_extra_data = bool(self._parts) or self._in_message
         if (
             has_extra_data
             or self._failure
+            or self.exchanges >= MAX_EXCHANGES
             or not (head.keep_alive and self.is_reusable and self.is_flushed)
         ):
             self.close()
@@ -239,6 +277,16 @@
         """Whether the connection can still be written to, as far as this process knows."""
         return not self._failure and not self._transport.is_closing()
 
+    def has_unread_bytes(self) -> bool:
+        """Whether bytes, or the end of the connection, have arrived and were not read yet.
+
+        Those that come while this process stands still are only read after the next request is
+        sent, as if they answered it.
+        """
+        poller = poll()
+        poller.register(self._file_number, POLLIN)
+        return bool(poller.poll(0))
+
     def close(self) -> None:
         """Close at once; a response that is being read is abandoned."""
         self._fail("closed here")
@@ -302,8 +350,10 @@
     """Idle connections by the name of their upstream.
 
     A connection is reused only within ``max_idle_s`` and within half of the keep-alive time that
-    the upstream announced, so that the upstream does not close it at that moment. ``get_max_idle``
-    returns how many idle connections may be kept to an upstream; without it there is no limit.
+    the upstream announced, so that the upstream does not close it at that moment. It never carries
+    two requests with one id, since a late answer to the first would be taken for that to the
+    second. ``get_max_idle`` returns how many idle connections may be kept to an upstream; without
+    it there is no limit.
     """
 
     max_idle_s: float
@@ -313,14 +363,17 @@
     opened: int = 0
     _idle: dict[str, list[OutboundConnection]] = field(factory=dict)
 
-    def take_idle(self, name: str) -> OutboundConnection | None:
-        """Return a connection that was idle only briefly, or None."""
+    def take_idle(self, name: str, request_id: str = "") -> OutboundConnection | None:
+        """Return a connection that was idle only briefly and has not carried this id, or None."""
         now = asyncio.get_running_loop().time()
         connections = self._idle.get(name, [])
-        while connections:
-            connection = connections.pop()
+        for index in reversed(range(len(connections))):
+            if connections[index].has_carried(request_id):
+                continue
+            connection = connections.pop(index)
             limit_s = min(self.max_idle_s, (connection.keep_alive_s or self.max_idle_s * 2) / 2)
-            if connection.is_open and now - connection.idle_since <= limit_s:
+            is_fresh = connection.is_open and now - connection.idle_since <= limit_s
+            if is_fresh and not connection.has_unread_bytes():
                 return connection
             connection.close()
         return None
