A stream takes in only events that go on where it left off

What the next upstream wrote was passed on whatever it was: an error's text, the whole head of an answer, an event without an id, events 1 to 8 from the start, 3 to 8, or 7 and 8 only; the stream then ended as complete. It also ended as complete after an empty rest (204, a length of 0, an empty chunked body), and took in a 206.

Cause: what stands in a resumed stream was believed by the type in its head. The request says where to go on, and nothing checked that the answer does. Class: an answer taken for what was asked for, because of its place. Found by the same look: one upstream whose ids go back or repeat was passed on; an answer to a caller that takes up a stream itself may be a text or begin again; a stream whose last event has no id was resumed after an earlier one, so that events came twice; a body of announced length that ends inside an event was complete.

Ruled out: whole answers of another kind or status (500, 503, 404, text/plain) are not joined, before and after.

Change: `relay/continuity.py` checks each event against the progress of its stream, before anything of it is sent. Where a stream goes on (at another upstream, or behind the Last-Event-Id of the caller), each event must have an id, one plain number of 18 digits at most. The first offending event ends the attempt as broken; what stood before it is relayed. A run that begins again is not trimmed and joined, since nobody knows whether its later pieces belong to the same generation. A rest without events completes no stream that broke off here: whether event 3 was the last can't be known. A caller that takes the stream up itself still gets the empty rest as its answer. A stream whose last event has no id to go by isn't tried at another upstream. What a single upstream writes, without ids or with odd ones, is passed on unchanged as before. `attempt failed` says which event was refused after which one, without content.

Why it works: what the caller gets no longer depends on what an upstream says of its answer. A part is sent only after its ids have been compared with the last one that was sent, for each way in which an attempt begins: after a break, beside a silent one, for a caller that takes up.

--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -13,6 +13,7 @@
 from cherrylane.placement.choice import Candidate, Chooser
 from cherrylane.placement.loads import Load
 from cherrylane.platform.versions import StoreVersion
+from cherrylane.relay.continuity import ContinuityCheck, StreamProgress
 from cherrylane.relay.crashes import CrashGuard
 from cherrylane.relay.events import EventSplitter
 from cherrylane.relay.request import CallerRequest, Prompt, PromptPart
@@ -38,7 +39,8 @@
 SUSPECTS = 30
 PLAIN_UPSTREAMS = 4
 BODY = b"x" * 600
-EVENT = b"id: 12\ndata: " + b"x" * 65 + b"\n\n"
+EVENT = b"id: %d\ndata: " + b"x" * 65 + b"\n\n"
+EVENTS = 20_000
 
 
 def measure_gateway() -> list[Figure]:
@@ -110,9 +112,15 @@
 
 
 def _measure_event() -> Figure:
-    splitter = EventSplitter()
+    events = [EVENT % number for number in range(EVENTS)]
+
+    def relay_events() -> None:
+        splitter, check = EventSplitter(), ContinuityCheck(StreamProgress(), is_joined=False)
+        for event in events:
+            check.take(splitter.feed(event))
+
     return Figure(
-        "gateway: an event split off", time_call(lambda: splitter.feed(EVENT), 20_000), "us"
+        "gateway: an event split off and checked", time_call(relay_events, 1) / EVENTS, "us"
     )
 
 
--- a/src/cherrylane/relay/attempts.py
+++ b/src/cherrylane/relay/attempts.py
@@ -206,6 +206,7 @@
         now = asyncio.get_running_loop().time()
         return (
             route.is_idempotent
+            and state.progress.can_go_on
             and not self.selector.throughput_of(state.request.service).is_overloaded(now)
             and running < MAX_CONCURRENT
             and state.times_sent + running < route.max_attempts
@@ -234,6 +235,8 @@
         request = state.request
         if not isinstance(outcome, NotRun) and not request.route.is_idempotent:
             return False
+        if not state.progress.can_go_on:
+            return False
         if state.times_sent >= request.route.max_attempts:
             return False
         if asyncio.get_running_loop().time() >= request.deadline:
--- a/src/cherrylane/relay/events.py
+++ b/src/cherrylane/relay/events.py
@@ -1,13 +1,24 @@
-"""Incremental splitting of a stream of server-sent events.
+"""Incremental splitting of a stream of server-sent events, and reading of their ids.
 
 Events end with an empty line (HTML standard, section 9.2); lines end with LF or CRLF. Only complete
 events are relayed, so a stream that breaks off can be resumed after the last one.
 """
 
+import re
+from collections.abc import Iterator
+
 from attrs import define
 
-EVENT_ENDS = (b"\n\n", b"\n\r\n")
-ID_FIELD = b"id:"
+# Most digits of an id that is taken for a number; it fits into 64 bits.
+MAX_ID_DIGITS = 18
+EVENT_END = re.compile(rb"\n\r?\n")
+# The common form of an event: lines of fields, of which one at most has an id, a plain number.
+COMMON_EVENT = re.compile(
+    rb"(?![:\s])(?:(?!id|\r).++\n)*+"
+    rb"(?:id: ?(\d{1,%d})\r?\n(?:(?!id|\r).++\n)*+)?\r?\n" % MAX_ID_DIGITS
+)
+NUMBER = re.compile(rb"[ \t]*(\d{1,%d})[ \t]*" % MAX_ID_DIGITS)
+ID_FIELD = b"id"
 COMMENT = b":"
 # Largest event that is buffered; an upstream that sends a longer one is in trouble.
 MAX_EVENT_BYTES = 1024 * 1024
@@ -21,10 +32,8 @@
 
         splitter = EventSplitter()
         splitter.feed(b"id: 1\\ndata: a\\n\\nid: 2\\nda")  # b"id: 1\\ndata: a\\n\\n"
-        splitter.last_id  # "1"
     """
 
-    last_id: str = ""
     _buffer: bytes = b""
 
     def feed(self, data: bytes) -> bytes:
@@ -32,7 +41,6 @@
         buffered = self._buffer + data
         end = _find_last_event_end(buffered)
         complete, self._buffer = buffered[:end], buffered[end:]
-        self.last_id = _find_last_id(complete) or self.last_id
         return complete
 
     @property
@@ -52,14 +60,38 @@
         return bool(unfinished_line) or any(map(_is_field, lines))
 
 
-def has_event(data: bytes) -> bool:
-    """Return whether whole lines of a stream are more than empty lines and comments.
+def read_events(data: bytes) -> Iterator[tuple[int, bytes]]:
+    """Yield the end and the id of each complete event in ``data``; comments are no events.
+
+    Only plain numbers can be compared: an event with another id, or several, has an empty one.
 
     Example::
 
-        has_event(b": ping\\n\\n")  # False
+        list(read_events(b": ping\\n\\nid: 4\\ndata: a\\n\\n"))  # [(23, b"4")]
     """
-    return any(map(_is_field, data.split(b"\n")))
+    start = 0
+    # A carriage return alone ends a line too: there may be two events where this sees one.
+    is_plain = data.count(b"\r") == data.count(b"\r\n")
+    while start < len(data):
+        if is_plain and (common := COMMON_EVENT.match(data, start)):
+            start = common.end()
+            yield start, common[1] or b""
+            continue
+        ending = EVENT_END.search(data, start)
+        end = ending.end() if ending else len(data)
+        lines = data[start:end].replace(b"\r\n", b"\n").split(b"\n")
+        start = end
+        if any(map(_is_field, lines)):
+            yield end, _read_id(lines)
+
+
+def _read_id(lines: list[bytes]) -> bytes:
+    fields = [line.partition(b":") for line in lines]
+    ids = [value for name, _, value in fields if name == ID_FIELD]
+    number = NUMBER.fullmatch(ids[0]) if len(ids) == 1 else None
+    if number is None or any(b"\r" in line for line in lines):
+        return b""
+    return number[1]
 
 
 def _is_field(line: bytes) -> bool:
@@ -68,17 +100,7 @@
 
 def _find_last_event_end(data: bytes) -> int:
     """Return the position after the last complete event, 0 if there is none."""
-    positions = ((data.rfind(ending), len(ending)) for ending in EVENT_ENDS)
-    return max((start + length for start, length in positions if start >= 0), default=0)
-
-
-def _find_last_id(events: bytes) -> str:
-    start = events.rfind(b"\n" + ID_FIELD)
-    if start >= 0:
-        start += 1
-    elif events.startswith(ID_FIELD):
-        start = 0
-    else:
-        return ""
-    line = events[start + len(ID_FIELD) : events.find(b"\n", start)]
-    return line.strip().decode("latin-1")
+    if data.endswith(b"\n\n"):
+        return len(data)
+    short, long = data.rfind(b"\n\n"), data.rfind(b"\n\r\n")
+    return max(short + 2 if short >= 0 else 0, long + 3 if long >= 0 else 0)
--- a/src/cherrylane/relay/forwarding.py
+++ b/src/cherrylane/relay/forwarding.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 
 from attrs import define
 
@@ -19,7 +20,7 @@
 from cherrylane.relay.admission import is_stream
 from cherrylane.relay.crashes import CrashGuard
 from cherrylane.relay.exchange import ExchangeClient, OpenAnswer, is_success, may_be_events
-from cherrylane.relay.outcomes import Completed, NotRun, Outcome, Unknown
+from cherrylane.relay.outcomes import Broken, Completed, NotRun, Outcome, Unknown
 from cherrylane.relay.race import Attempt, AttemptRace
 from cherrylane.relay.request import CallerRequest
 from cherrylane.relay.selection import UpstreamSelector
@@ -75,6 +76,10 @@
             return answer
         state.framing = answer.head.framing
         self._record_upstream_state(upstream, answer.head)
+        if responder.started and _is_other_success(request, answer.head):
+            # It belongs to no stream, and it may have no end.
+            answer.connection.close()
+            return Broken(f"no stream to resume: status {answer.head.status}")
         if not _has_events(request, answer.head):
             return await self.client.finish(request, upstream, answer, state.held)
         self._record_cached(request, upstream.name)
@@ -158,6 +163,11 @@
     )
 
 
+def _is_other_success(request: CallerRequest, head: ResponseHead) -> bool:
+    """Return whether an answer is a success, but not the rest of a stream."""
+    return is_success(head) and not (head.status == HTTPStatus.OK and _has_events(request, head))
+
+
 def _make_dispatch(state: RequestState, choice: Choice) -> Dispatch:
     request = state.request
     source = choice.cache_source
--- a/src/cherrylane/relay/service.py
+++ b/src/cherrylane/relay/service.py
@@ -13,6 +13,7 @@
 from cherrylane.platform.headers import REQUEST_ID, encode_retry_after, read_request_id
 from cherrylane.relay.admission import Admission
 from cherrylane.relay.attempts import AttemptRunner
+from cherrylane.relay.continuity import StreamProgress
 from cherrylane.relay.outcomes import (
     Answered,
     Broken,
@@ -24,7 +25,6 @@
 )
 from cherrylane.relay.request import CallerRequest
 from cherrylane.relay.state import RequestState
-from cherrylane.relay.streams import StreamProgress
 from cherrylane.routing.snapshot import Snapshot
 from cherrylane.telemetry.counters import Telemetry
 
--- a/src/cherrylane/relay/state.py
+++ b/src/cherrylane/relay/state.py
@@ -3,10 +3,10 @@
 from attrs import define, field
 
 from cherrylane.http.memory import BodyMemory, HeldMemory
+from cherrylane.relay.continuity import StreamProgress
 from cherrylane.relay.outcomes import Broken, Failed, Outcome, Superseded, Unknown
 from cherrylane.relay.request import CallerRequest
 from cherrylane.relay.stream_origins import StreamOrigin
-from cherrylane.relay.streams import StreamProgress
 
 
 @define
--- a/src/cherrylane/relay/streams.py
+++ b/src/cherrylane/relay/streams.py
@@ -8,7 +8,8 @@
 from cherrylane.errors import IncompleteResponseError
 from cherrylane.http.messages import ResponseHead
 from cherrylane.http.responder import Responder
-from cherrylane.relay.events import MAX_EVENT_BYTES, EventSplitter, has_event
+from cherrylane.relay.continuity import ContinuityCheck, StreamProgress
+from cherrylane.relay.events import MAX_EVENT_BYTES, EventSplitter
 from cherrylane.relay.exchange import OpenAnswer
 from cherrylane.relay.outcomes import Broken, Completed, Outcome
 from cherrylane.relay.request import CallerRequest
@@ -21,14 +22,6 @@
 UNDER_WAY_S = 0.25
 
 
-@define
-class StreamProgress:
-    """The progress of a stream over all the upstreams that it was relayed from."""
-
-    last_id: str = ""
-    first_at: float | None = None
-
-
 @define
 class StreamRelay:
     """Relays one answer of a caller's stream; a broken one is resumed after its last whole event.
@@ -50,52 +43,78 @@
     _is_under_way: bool = False
 
     async def relay(self, answer: OpenAnswer) -> Outcome:
-        """Relay events until the answer ends."""
-        splitter = EventSplitter(last_id=self.progress.last_id)
-        connection = answer.connection
-        is_resumed = self.responder.started
-        comments = b""
+        """Relay events until the answer ends, or until one does not belong to the stream."""
         try:
-            while (part := await connection.read_part()) is not None:
-                events = splitter.feed(part)
-                if splitter.is_oversized or len(comments) > MAX_EVENT_BYTES:
-                    connection.close()
-                    return Broken(f"more than {MAX_EVENT_BYTES} bytes without a whole event")
-                if not has_event(events):
-                    # Comments keep a connection alive; they are no progress, and no begin.
-                    comments += events
-                    if self._started_at is not None and comments:
-                        await self._forward(answer.head, comments)
-                        comments = b""
-                    continue
-                self.claim()
-                # A caller that reads slowly is no silence of the upstream.
-                self.record_progress(None)
-                self.progress.last_id = splitter.last_id
-                await self._forward(answer.head, comments + events)
-                comments = b""
-                self._record_event()
-            # A body of the announced length is whole, whatever it contains; it may still not be the
-            # rest of a stream.
-            if splitter.is_inside_event and (is_resumed or answer.head.framing != "length"):
-                connection.close()
-                return Broken(_describe_unfinished_event(answer.head, splitter))
-            # A caller that resumes may have every event; one whose stream broke off here may not.
-            may_be_empty = answer.head.has_length or (self.progress.last_id and not is_resumed)
-            if self._started_at is None and not may_be_empty:
-                connection.close()
-                return Broken("the connection was closed before the first event")
-            self.claim()
-            if comments + splitter.remainder:
-                await self._forward(answer.head, comments + splitter.remainder)
+            problem = await self._relay_parts(answer)
         except IncompleteResponseError as error:
-            connection.close()
-            return Broken(error.problem)
+            problem = error.problem
+        if problem:
+            answer.connection.close()
+            return Broken(problem)
         if not self.responder.started:
             self.responder.start(answer.head.status, answer.head.end_to_end(), b"")
         self.responder.finish()
         return Completed()
 
+    async def _relay_parts(self, answer: OpenAnswer) -> str:
+        """Relay events; returns why the answer does not end the stream, empty if it does."""
+        splitter = EventSplitter()
+        is_joined = self.responder.started
+        check = ContinuityCheck(self.progress, is_joined=is_joined)
+        comments = b""
+        while (part := await answer.connection.read_part()) is not None:
+            sound = check.take(splitter.feed(part))
+            if sound.has_event:
+                await self._relay_events(answer.head, comments + sound.data)
+                comments = b""
+            elif self._started_at is None:
+                # Comments keep a connection alive; they are no progress, and no begin.
+                comments += sound.data
+            elif sound.data:
+                await self._forward(answer.head, sound.data)
+            if sound.offence:
+                return sound.offence
+            if splitter.is_oversized or len(comments) > MAX_EVENT_BYTES:
+                return f"more than {MAX_EVENT_BYTES} bytes without a whole event"
+        problem = self._find_problem_at_end(answer.head, splitter, is_joined=is_joined)
+        if problem:
+            return problem
+        self.claim()
+        if comments + splitter.remainder:
+            await self._forward(answer.head, comments + splitter.remainder)
+        return ""
+
+    async def _relay_events(self, head: ResponseHead, data: bytes) -> None:
+        self.claim()
+        # A caller that reads slowly is no silence of the upstream.
+        self.record_progress(None)
+        await self._forward(head, data)
+        self._record_event()
+
+    def _find_problem_at_end(
+        self, head: ResponseHead, splitter: EventSplitter, *, is_joined: bool
+    ) -> str:
+        """Return why an answer that has ended does not end its stream, empty if it does."""
+        last_id = self.progress.last_id
+        has_begun = self._started_at is not None
+        # A body of the announced length is whole, whatever it contains; it may still not be the
+        # rest of a stream.
+        is_whole = head.framing == "length" and not has_begun and not last_id
+        if splitter.is_inside_event and not is_whole:
+            return (
+                f"the answer (framing: {head.framing}) ended inside an event, "
+                f"{len(splitter.remainder)} bytes after event {last_id or 'none'}"
+            )
+        if has_begun:
+            return ""
+        # A caller that takes up a stream may have every event, and judges an empty rest itself. Of
+        # one that broke off here, nobody knows which event was the last.
+        if is_joined:
+            return f"no event after event {last_id}"
+        if head.has_length or last_id:
+            return ""
+        return "the connection was closed before the first event"
+
     async def _forward(self, head: ResponseHead, data: bytes) -> None:
         if not self.responder.started:
             self.progress.first_at = asyncio.get_running_loop().time()
@@ -114,10 +133,3 @@
         event_gap_s = self.request.route.target_event_gap_s
         if event_gap_s is not None:
             self.record_progress(max(MIN_PATIENCE_S, event_gap_s * EVENT_GAPS_TOLERATED))
-
-
-def _describe_unfinished_event(head: ResponseHead, splitter: EventSplitter) -> str:
-    return (
-        f"the answer (framing: {head.framing}) ended inside an event, "
-        f"{len(splitter.remainder)} bytes after event {splitter.last_id or 'none'}"
-    )
