The thread daemon breaks off a stream whose ids go back

What callers saw: an engine wrote events 1 and 2, then 2 again, or 1 and 2 again, and its final event; the daemon passed the pieces on twice, and the stream ended whole (ORDER). The daemon neither resumes nor joins streams: each has one engine and one connection (read), so only the order within one answer matters here.

Ruled out by existing tests: an error's text behind an event that broke off (the rest is not sent), and a stream that broke off and ends without an error event.

Change: the same check reads the events; at an id that doesn't rise the stream ends with `stream_cut`, which says after which event, and the grant is released as failed. Events without ids are passed on as before.

Why it works: nothing is sent before its id has been compared.

--- a/src/cherrylane/delivery/relay.py
+++ b/src/cherrylane/delivery/relay.py
@@ -13,8 +13,9 @@
 from cherrylane.delivery.exchange import DetachedBody
 from cherrylane.delivery.responses import render_error_event
 from cherrylane.delivery.streams import Stream, StreamLoop, StreamTask, WakeReason
-from cherrylane.errors import Execution, Refusal
+from cherrylane.errors import Execution, IncompleteResponseError, Refusal
 from cherrylane.http.messages import LAST_CHUNK, encode_chunk
+from cherrylane.relay.continuity import ContinuityCheck, SoundEvents, StreamProgress
 from cherrylane.relay.events import MAX_EVENT_BYTES, EventSplitter
 from cherrylane.telemetry.metrics import Metrics
 
@@ -98,6 +99,9 @@
     decoder: _BodyDecoder
     chunked: bool
     splitter: EventSplitter = field(factory=EventSplitter)
+    check: ContinuityCheck = field(
+        factory=lambda: ContinuityCheck(StreamProgress(), is_joined=False)
+    )
     tail: bytes = b""
     unsent: bytes = b""
     chunks_read: int = 0
@@ -119,6 +123,8 @@
             self._finish()
             if self.unsent:
                 yield from self._wait_for_caller()
+        except IncompleteResponseError as error:
+            self._end_early(error.problem)
         except OSError as error:
             self._end_early(f"the connection failed ({type(error).__name__})")
         finally:
@@ -157,20 +163,24 @@
         self._forward(data)
 
     def _forward(self, data: bytes) -> None:
-        self._send(self._decode(data))
+        events = self._decode(data)
+        self._send(events.data)
+        if events.offence:
+            raise IncompleteResponseError(events.offence, remedy="check the engine", sent=True)
         if self.decoder.broken:
             raise ConnectionResetError("the engine sent invalid HTTP framing")
         if self.splitter.is_oversized:
             raise ConnectionResetError(f"an event of more than {MAX_EVENT_BYTES} bytes")
 
-    def _decode(self, data: bytes) -> bytes:
-        """Return the events that are now complete."""
-        events = self.splitter.feed(self.decoder.decode(data))
+    def _decode(self, data: bytes) -> SoundEvents:
+        """Return the events that are now complete, as far as their ids increase."""
+        sound = self.check.take(self.splitter.feed(self.decoder.decode(data)))
+        events = sound.data
         if events:
             self.stream.record_progress()
             self.tail = events if len(events) >= TAIL_BYTES else (self.tail + events)[-TAIL_BYTES:]
             self._record_timing()
-        return events
+        return sound
 
     def _record_timing(self) -> None:
         self.chunks_read += 1
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -139,6 +139,23 @@
             received = self.read_all(self.begin(send(response)))
             self.assert_cut(received, after=EVENT)
 
+    # Guards against pieces that an engine writes twice (ORDER).
+    def test_a_stream_whose_ids_go_back_ends_with_an_error_event(self) -> None:
+        numbered = b"id: 1\n" + EVENT + b"id: 2\n" + EVENT
+        for repeated in (b"id: 2\n" + EVENT, numbered, b"id: 0\n" + EVENT):
+            for response in (
+                HEAD + b"\r\n" + numbered + repeated + FINAL_EVENTS,
+                CHUNKED + make_chunk(numbered + repeated + FINAL_EVENTS) + LAST_CHUNK,
+                CHUNKED + make_chunk(numbered) + make_chunk(repeated + FINAL_EVENTS) + LAST_CHUNK,
+            ):
+                received = self.read_all(self.begin(send(response)))
+                self.assert_cut(received, after=numbered)
+
+    def test_numbered_events_before_others_are_relayed_unchanged(self) -> None:
+        body = b"id: 1\n" + EVENT + b"id: 7\n" + EVENT + EVENT + b"id: x\n" + EVENT + FINAL_EVENTS
+        response = CHUNKED + make_chunk(body) + LAST_CHUNK
+        self.assertEqual(body, self.read_all(self.begin(send(response))))
+
     # Guards against text that mentions the final event making a cut stream look whole (like inc1).
     def test_text_that_mentions_the_final_event_does_not_end_the_stream(self) -> None:
         mention = b'data: {"text": "ends with data: [DONE]"}\n\n'
