Send the requests of test_odd_entries to both hosts side by side

Seen: test_a_fleet_goes_on_beside_odd_entries reached the tests' bound of 20 s once, in a full run at load 11 to 16 on 8 cores. Traced: of 16.4 s (one run at load 11, before), 12.4 s are its 80 requests, sent one after the other to one host and then to the other; every third is a stream of the soak's upstreams that takes half a second.

Change: the hosts get theirs at the same time.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -46,7 +46,7 @@
 from cherrylane.settings.gateway import HostIdentity
 from cherrylane.settings.schema import PlatformSettings
 from soak.callers import Callers, RequestKind
-from soak.fleet import SERVICES, SoakFleet
+from soak.fleet import SERVICES, SoakFleet, SoakHost
 from soak.upstreams import SoakUpstream
 from tests.odd_entries import ODD_ENTRIES, ODD_NAMES, SOUND
 from tests.test_out_of_step import wait_until_serving
@@ -302,8 +302,11 @@
                 await callers.send_once(host, RequestKind.SAFE)
 
     async def serve(self, fleet: SoakFleet, callers: Callers, count: int) -> None:
-        for host in fleet.hosts:
-            for number in range(count):
-                kind = list(RequestKind)[number % 3]
-                exchange = await callers.send_once(host, kind)
-                self.assertEqual(200, exchange.response.status)
+        """Send requests to all hosts side by side, one after the other to each."""
+        await asyncio.gather(*(self.serve_from(host, callers, count) for host in fleet.hosts))
+
+    async def serve_from(self, host: SoakHost, callers: Callers, count: int) -> None:
+        for number in range(count):
+            kind = list(RequestKind)[number % 3]
+            exchange = await callers.send_once(host, kind)
+            self.assertEqual(200, exchange.response.status)
