Don't run a chunked request that breaks off within a chunk's size

What callers saw: on the thread daemon, a caller that broke off in the middle of a chunked body had its request run with a shorter body.

Cause: cheroot reads the line with a chunk's size up to its end or the end of the connection, and reads it as Python reads numbers; so the `0` of `05` is the last chunk, and `-5` is one as well. Ruled out: bodies with a length, heads, and the gateway's reader (none of their cuts is run). Trailers were taken for the begin of the next request.

Change: the reader that bounds these lines refuses a size that has no line end or is no number of HTTP, and reads the lines behind the last chunk, within a limit, up to the empty one.

Why it works: a body is complete only with the line that ends it, so no prefix of a message is one. Conclusion: fixed for each byte of both framings, on new and kept connections.

--- a/src/cherrylane/http/server.py
+++ b/src/cherrylane/http/server.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from json import dumps
 from math import ceil
+from re import compile as compile_pattern
 from socket import socket
 from threading import Thread
 from typing import Any
@@ -27,6 +28,9 @@
 # Longest line, such as the size of a chunk, and the most that one read of a body returns.
 MAX_LINE_BYTES = 64 * 1024
 MAX_READ_BYTES = 64 * 1024 * 1024
+CRLF = b"\r\n"
+# The line before a chunk: its size, and extensions that are ignored (RFC 9112, section 7.1).
+CHUNK_SIZE = compile_pattern(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?\r\n")
 CONNECTION_KEY = "cherrylane.connection"
 CLOSE_KEY = "cherrylane.close"
 STATUS_TEXTS = {
@@ -88,21 +92,46 @@
         self.conn.wfile.write(head.encode("latin-1") + body)
 
 
-class _BoundedReader:
-    """Reads from a caller's connection, with limits where cheroot has none.
+class _CheckedReader:
+    """Reads from a caller's connection, with limits and checks where cheroot has none.
 
-    These are lines with the size of a chunk, and chunks.
+    These are lines with the size of a chunk, chunks, and the lines behind the last chunk. cheroot
+    takes the end of the connection for the end of such a line, so that a size that is cut after
+    its first digit, a zero, would end the body.
     """
 
     def __init__(self, reader: Any) -> None:
         self._reader = reader
 
     def readline(self, size: int = -1) -> bytes:
-        """Read a line; raises ``ValueError`` if it is too long."""
-        limit = size if 0 <= size <= MAX_LINE_BYTES else MAX_LINE_BYTES + 1
-        line: bytes = self._reader.readline(limit)
+        """Read a line of a head in parts of ``size`` bytes, or, without it, the size of a chunk.
+
+        Raises ``ValueError`` for a size that is too long, malformed or cut short.
+        """
+        if size >= 0:
+            return bytes(self._reader.readline(min(size, MAX_LINE_BYTES)))
+        line = self._read_whole_line()
+        match = CHUNK_SIZE.fullmatch(line)
+        if match is None:
+            raise ValueError("malformed size of a chunk")
+        if int(match.group(1), 16) == 0:
+            self._skip_trailers()
+        return line
+
+    def _skip_trailers(self) -> None:
+        """Read up to the empty line behind the last chunk, without which no body is complete."""
+        left = MAX_LINE_BYTES
+        while (line := self._read_whole_line()) != CRLF:
+            left -= len(line)
+            if left < 0:
+                raise ValueError(f"trailers of more than {MAX_LINE_BYTES} bytes")
+
+    def _read_whole_line(self) -> bytes:
+        line: bytes = self._reader.readline(MAX_LINE_BYTES + 1)
         if len(line) > MAX_LINE_BYTES:
             raise ValueError(f"line of more than {MAX_LINE_BYTES} bytes")
+        if not line.endswith(CRLF):
+            raise ValueError("line without its end")
         return line
 
     def read(self, size: int = -1) -> bytes:
@@ -118,7 +147,7 @@
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
         super().__init__(*arguments, **options)
-        self.rfile = _BoundedReader(self.rfile)
+        self.rfile = _CheckedReader(self.rfile)
 
 
 class _ConnectionGateway(Gateway_10):
--- /dev/null
+++ b/tests/test_cut_heads.py
@@ -0,0 +1,97 @@
+"""Messages that break off within their head or body, at each byte, on every reader of HTTP."""
+
+from collections.abc import Iterable, Iterator
+from socket import SHUT_WR, create_connection
+
+from testtools import TestCase
+
+from cherrylane.delivery.responses import make_json_response, make_refusal_response
+from cherrylane.http.requests import read_request
+from cherrylane.http.server import Environ, HttpServer, StartResponse, write_response
+from cherrylane.settings.schema import Endpoint
+from tests.wire import LOOPBACK
+
+WAIT_S = 10.0
+MAX_BODY_BYTES = 1000
+BODY = b"abcdefghijkl"
+
+REQUEST_LINES = b"POST /a HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: 7\r\n"
+FIRST_REQUEST = b"POST /a HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: 6\r\n"
+FIRST_REQUEST += b"Content-Length: 1\r\n\r\nz"
+# The chunk sizes begin with a zero, which alone would be the size of the last chunk.
+REQUEST_BODIES = (
+    b"Content-Length: 12\r\n\r\n" + BODY,
+    b"Transfer-Encoding: chunked\r\n\r\n05\r\nabcde\r\n007;x=y\r\nfghijkl\r\n0\r\n\r\n",
+)
+
+
+def list_cuts(message: bytes) -> Iterator[bytes]:
+    """Return the message without its end, for each number of bytes that may be there."""
+    return (message[:length] for length in range(1, len(message)))
+
+
+class CallersOfThreadDaemonTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.bodies: list[bytes] = []
+        self.server = HttpServer(
+            Endpoint(LOOPBACK, 0),
+            self.record,
+            threads=4,
+            idle_timeout_s=WAIT_S,
+            max_header_bytes=4096,
+            name="callers",
+        )
+        self.server.start()
+        self.addCleanup(self.server.stop)
+
+    def record(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        request = read_request(environ, MAX_BODY_BYTES)
+        if request.is_err():
+            return write_response(make_refusal_response(request.unwrap_err()), start_response)
+        self.bodies.append(request.unwrap().body)
+        return write_response(make_json_response({}), start_response)
+
+    def send(self, data: bytes) -> bytes:
+        """Send ``data`` and the end of the connection, and return what is answered."""
+        self.bodies.clear()
+        received = b""
+        with create_connection((LOOPBACK, self.server.port), WAIT_S) as connection:
+            connection.sendall(data)
+            connection.shutdown(SHUT_WR)
+            while part := connection.recv(65536):
+                received += part
+        return received
+
+    # Guards against a request being run with half a body, its caller having broken off.
+    def test_a_request_that_breaks_off_is_not_run(self) -> None:
+        for body in REQUEST_BODIES:
+            self.send(REQUEST_LINES + body)
+            self.assertEqual([BODY], self.bodies)
+            for cut in list_cuts(REQUEST_LINES + body):
+                self.send(cut)
+                self.assertEqual([], self.bodies, str(cut))
+
+    # The same behind a whole request on a kept connection.
+    def test_a_request_that_breaks_off_behind_another_is_not_run(self) -> None:
+        for body in REQUEST_BODIES:
+            self.send(FIRST_REQUEST + REQUEST_LINES + body)
+            self.assertEqual([b"z", BODY], self.bodies)
+            for cut in list_cuts(REQUEST_LINES + body):
+                self.send(FIRST_REQUEST + cut)
+                self.assertEqual([b"z"], self.bodies, str(cut))
+
+    # Guards against a size that Python reads as a number and HTTP doesn't.
+    def test_a_malformed_size_of_a_chunk_is_refused(self) -> None:
+        start = REQUEST_LINES + b"Transfer-Encoding: chunked\r\n\r\n"
+        for size in (b"-5", b"+3", b"0x3", b"0_3", b" 3", b"", b"3\n", b"f" * 17):
+            answer = self.send(start + size + b"\r\nabc\r\n0\r\n\r\n")
+            self.assertEqual([], self.bodies, str(size))
+            self.assertIn(b"incomplete_body", answer, str(size))
+
+    def test_trailers_are_no_request(self) -> None:
+        start = REQUEST_LINES + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n"
+        self.send(start + b"X: y\r\n\r\n" + FIRST_REQUEST)
+        self.assertEqual([b"abc", b"z"], self.bodies)
+        self.send(start + b"X: y\r\n" * MAX_BODY_BYTES * 20 + b"\r\n")
+        self.assertEqual([], self.bodies)
