Read on behind every interim answer, not only behind a 100

What callers saw: an upstream of the thread daemon that sends a 102 or 103 before its answer (or a 101) had that passed on as the answer: no body, `Content-Length: 0`, and no final answer after it. A caller that skips interim answers then takes the next answer on its connection for this one (MIXED); a success was lost, and so was a failure that followed.

Cause: http.client reads on behind status 100 only. The class: the first head taken for the answer. Ruled out: a 100, and the gateway's reader, which reads on behind all of them and fails on an upgrade. Change: all interim answers are read over, within the time limit of a head; an upgrade is no answer.

Why it works: only a final status can end the wait. Conclusion: fixed for all statuses below 200.

--- a/src/cherrylane/delivery/exchange.py
+++ b/src/cherrylane/delivery/exchange.py
@@ -2,7 +2,8 @@
 
 from collections import Counter
 from collections.abc import Iterator, Mapping
-from http.client import HTTPException, IncompleteRead
+from http import HTTPStatus
+from http.client import HTTPException, IncompleteRead, parse_headers
 from http.client import HTTPResponse as ClientResponse
 from json import loads
 from select import POLLIN, POLLRDHUP, poll
@@ -44,8 +45,8 @@
     body: bytes
 
 
-class _CompleteLineReader:
-    """Reads a response; its end within a line is an error, not the end of its head.
+class _HeadReader:
+    """Reads heads of responses, and keeps their lines; an end within a line is an error.
 
     ``http.client`` takes the end of the connection for the empty line that ends the headers, so
     that a head that breaks off would look like a complete response without a body.
@@ -53,12 +54,14 @@
 
     def __init__(self, reader: Any) -> None:
         self._reader = reader
+        self.lines: list[bytes] = []
 
     def readline(self, size: int = -1) -> bytes:
         """Read a line; raises ``IncompleteRead`` if it is not complete."""
         line: bytes = self._reader.readline(size)
         if not line.endswith(b"\n") and len(line) != size:
             raise IncompleteRead(line)
+        self.lines.append(line)
         return line
 
     def __getattr__(self, name: str) -> Any:
@@ -68,7 +71,17 @@
 class _CheckedResponse(ClientResponse):
     def __init__(self, *arguments: Any, **options: Any) -> None:
         super().__init__(*arguments, **options)
-        self.fp: Any = _CompleteLineReader(self.fp)
+        self.fp: Any = _HeadReader(self.fp)
+
+    def _read_status(self) -> tuple[str, int, str]:
+        """Return the final status; ``http.client`` skips only interim responses with status 100."""
+        while True:
+            version, status, reason = super()._read_status()  # type: ignore[misc]
+            if status == HTTPStatus.SWITCHING_PROTOCOLS:
+                raise HTTPException("an upgrade that was not asked for")
+            if status == HTTPStatus.CONTINUE or status >= HTTPStatus.OK:
+                return version, status, reason
+            parse_headers(self.fp)
 
 
 class _UpstreamConnection(HTTPConnection):
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -9,6 +9,7 @@
 from cherrylane.http.requests import read_request
 from cherrylane.http.server import Environ, HttpServer, StartResponse, write_response
 from cherrylane.settings.schema import Endpoint
+from tests.daemon_fixture import Answer, DaemonTest
 from tests.wire import LOOPBACK
 
 WAIT_S = 10.0
@@ -24,6 +25,9 @@
     b"Transfer-Encoding: chunked\r\n\r\n05\r\nabcde\r\n007;x=y\r\nfghijkl\r\n0\r\n\r\n",
 )
 
+OK = b"HTTP/1.1 200 OK\r\n"
+WHOLE_ANSWER = OK + b"Content-Length: 2\r\n\r\nab"
+
 
 def list_cuts(message: bytes) -> Iterator[bytes]:
     """Return the message without its end, for each number of bytes that may be there."""
@@ -95,3 +99,28 @@
         self.assertEqual([b"abc", b"z"], self.bodies)
         self.send(start + b"X: y\r\n" * MAX_BODY_BYTES * 20 + b"\r\n")
         self.assertEqual([], self.bodies)
+
+
+def read_status(answer: bytes) -> int:
+    """Return the status of an answer, 0 if there is none."""
+    return int(answer.split()[1]) if answer else 0
+
+
+class UpstreamsOfThreadDaemonTest(DaemonTest):
+    # Guards against a 103, for one, being taken for the answer, and the next one for another's.
+    def test_the_answer_behind_interim_ones_is_passed_on(self) -> None:
+        for status in (100, 102, 103, 199):
+            interim = b"HTTP/1.1 %d Interim\r\nLink: a\r\n\r\n" % status
+            for method in ("GET", "POST"):
+                self.answer = Answer(interim + interim + WHOLE_ANSWER)
+                answer = self.fetch(method)
+                self.assertEqual((200, b"ab"), (read_status(answer), answer[-2:]), str(status))
+                self.answer = Answer(interim + b"HTTP/1.1 500 No\r\n\r\n" + WHOLE_ANSWER)
+                self.assertEqual(500, read_status(self.fetch(method)))
+                for cut in list_cuts(interim):
+                    self.answer = Answer(cut)
+                    self.assertEqual(502, read_status(self.fetch(method)), str(cut))
+
+    def test_an_upgrade_that_was_not_asked_for_is_no_answer(self) -> None:
+        self.answer = Answer(b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n" + WHOLE_ANSWER)
+        self.assertEqual(502, read_status(self.fetch()))
