Close a stream's connection at its end, not when a thread is next used

What callers saw: a stream's body reached an HTTP/1.0 caller of the thread daemon whole, and then nothing: the connection stayed open, so that the caller waited for the end of a body that ends with it (10 s in the test, until its own time-out); the same with `Connection: close`, and with a stream that was cut, whose end is all that tells.

Cause: the stream's sender closes a duplicate of the socket. The server's own descriptor lives on in the thread that served the request until that thread gets another one. Ruled out: the relay (its task has ended), reference cycles (a collection changes nothing), the upstream's framing. Change: the server closes its descriptor when it has handed the connection over.

Before -> after, tests.test_cut_heads: one new test, TimeoutError -> passes; test_relay and test_http pass (24 in all).

--- a/src/cherrylane/http/server.py
+++ b/src/cherrylane/http/server.py
@@ -149,6 +149,16 @@
         super().__init__(*arguments, **options)
         self.rfile = _CheckedReader(self.rfile)
 
+    def close(self) -> None:
+        """Close this server's descriptor, also of a connection that was handed over.
+
+        The thread that served it would hold it open until its next request, so that the end of a
+        body that ends with its connection would not reach the caller.
+        """
+        super().close()
+        if self.linger:
+            self.socket.close()
+
 
 class _ConnectionGateway(Gateway_10):
     """Gives the application the caller's socket, so that it can detect a disconnect."""
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -10,6 +10,7 @@
 from cherrylane.http.server import Environ, HttpServer, StartResponse, write_response
 from cherrylane.settings.schema import Endpoint
 from tests.daemon_fixture import Answer, DaemonTest
+from tests.test_relay import LAST_CHUNK, make_chunk
 from tests.wire import LOOPBACK
 
 WAIT_S = 10.0
@@ -27,6 +28,9 @@
 
 OK = b"HTTP/1.1 200 OK\r\n"
 WHOLE_ANSWER = OK + b"Content-Length: 2\r\n\r\nab"
+EVENTS = b'data: {"n": 1}\n\ndata: [DONE]\n\n'
+EVENTS_HEAD = OK + b"Content-Type: text/event-stream\r\n"
+WHOLE_STREAM = EVENTS_HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + make_chunk(EVENTS) + LAST_CHUNK
 
 
 def list_cuts(message: bytes) -> Iterator[bytes]:
@@ -124,3 +128,12 @@
     def test_an_upgrade_that_was_not_asked_for_is_no_answer(self) -> None:
         self.answer = Answer(b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n" + WHOLE_ANSWER)
         self.assertEqual(502, read_status(self.fetch()))
+
+    # Guards against a caller that waits for the end of a stream for as long as a thread is idle.
+    def test_the_connection_of_a_stream_is_closed_at_its_end(self) -> None:
+        self.answer = Answer(WHOLE_STREAM)
+        for protocol, body in (("1.0", EVENTS), ("1.1", make_chunk(EVENTS) + LAST_CHUNK)):
+            received = self.fetch_stream(protocol=protocol)
+            self.assertEqual(body, received.partition(b"\r\n\r\n")[2])
+        self.answer = Answer(EVENTS_HEAD + b"Content-Length: 90\r\n\r\n" + EVENTS)
+        self.assertIn(b"stream_cut", self.fetch_stream(protocol="1.0"))
