Join nothing to a stream that follows its end

What callers saw: an upstream of the thread daemon that answers a stream twice on its connection, the second copy in the same bytes, had the second stream joined to the first one (MIXED, ORDER): events twice, and the whole passed for complete, since its last event is the final one.

Cause: the parser reads on behind the end of a body and reports the next one's bytes, which the decoder collected. The class: bytes behind an answer taken for its own. Ruled out: bodies that are not streamed (read only to their end), and the gateway's reader (a second head is a part of its own, and an error).

Change: what follows the end of the body is ignored, malformed or not.

--- a/src/cherrylane/delivery/relay.py
+++ b/src/cherrylane/delivery/relay.py
@@ -6,7 +6,7 @@
 from time import perf_counter
 
 from attrs import define, field
-from httptools import HttpParserError, HttpResponseParser
+from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 from logbook import Logger
 
 from cherrylane.delivery.attempts import GrantedExchange
@@ -27,7 +27,10 @@
 
 
 class _BodyDecoder:
-    """Removes the HTTP framing of a body; ``httptools`` calls the ``on_`` methods."""
+    """Removes the HTTP framing of a body; ``httptools`` calls the ``on_`` methods.
+
+    What follows the end of the body, such as a second response, is no part of it.
+    """
 
     def __init__(self, body: DetachedBody) -> None:
         self.complete = False
@@ -39,7 +42,8 @@
 
     def on_body(self, data: bytes) -> None:
         """Collect a part of the body."""
-        self._parts.append(data)
+        if not self.complete:
+            self._parts.append(data)
 
     def on_message_complete(self) -> None:
         """Record that the body is complete."""
@@ -49,8 +53,8 @@
         """Return the body bytes in ``data``, up to the point where its framing is invalid."""
         try:
             self._parser.feed_data(data)
-        except HttpParserError:
-            self.broken = True
+        except (HttpParserError, HttpParserUpgrade):
+            self.broken = not self.complete
         if len(self._parts) == 1:
             return self._parts.pop()
         body = b"".join(self._parts)
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -31,6 +31,8 @@
 EVENTS = b'data: {"n": 1}\n\ndata: [DONE]\n\n'
 EVENTS_HEAD = OK + b"Content-Type: text/event-stream\r\n"
 WHOLE_STREAM = EVENTS_HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + make_chunk(EVENTS) + LAST_CHUNK
+LENGTH = b"Content-Length: 12\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
 
 
 def list_cuts(message: bytes) -> Iterator[bytes]:
@@ -129,6 +131,13 @@
         self.answer = Answer(b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n" + WHOLE_ANSWER)
         self.assertEqual(502, read_status(self.fetch()))
 
+    # Guards against the rest of a second answer being joined to the stream of the first one.
+    def test_nothing_behind_the_end_of_a_stream_belongs_to_it(self) -> None:
+        for second in (WHOLE_STREAM, b"HTTP/1.1 500 No\r\n" + LENGTH + b"\r\n" + BODY, b"oops\r\n"):
+            self.answer = Answer(WHOLE_STREAM + second)
+            received = self.fetch_stream(protocol="1.0")
+            self.assertEqual(EVENTS, received.partition(b"\r\n\r\n")[2], str(second))
+
     # Guards against a caller that waits for the end of a stream for as long as a thread is idle.
     def test_the_connection_of_a_stream_is_closed_at_its_end(self) -> None:
         self.answer = Answer(WHOLE_STREAM)
