Read all bodies from upstreams by the parser that reads streams

What callers saw: a chunked body of an upstream of the thread daemon whose framing was garbled was passed on as whole: a size written as Python writes numbers (`0xc`, `+c`, `0_c`), and a chunk that doesn't end where its size says, of which two bytes were dropped unseen and the rest read on from there. A 200 with a length for the caller, and not what the upstream sent.

Cause: http.client reads sizes by int() and throws two bytes away behind each chunk. The class: two parsers with different ideas of one message (the gateway's and that of streams refuse all of these). Ruled out: bodies cut short (each cut was an error before), lengths.

Change: bodies that are no streams are decoded by the decoder of streams, now in delivery/bodies.py; framing in excess of the data is bounded, as at the gateway. Errors say why, not only their type. A finished exchange closes its socket itself.

--- a/src/cherrylane/delivery/exchange.py
+++ b/src/cherrylane/delivery/exchange.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from collections.abc import Iterator, Mapping
 from http import HTTPStatus
-from http.client import HTTPException, IncompleteRead, parse_headers
+from http.client import HTTPException, parse_headers
 from http.client import HTTPResponse as ClientResponse
 from json import loads
 from select import POLLIN, POLLRDHUP, poll
@@ -17,6 +17,7 @@
 from urllib3.exceptions import HTTPError
 from urllib3.response import HTTPResponse
 
+from cherrylane.delivery.bodies import BodyDecoder, DetachedBody
 from cherrylane.delivery.responses import JSON_TYPE
 from cherrylane.errors import (
     DECODING_ERRORS,
@@ -24,13 +25,17 @@
     TruncatedResponseError,
     UpstreamError,
 )
+from cherrylane.fields import show
 from cherrylane.http.deadlines import DEADLINES
+from cherrylane.http.framing import FramingMeter
 from cherrylane.membership.runners import Runner
 from cherrylane.settings.schema import UpstreamSettings
 
 MILLISECONDS_PER_SECOND = 1000
 READ_BYTES = 64 * 1024
 CLOSE_DELIMITED = "Connection: close"
+# Bytes of chunk sizes, extensions and trailers that are tolerated in a body in any case.
+MAX_FRAMING_BYTES = 64 * 1024
 MAX_FULL_BODY_BYTES = 64 * 1024 * 1024
 HTTP_FAILURES = (HTTPError, HTTPException, OSError)
 
@@ -57,10 +62,10 @@
         self.lines: list[bytes] = []
 
     def readline(self, size: int = -1) -> bytes:
-        """Read a line; raises ``IncompleteRead`` if it is not complete."""
+        """Read a line; raises ``HTTPException`` if it is not complete."""
         line: bytes = self._reader.readline(size)
         if not line.endswith(b"\n") and len(line) != size:
-            raise IncompleteRead(line)
+            raise HTTPException("the connection was closed within a head")
         self.lines.append(line)
         return line
 
@@ -152,7 +157,7 @@
         except HTTP_FAILURES as error:
             raise UpstreamError(
                 f"cannot connect to upstream {runner.name} at {runner.endpoint} "
-                f"({type(error).__name__})",
+                f"({_describe(error)})",
                 remedy="try another upstream",
                 sent=False,
             ) from error
@@ -171,7 +176,7 @@
             )
         except HTTP_FAILURES as error:
             raise UpstreamError(
-                f"sending the request to upstream {runner.name} failed ({type(error).__name__})",
+                f"sending the request to upstream {runner.name} failed ({_describe(error)})",
                 remedy="try another upstream if the request may run twice",
                 sent=True,
             ) from error
@@ -212,27 +217,12 @@
                 return connection.getresponse()
         except HTTP_FAILURES as error:
             raise UpstreamError(
-                f"upstream {runner.name} sent no valid response ({type(error).__name__})",
+                f"upstream {runner.name} sent no valid response ({_describe(error)})",
                 remedy="try another upstream if the request may run twice",
                 sent=True,
             ) from error
 
 
-@frozen
-class DetachedBody:
-    """The unread rest of a response body, with its socket.
-
-    ``head`` is a response head with the upstream's framing header, to set up a parser for the
-    body. ``leftover`` are bytes of the body that were read from the socket already. A body without
-    ``Content-Length`` or chunked framing is ``close_delimited``: it ends when the connection does.
-    """
-
-    connection: socket
-    head: bytes
-    leftover: bytes
-    close_delimited: bool = False
-
-
 class Exchange:
     """A started response; read its body with :meth:`chunks` or :meth:`read_full_body`."""
 
@@ -261,18 +251,34 @@
 
         Raises :class:`TruncatedResponseError` if it ends early.
         """
-        expected = self._response.length_remaining
-        received = 0
+        meter = FramingMeter(MAX_FRAMING_BYTES)
         try:
-            while chunk := self._response.read1(READ_BYTES):
-                received += len(chunk)
+            for chunk in self._decode_body(meter):
+                meter.data += len(chunk)
                 yield chunk
         except HTTP_FAILURES as error:
-            raise self._make_truncated_error(received, type(error).__name__) from error
-        if expected is not None and received != expected:
-            raise self._make_truncated_error(received, f"expected {expected} bytes")
+            raise self._make_truncated_error(meter.data, _describe(error)) from error
         self.close()
 
+    def _decode_body(self, meter: FramingMeter) -> Iterator[bytes]:
+        # urllib3 gives 0 for what has no body, such as the response to HEAD.
+        if self._response.length_remaining == 0:
+            return
+        body = self._describe_body(self._raw_socket)
+        decoder = BodyDecoder(body)
+        data = body.leftover or self._raw_socket.recv(READ_BYTES)
+        while data:
+            meter.received += len(data)
+            if chunk := decoder.decode(data):
+                yield chunk
+            if decoder.complete:
+                return
+            if decoder.broken or meter.is_excessive:
+                raise HTTPException("invalid HTTP framing")
+            data = self._raw_socket.recv(READ_BYTES)
+        if not decoder.close_delimited:
+            raise HTTPException("the connection was closed")
+
     def read_full_body(self) -> bytes:
         """Return the whole body.
 
@@ -319,7 +325,10 @@
         """
         # Otherwise peek() would wait for the first byte of the body.
         self._raw_socket.setblocking(False)
-        detached = self._raw_socket.dup()
+        return self._describe_body(self._raw_socket.dup())
+
+    def _describe_body(self, connection: socket) -> DetachedBody:
+        """Return the rest of the body, to be read from ``connection``."""
         # urllib3 has no public access to the bytes that its buffered reader has read ahead.
         leftover: bytes = self._response._fp.fp.peek()  # type: ignore[union-attr]
         length = self.headers.get("Content-Length")
@@ -330,12 +339,13 @@
         else:
             framing = CLOSE_DELIMITED
         head = f"HTTP/1.1 200 OK\r\n{framing}\r\n\r\n".encode()
-        return DetachedBody(detached, head, leftover, close_delimited=framing == CLOSE_DELIMITED)
+        return DetachedBody(connection, head, leftover, close_delimited=framing == CLOSE_DELIMITED)
 
     def close(self) -> None:
         """Discard the rest of the response; the upstream cancels when it sees the close."""
         connection, self._connection = self._connection, None
         if connection is not None:
+            self._response.close()
             self._client.close(self.runner, connection)
 
     def _make_truncated_error(self, received: int, reason: str) -> TruncatedResponseError:
@@ -346,6 +356,10 @@
         )
 
 
+def _describe(error: Exception) -> str:
+    return f"{type(error).__name__}: {show(str(error))}"
+
+
 def _is_json(body: bytes) -> bool:
     try:
         loads(body)
--- a/src/cherrylane/delivery/relay.py
+++ b/src/cherrylane/delivery/relay.py
@@ -6,11 +6,10 @@
 from time import perf_counter
 
 from attrs import define, field
-from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 from logbook import Logger
 
 from cherrylane.delivery.attempts import GrantedExchange
-from cherrylane.delivery.exchange import DetachedBody
+from cherrylane.delivery.bodies import BodyDecoder
 from cherrylane.delivery.responses import render_error_event
 from cherrylane.delivery.streams import Stream, StreamLoop, StreamTask, WakeReason
 from cherrylane.errors import Execution, Refusal
@@ -26,42 +25,6 @@
 log = Logger("cherrylane.delivery")
 
 
-class _BodyDecoder:
-    """Removes the HTTP framing of a body; ``httptools`` calls the ``on_`` methods.
-
-    What follows the end of the body, such as a second response, is no part of it.
-    """
-
-    def __init__(self, body: DetachedBody) -> None:
-        self.complete = False
-        self.broken = False
-        self.close_delimited = body.close_delimited
-        self._parts: list[bytes] = []
-        self._parser = HttpResponseParser(self)
-        self._parser.feed_data(body.head)
-
-    def on_body(self, data: bytes) -> None:
-        """Collect a part of the body."""
-        if not self.complete:
-            self._parts.append(data)
-
-    def on_message_complete(self) -> None:
-        """Record that the body is complete."""
-        self.complete = True
-
-    def decode(self, data: bytes) -> bytes:
-        """Return the body bytes in ``data``, up to the point where its framing is invalid."""
-        try:
-            self._parser.feed_data(data)
-        except (HttpParserError, HttpParserUpgrade):
-            self.broken = not self.complete
-        if len(self._parts) == 1:
-            return self._parts.pop()
-        body = b"".join(self._parts)
-        self._parts.clear()
-        return body
-
-
 @define
 class StreamRelay:
     """Relays one event stream, and releases its grant however the stream ends.
@@ -84,7 +47,7 @@
         body = self.granted.exchange.detach()
         caller.setblocking(False)
         stream = Stream(body.connection, caller, self.silence_timeout_s)
-        active = _ActiveRelay(self, stream, _BodyDecoder(body), chunked)
+        active = _ActiveRelay(self, stream, BodyDecoder(body), chunked)
         stream.task = active.relay(body.leftover)
         self.loop.add(stream)
 
@@ -99,7 +62,7 @@
 
     owner: StreamRelay
     stream: Stream
-    decoder: _BodyDecoder
+    decoder: BodyDecoder
     chunked: bool
     splitter: EventSplitter = field(factory=EventSplitter)
     tail: bytes = b""
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -131,6 +131,22 @@
         self.answer = Answer(b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n" + WHOLE_ANSWER)
         self.assertEqual(502, read_status(self.fetch()))
 
+    # Guards against sizes that Python reads as numbers, and chunks whose ends nobody looks at.
+    def test_garbled_chunks_are_no_whole_body(self) -> None:
+        for body in (
+            b"0xc\r\n" + BODY + b"\r\n",
+            b"+c\r\n" + BODY + b"\r\n",
+            b"0_c\r\n" + BODY + b"\r\n",
+            b"-1\r\n",
+            b"\r\n",
+            b"1\r\n" + BODY[:10] + b"\r\n" + make_chunk(BODY),
+            b"c\r\n" + BODY + b"XX",
+            b"c\n" + BODY + b"\n",
+        ):
+            self.answer = Answer(OK + CHUNKED + b"\r\n" + body + LAST_CHUNK)
+            for method in ("GET", "POST"):
+                self.assertEqual(502, read_status(self.fetch(method)), f"{method} {body!r}")
+
     # Guards against the rest of a second answer being joined to the stream of the first one.
     def test_nothing_behind_the_end_of_a_stream_belongs_to_it(self) -> None:
         for second in (WHOLE_STREAM, b"HTTP/1.1 500 No\r\n" + LENGTH + b"\r\n" + BODY, b"oops\r\n"):
