Refuse answers whose head frames a body ambiguously

What callers saw: of 28 heads of an upstream of the thread daemon with a garbled or cut line (`Transfer-Enco`, `Transfer-Encoding: chunke`, `Content-Length: 1x`, a line without a colon before the length, two lengths, folded or bare-CR lines, bare line feeds, odd status lines), 22 were passed on as an answer (44 of 56 requests, GET and POST), most with a 200, a new length, and a short body or one with its chunk sizes inside; 24 of 28 streams began.

Cause: http.client leaves out the header lines that it cannot read and those that follow them, and takes an unknown coding or length for a body that ends with its connection. The class: a damaged head taken for another, valid one. Ruled out: heads that merely break off (all refused before and after), a body ended by its connection under a sound head (legal, and accepted as before; JSON has to be whole).

Change: the head is also read by the strict parser that the gateway uses, and a transfer coding other than a single "chunked" is refused, by the check that requests have. What a request's caller is told: 502, its outcome unknown.

Why it works: what one of the parsers finds ambiguous is no answer. Conclusion: fixed for the thread daemon.

--- a/src/cherrylane/delivery/bodies.py
+++ b/src/cherrylane/delivery/bodies.py
@@ -1,10 +1,13 @@
-"""Framing of bodies of responses from upstreams."""
+"""Framing of responses from upstreams: which heads are accepted, and where a body ends."""
 
 from socket import socket
 
 from attrs import frozen
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
+from cherrylane.http.framing import find_coding_problem
+from cherrylane.http.messages import Header, ResponseHead
+
 
 @frozen
 class DetachedBody:
@@ -55,3 +58,30 @@
         body = b"".join(self._parts)
         self._parts.clear()
         return body
+
+
+class _HeadCheck:
+    """Collects the headers of the last head that is parsed."""
+
+    def __init__(self) -> None:
+        self.headers: list[Header] = []
+
+    def on_message_begin(self) -> None:
+        self.headers = []
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers.append((name, value))
+
+
+def find_head_problem(data: bytes) -> str:
+    """Return why a response must not be read on behind its head, or an empty string.
+
+    ``data`` is the whole head, with the interim ones before it. ``http.client`` leaves out headers
+    that it cannot read, so that those which are left may frame another body.
+    """
+    check = _HeadCheck()
+    try:
+        HttpResponseParser(check).feed_data(data)
+    except HttpParserError as error:
+        return str(error)
+    return find_coding_problem(ResponseHead(tuple(check.headers)))
--- a/src/cherrylane/delivery/exchange.py
+++ b/src/cherrylane/delivery/exchange.py
@@ -17,7 +17,7 @@
 from urllib3.exceptions import HTTPError
 from urllib3.response import HTTPResponse
 
-from cherrylane.delivery.bodies import BodyDecoder, DetachedBody
+from cherrylane.delivery.bodies import BodyDecoder, DetachedBody, find_head_problem
 from cherrylane.delivery.responses import JSON_TYPE
 from cherrylane.errors import (
     DECODING_ERRORS,
@@ -78,6 +78,13 @@
         super().__init__(*arguments, **options)
         self.fp: Any = _HeadReader(self.fp)
 
+    def begin(self) -> None:
+        """Read the head; raises ``HTTPException`` if it is malformed or ambiguous."""
+        super().begin()
+        problem = find_head_problem(b"".join(self.fp.lines))
+        if problem:
+            raise HTTPException(problem)
+
     def _read_status(self) -> tuple[str, int, str]:
         """Return the final status; ``http.client`` skips only interim responses with status 100."""
         while True:
--- a/src/cherrylane/http/framing.py
+++ b/src/cherrylane/http/framing.py
@@ -4,7 +4,7 @@
 
 from attrs import define, frozen
 
-from cherrylane.http.messages import RequestHead
+from cherrylane.http.messages import Head, RequestHead
 
 # Bytes of framing tolerated for each byte of data; a chunk of one byte takes five.
 FRAMING_PER_DATA_BYTE = 8
@@ -54,10 +54,12 @@
 
     The parser rejects most malformed heads itself; these checks cover those that it accepts.
     """
-    coding = head.find_text(b"transfer-encoding").strip().lower()
-    if head.count(b"transfer-encoding") > 1 or coding not in ("", "chunked"):
-        return "unsupported Transfer-Encoding: only a single 'chunked' is accepted"
-    if coding and (head.find(b"content-length") is not None or head.http_1_0):
+    problem = find_coding_problem(head)
+    if problem:
+        return problem
+    if head.find(b"transfer-encoding") is not None and (
+        head.find(b"content-length") is not None or head.http_1_0
+    ):
         return "Transfer-Encoding together with Content-Length or in HTTP/1.0"
     if head.count(b"content-length") > 1:
         return "more than one Content-Length header"
@@ -70,6 +72,17 @@
     return ""
 
 
+def find_coding_problem(head: Head) -> str:
+    """Return why the end of a body cannot be told by its transfer codings, or an empty string.
+
+    A body with other codings than "chunked" would be taken to end when its connection does.
+    """
+    count = head.count(b"transfer-encoding")
+    if count > 1 or (count and head.find_text(b"transfer-encoding").strip().lower() != "chunked"):
+        return "unsupported Transfer-Encoding: only a single 'chunked' is accepted"
+    return ""
+
+
 def measure_head(head: RequestHead) -> int:
     """Return the size of a request head in bytes, approximately as it was sent."""
     return len(head.target) + sum(len(name) + len(value) + 4 for name, value in head.headers)
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -33,6 +33,38 @@
 WHOLE_STREAM = EVENTS_HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + make_chunk(EVENTS) + LAST_CHUNK
 LENGTH = b"Content-Length: 12\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
+# Heads that were garbled: without the lines that cannot be read, each would frame another body.
+GARBLED_FRAMING = (
+    b"Transfer-Encoding: chunke\r\n",
+    b"Transfer-Encoding: gzip, chunked\r\n",
+    b"Transfer-Encoding: chunked, gzip\r\n",
+    b"Transfer-Encoding:\r\n",
+    b"Transfer-Enco\r\n",
+    b"Transfer-Encoding : chunked\r\n",
+    CHUNKED + CHUNKED,
+    CHUNKED + LENGTH,
+    b"Content-Leng\r\n",
+    b"X-Garbled\r\n" + LENGTH,
+    b"Content-TyHTTP/1.1 200 OK\r\n" + LENGTH,
+    b" " + LENGTH,
+    b"Content-Length : 12\r\n",
+    b"Content-Length: 12;\r\n",
+    b"Content-Length: 1x\r\n",
+    b"Content-Length: 1\r\n 2\r\n",
+    b"Content-Length: +12\r\n",
+    b"Content-Length: 1_2\r\n",
+    b"Content-Length: -1\r\n",
+    b"Content-Length:\r\n",
+    b"Content-Length: 2\r\n" + LENGTH,
+    b"X: a\r" + LENGTH,
+)
+GARBLED_STATUS = (
+    b"HTTP/1.1 20",
+    b"HTTP/1.1 2000 OK",
+    b"HTTP/1.1 +200 OK",
+    b"HTTP/1. 200 OK",
+    b"TTP",
+)
 
 
 def list_cuts(message: bytes) -> Iterator[bytes]:
@@ -131,6 +163,32 @@
         self.answer = Answer(b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n" + WHOLE_ANSWER)
         self.assertEqual(502, read_status(self.fetch()))
 
+    # Guards against a head without its garbled lines, which frames another body as whole.
+    def test_a_garbled_head_is_no_answer(self) -> None:
+        heads = [OK + framing for framing in GARBLED_FRAMING]
+        heads += [status + b"\r\n" + LENGTH for status in GARBLED_STATUS]
+        heads.append(OK.replace(b"\r", b"") + LENGTH)
+        for head in heads:
+            for method in ("GET", "HEAD", "POST"):
+                self.answer = Answer(head + b"\r\n" + BODY)
+                self.assertEqual(502, read_status(self.fetch(method)), f"{method} {head!r}")
+            self.answer = Answer(head + b"Content-Type: text/event-stream\r\n\r\n" + EVENTS)
+            self.assertEqual(502, read_status(self.fetch_stream()), str(head))
+
+    def test_sound_heads_of_all_kinds_are_answers(self) -> None:
+        for head, body in (
+            (OK + LENGTH, BODY),
+            (OK.replace(b"OK", b"") + LENGTH, BODY),
+            (OK + b"content-length:12 \r\nX:\r\n", BODY),
+            (OK + b"Transfer-Encoding: Chunked\r\n", make_chunk(BODY) + LAST_CHUNK),
+            (OK + b"Connection: Upgrade, close\r\nUpgrade: h2c\r\n" + LENGTH, BODY),
+            (OK.replace(b"1.1", b"1.0"), BODY),
+            (OK, BODY),
+        ):
+            self.answer = Answer(head + b"\r\n" + body)
+            self.assertEqual((200, BODY), (read_status(self.fetch()), self.fetch()[-12:]))
+            self.assertEqual(200, read_status(self.fetch("HEAD")))
+
     # Guards against sizes that Python reads as numbers, and chunks whose ends nobody looks at.
     def test_garbled_chunks_are_no_whole_body(self) -> None:
         for body in (
