Refuse answers with a transfer coding that nobody has asked for

Cause: any other coding than "chunked" is taken for a body that ends with its connection (as HTTP has it for codings that were asked for; a host asks for none). The class: a damaged head taken for another, valid one. Ruled out: all other garbled heads (the parser refuses them).

Change: the check that requests and, on the thread daemon, answers have applies to all answers of upstreams, peers and the platform. The parser stops there, so that a second head in the same bytes is not taken for the answer. Conclusion: fixed. outbound.py is touched in on_headers_complete only.

--- a/src/cherrylane/http/outbound.py
+++ b/src/cherrylane/http/outbound.py
@@ -14,7 +14,7 @@
 
 from cherrylane.errors import ConnectError, IncompleteResponseError
 from cherrylane.fields import read_digits
-from cherrylane.http.framing import FramingMeter
+from cherrylane.http.framing import FramingMeter, find_coding_problem
 from cherrylane.http.limits import ResponseLimits
 from cherrylane.http.memory import SMALL_BYTES, HeldMemory
 from cherrylane.http.messages import BODILESS_STATUSES, Header, ResponseHead
@@ -130,9 +130,14 @@
         if status < 200:
             # An interim response; it counts as part of the head that follows.
             return
-        self._in_body = self._has_advanced = True
         keep_alive = self._parser.should_keep_alive() and has_length
-        self._queue(ResponseHead(tuple(self._headers), status, keep_alive, has_length))
+        head = ResponseHead(tuple(self._headers), status, keep_alive, has_length)
+        if problem := find_coding_problem(head):
+            self._fail(f"malformed answer: {problem}")
+            # Ends the parsing; a further head in the same bytes is no answer to take instead.
+            raise HttpParserError(problem)
+        self._in_body = self._has_advanced = True
+        self._queue(head)
 
     def on_body(self, data: bytes) -> None:
         self._queued_bytes += len(data)
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -10,8 +10,9 @@
 from cherrylane.http.server import Environ, HttpServer, StartResponse, write_response
 from cherrylane.settings.schema import Endpoint
 from tests.daemon_fixture import Answer, DaemonTest
+from tests.relay_fixture import RESUMABLE, SAFE, STREAM, UNSAFE, fetch
 from tests.test_relay import LAST_CHUNK, make_chunk
-from tests.wire import LOOPBACK
+from tests.wire import LOOPBACK, Call, Script
 
 WAIT_S = 10.0
 MAX_BODY_BYTES = 1000
@@ -220,3 +221,32 @@
             self.assertEqual(body, received.partition(b"\r\n\r\n")[2])
         self.answer = Answer(EVENTS_HEAD + b"Content-Length: 90\r\n\r\n" + EVENTS)
         self.assertIn(b"stream_cut", self.fetch_stream(protocol="1.0"))
+
+
+SEALED = OK + b"Attempt-Id: 1\r\nServer-Seal: s\r\n"
+ROUTES = (SAFE, UNSAFE, STREAM, RESUMABLE)
+
+
+def send_bytes(data: bytes, *, resets: bool = False) -> Script:
+    """Return a script that sends ``data``, after which the connection is closed or reset."""
+
+    async def script(call: Call) -> None:
+        call.writer.write(data)
+        await call.writer.drain()
+        if resets:
+            call.reset()
+        else:
+            call.writer.close()
+
+    return script
+
+
+class UpstreamsOfGatewayTest(TestCase):
+    # Guards against chunk sizes in a body, and a cut one passed on as whole.
+    def test_a_garbled_head_is_no_answer(self) -> None:
+        second = SEALED + b"Content-Length: 2\r\n\r\nab"
+        for route in ROUTES:
+            for framing in GARBLED_FRAMING:
+                whole = SEALED + framing + b"\r\n" + make_chunk(BODY) + LAST_CHUNK + second
+                answer, _ = fetch(route, send_bytes(whole))
+                self.assertEqual(502, read_status(answer), f"{route.kind} {framing!r}")
