Give a body that is streamed to one caller only

What callers saw: a repeat that waited for the first request with its idempotency key on the thread daemon, whose response has more than 8 MiB, got the very body that the first caller was being sent: each was given some parts of it and none was whole (MIXED), under the same length.

Cause: the response that is passed to waiting repeats may be a generator. Ruled out: responses held as bytes, and repeats that come later (409: the response isn't kept). Change: repeats that wait get the same 409 with an unknown outcome as later ones.

--- a/src/cherrylane/idempotency/responses.py
+++ b/src/cherrylane/idempotency/responses.py
@@ -20,13 +20,16 @@
 
 @frozen
 class ClaimedRequest:
-    """A claimed request that this host runs or has run, and the future of its response."""
+    """A claimed request that this host runs or has run, and the future of its response.
+
+    The future's result is None if the response cannot be sent to a second caller.
+    """
 
     digest: str
-    response: "Future[FirstResponse]" = field(factory=Future)
+    response: "Future[FirstResponse | None]" = field(factory=Future)
 
     def wait(self, wait_s: float) -> FirstResponse | None:
-        """Return the first response, or None if it is not there within ``wait_s`` seconds."""
+        """Return the first response, or None if there is none to be had in ``wait_s`` seconds."""
         try:
             return self.response.result(timeout=wait_s)
         except FutureTimeoutError:
@@ -54,14 +57,19 @@
     def finish(self, claim: Claim, response: FirstResponse, *, keep: bool) -> None:
         """Pass ``response`` to the waiting repeats, and keep it if ``keep`` is set and it is small.
 
-        Otherwise the request is removed from the cache.
+        Otherwise the request is removed from the cache. A body that is still being received can be
+        sent only once, so the repeats get none of it.
         """
         with self._lock:
             request = self._requests.get(claim.key)
             if request is not None and not (keep and _is_cacheable(response)):
                 del self._requests[claim.key]
         if request is not None:
-            request.response.set_result(response)
+            request.response.set_result(response if _is_shareable(response) else None)
+
+
+def _is_shareable(response: FirstResponse) -> bool:
+    return response.is_err() or isinstance(response.unwrap().body, bytes)
 
 
 def _is_cacheable(response: FirstResponse) -> bool:
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -4,7 +4,7 @@
 from result import Err, Ok
 from testtools import TestCase
 
-from cherrylane.delivery.responses import CallerResponse
+from cherrylane.delivery.responses import CallerResponse, StreamingBody
 from cherrylane.errors import Execution, Refusal
 from cherrylane.idempotency.claims import Claim, ClaimOutcome, ClaimRequest
 from cherrylane.idempotency.guard import REPLAYED_HEADER, IdempotencyGuard
@@ -74,6 +74,26 @@
             self.assertEqual(repeat.result(TIMEOUT_S).unwrap().body, b"filed")
         self.assertEqual(1, self.runs)
 
+    # Guards against two callers that each get a part of one large response.
+    def test_a_waiting_repeat_gets_nothing_of_a_body_that_is_streamed(self) -> None:
+        started, proceed = Event(), Event()
+
+        def send_large() -> FirstResponse:
+            started.set()
+            proceed.wait(TIMEOUT_S)
+            return Ok(CallerResponse(200, {}, StreamingBody(iter([b"a", b"b"]), lambda: None)))
+
+        with ThreadPoolExecutor(2) as pool:
+            first = pool.submit(self.guard.run, self.claim("a"), send_large, site="s")
+            self.assertTrue(started.wait(TIMEOUT_S))
+            repeat = pool.submit(self.guard.run, self.claim("b"), self.send, site="s")
+            proceed.set()
+            body = first.result(TIMEOUT_S).unwrap().body
+            refusal = repeat.result(TIMEOUT_S).unwrap_err()
+        self.assertIsInstance(body, StreamingBody)
+        self.assertEqual(("already_sent", 0), (refusal.code, self.runs))
+        self.assertEqual(Execution.UNKNOWN, refusal.execution)
+
     def test_a_different_body_with_the_same_key_is_refused(self) -> None:
         self.guard.run(self.claim("a"), self.send, site="s")
         refusal = self.guard.run(self.claim("b", "other"), self.send, site="s").unwrap_err()
