Refuse requests to the thread daemon whose end is ambiguous

What callers saw: of 22 garbled framings of a request's head, each with a plain and a chunked body, 15 of 44 requests were run, with a part of the body or none (two lengths: the last one counts; a folded length: its last line; a length beside chunks; a space before the colon; chunks in HTTP/1.0: no body). What was left of the body was read as the caller's next request.

Cause: cheroot merges and folds headers before it looks at them. The class: a damaged head taken for another, valid one; the gateway's reader refuses all of these. Change: folded and malformed header lines are refused, and the checks of the gateway for where a request ends apply to both daemons. A caller is told 400, not run (501 for unknown codings before).

--- a/src/cherrylane/http/framing.py
+++ b/src/cherrylane/http/framing.py
@@ -54,6 +54,19 @@
 
     The parser rejects most malformed heads itself; these checks cover those that it accepts.
     """
+    if problem := find_length_problem(head):
+        return problem
+    if head.count(b"host") != 1:
+        return "expected exactly one Host header"
+    if head.method == b"CONNECT":
+        return "CONNECT is not supported"
+    if not head.target.startswith(b"/"):
+        return "request target is not an absolute path"
+    return ""
+
+
+def find_length_problem(head: RequestHead) -> str:
+    """Return why it is ambiguous where a request ends, or an empty string."""
     problem = find_coding_problem(head)
     if problem:
         return problem
@@ -63,12 +76,6 @@
         return "Transfer-Encoding together with Content-Length or in HTTP/1.0"
     if head.count(b"content-length") > 1:
         return "more than one Content-Length header"
-    if head.count(b"host") != 1:
-        return "expected exactly one Host header"
-    if head.method == b"CONNECT":
-        return "CONNECT is not supported"
-    if not head.target.startswith(b"/"):
-        return "request target is not an absolute path"
     return ""
 
 
--- a/src/cherrylane/http/server.py
+++ b/src/cherrylane/http/server.py
@@ -8,7 +8,7 @@
 from threading import Thread
 from typing import Any
 
-from cheroot.server import HTTPConnection, HTTPRequest
+from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest
 from cheroot.wsgi import Gateway_10, Server
 
 from cherrylane.delivery.responses import (
@@ -20,7 +20,8 @@
 )
 from cherrylane.errors import Refusal, SettingsError
 from cherrylane.http.deadlines import DEADLINES
-from cherrylane.http.messages import BODILESS_STATUSES, has_body
+from cherrylane.http.framing import find_length_problem
+from cherrylane.http.messages import BODILESS_STATUSES, Header, RequestHead, has_body
 from cherrylane.settings.schema import Endpoint
 
 # Time limit in seconds for a whole head.
@@ -31,6 +32,7 @@
 CRLF = b"\r\n"
 # The line before a chunk: its size, and extensions that are ignored (RFC 9112, section 7.1).
 CHUNK_SIZE = compile_pattern(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?\r\n")
+read_headers = HeaderReader()
 CONNECTION_KEY = "cherrylane.connection"
 CLOSE_KEY = "cherrylane.close"
 STATUS_TEXTS = {
@@ -66,9 +68,39 @@
         raise TypeError("the body of a detached response cannot be iterated")
 
 
+class _HeaderLines:
+    """Passes the header lines of a request to cheroot, which folds and merges them."""
+
+    def __init__(self, reader: Any) -> None:
+        self._reader = reader
+        self.headers: list[Header] = []
+
+    def readline(self) -> bytes:
+        """Read a line; raises ``ValueError`` if it is folded or malformed.
+
+        cheroot would put a folded line in the place of the line before.
+        """
+        line: bytes = self._reader.readline()
+        if line not in (b"", CRLF):
+            name, _, value = line.partition(b":")
+            if name.strip() != name or b"\r" in line.removesuffix(CRLF):
+                raise ValueError("folded or malformed header")
+            self.headers.append((name, value.strip()))
+        return line
+
+
 class _JsonErrorRequest(HTTPRequest):
     """Responds with the JSON of a refusal to requests that cheroot itself rejects."""
 
+    def header_reader(self, reader: Any, headers: dict[bytes, bytes]) -> None:
+        """Read the headers; raises ``ValueError`` if they don't tell where the request ends."""
+        lines = _HeaderLines(reader)
+        read_headers(lines, headers)
+        is_http_1_0 = self.response_protocol != "HTTP/1.1"
+        head = RequestHead(tuple(lines.headers), http_1_0=is_http_1_0)
+        if problem := find_length_problem(head):
+            raise ValueError(problem)
+
     def parse_request(self) -> None:
         """Read the head of a request within ``HEAD_TIMEOUT_S``."""
         with DEADLINES.limit(self.conn.socket, HEAD_TIMEOUT_S, "head of a request"):
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -124,6 +124,20 @@
                 self.send(FIRST_REQUEST + cut)
                 self.assertEqual([b"z"], self.bodies, str(cut))
 
+    # Guards against a request of which a part is run, and the rest as a request of its own.
+    def test_a_request_whose_end_is_ambiguous_is_not_run(self) -> None:
+        chunked = make_chunk(BODY) + LAST_CHUNK
+        for framing in GARBLED_FRAMING:
+            for body in (BODY, chunked):
+                answer = self.send(REQUEST_LINES + framing + b"\r\n" + body)
+                self.assertEqual([], self.bodies, str(framing))
+                self.assertEqual(b"4", answer.split()[1][:1], str(framing))
+        lines = REQUEST_LINES.replace(b"/1.1", b"/1.0")
+        self.send(lines + CHUNKED + b"\r\n" + chunked)
+        self.assertEqual([], self.bodies)
+        self.send(lines + LENGTH + b"\r\n" + BODY)
+        self.assertEqual([BODY], self.bodies)
+
     # Guards against a size that Python reads as a number and HTTP doesn't.
     def test_a_malformed_size_of_a_chunk_is_refused(self) -> None:
         start = REQUEST_LINES + b"Transfer-Encoding: chunked\r\n\r\n"
