Tell a stream's caller that it was reset behind its head

Cause: what was read ahead behind the head is taken over after the caller's head has left; that read got the error of the reset, which a socket reports once, and the stream was given up without its end. The class: an error that is reported once, met where nobody handles it. Ruled out: a close (seen by the relay), a reset within or behind the first event.

Change: the error is part of what is handed to the relay, which ends such a stream like any other that is cut.

--- a/src/cherrylane/delivery/bodies.py
+++ b/src/cherrylane/delivery/bodies.py
@@ -16,12 +16,14 @@
     ``head`` is a response head with the upstream's framing header, to set up a parser for the
     body. ``leftover`` are bytes of the body that were read from the socket already. A body without
     ``Content-Length`` or chunked framing is ``close_delimited``: it ends when the connection does.
+    ``failure`` is what went wrong if nothing can be read from the connection any more.
     """
 
     connection: socket
     head: bytes
     leftover: bytes
     close_delimited: bool = False
+    failure: str = ""
 
 
 class BodyDecoder:
--- a/src/cherrylane/delivery/exchange.py
+++ b/src/cherrylane/delivery/exchange.py
@@ -12,7 +12,7 @@
 from time import monotonic
 from typing import Any
 
-from attrs import frozen
+from attrs import evolve, frozen
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 from urllib3.response import HTTPResponse
@@ -271,7 +271,7 @@
         # urllib3 gives 0 for what has no body, such as the response to HEAD.
         if self._response.length_remaining == 0:
             return
-        body = self._describe_body(self._raw_socket)
+        body = self._describe_body(self._raw_socket, self._peek())
         decoder = BodyDecoder(body)
         data = body.leftover or self._raw_socket.recv(READ_BYTES)
         while data:
@@ -332,12 +332,20 @@
         """
         # Otherwise peek() would wait for the first byte of the body.
         self._raw_socket.setblocking(False)
-        return self._describe_body(self._raw_socket.dup())
+        connection = self._raw_socket.dup()
+        try:
+            return self._describe_body(connection, self._peek())
+        except OSError as error:
+            return evolve(self._describe_body(connection, b""), failure=_describe(error))
 
-    def _describe_body(self, connection: socket) -> DetachedBody:
-        """Return the rest of the body, to be read from ``connection``."""
+    def _peek(self) -> bytes:
+        """Return what has been read of the body; if that is nothing, what can be read now."""
         # urllib3 has no public access to the bytes that its buffered reader has read ahead.
         leftover: bytes = self._response._fp.fp.peek()  # type: ignore[union-attr]
+        return leftover
+
+    def _describe_body(self, connection: socket, leftover: bytes) -> DetachedBody:
+        """Return the rest of the body, to be read from ``connection`` behind ``leftover``."""
         length = self.headers.get("Content-Length")
         if length is not None:
             framing = f"Content-Length: {length}"
--- a/src/cherrylane/delivery/relay.py
+++ b/src/cherrylane/delivery/relay.py
@@ -9,7 +9,7 @@
 from logbook import Logger
 
 from cherrylane.delivery.attempts import GrantedExchange
-from cherrylane.delivery.bodies import BodyDecoder
+from cherrylane.delivery.bodies import BodyDecoder, DetachedBody
 from cherrylane.delivery.responses import render_error_event
 from cherrylane.delivery.streams import Stream, StreamLoop, StreamTask, WakeReason
 from cherrylane.errors import Execution, Refusal
@@ -48,7 +48,7 @@
         caller.setblocking(False)
         stream = Stream(body.connection, caller, self.silence_timeout_s)
         active = _ActiveRelay(self, stream, BodyDecoder(body), chunked)
-        stream.task = active.relay(body.leftover)
+        stream.task = active.relay(body)
         self.loop.add(stream)
 
     def abandon(self) -> None:
@@ -70,11 +70,13 @@
     chunks_read: int = 0
     gap_started: float = 0.0
 
-    def relay(self, leftover: bytes) -> StreamTask:
+    def relay(self, body: DetachedBody) -> StreamTask:
         """Relay events until the response is complete, fails, or the caller disconnects."""
         try:
-            if leftover:
-                self._forward(leftover)
+            if body.failure:
+                raise ConnectionResetError(body.failure)
+            if body.leftover:
+                self._forward(body.leftover)
             while not self.decoder.complete:
                 if self.unsent and not (yield from self._wait_for_caller()):
                     return
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -1,18 +1,21 @@
 """Messages that break off within their head or body, at each byte, on every reader of HTTP."""
 
+import asyncio
 from collections.abc import Iterable, Iterator
 from socket import SHUT_WR, create_connection
 
 from testtools import TestCase
 
+from cherrylane.delivery.plain import MAX_BUFFERED_RESPONSE_BYTES
 from cherrylane.delivery.responses import make_json_response, make_refusal_response
 from cherrylane.http.requests import read_request
 from cherrylane.http.server import Environ, HttpServer, StartResponse, write_response
+from cherrylane.routing.routes import RequestKind
 from cherrylane.settings.schema import Endpoint
 from tests.daemon_fixture import Answer, DaemonTest
-from tests.relay_fixture import RESUMABLE, SAFE, STREAM, UNSAFE, fetch
+from tests.relay_fixture import RESUMABLE, SAFE, STREAM, UNSAFE, RelayFixture, fetch, succeed
 from tests.test_relay import LAST_CHUNK, make_chunk
-from tests.wire import LOOPBACK, Call, Script
+from tests.wire import LOOPBACK, Call, Script, make_configuration, make_route, run
 
 WAIT_S = 10.0
 MAX_BODY_BYTES = 1000
@@ -159,6 +162,11 @@
     return int(answer.split()[1]) if answer else 0
 
 
+def is_visibly_cut(answer: bytes) -> bool:
+    """Return whether a stream's caller is told; a reset may overtake the head before it is read."""
+    return b"stream_cut" in answer or read_status(answer) == 502
+
+
 class UpstreamsOfThreadDaemonTest(DaemonTest):
     # Guards against a 103, for one, being taken for the answer, and the next one for another's.
     def test_the_answer_behind_interim_ones_is_passed_on(self) -> None:
@@ -236,6 +244,66 @@
         self.answer = Answer(EVENTS_HEAD + b"Content-Length: 90\r\n\r\n" + EVENTS)
         self.assertIn(b"stream_cut", self.fetch_stream(protocol="1.0"))
 
+    # Guards against a head that stops in the middle, and then a 200 with an empty or short body.
+    def test_an_answer_that_breaks_off_is_not_passed_on(self) -> None:
+        for whole in (WHOLE_ANSWER, OK + CHUNKED + b"\r\n" + make_chunk(b"ab") + LAST_CHUNK):
+            for resets in (False, True):
+                for cut in list_cuts(whole):
+                    for method, extra in (("GET", ""), ("POST", "Idempotency-Key: %d\r\n")):
+                        number = len(self.grants.outcomes)
+                        self.answer = Answer(cut, resets=resets)
+                        answer = self.fetch(method, extra=extra and extra % number)
+                        self.assertEqual(502, read_status(answer), f"{method} {cut!r}")
+                        self.answer = Answer(WHOLE_ANSWER)
+                        answer = self.fetch(method, extra=extra and extra % number)
+                        status = 502 if extra else 200
+                        self.assertEqual(status, read_status(answer), f"{method} {cut!r}")
+
+    def test_a_head_that_breaks_off_is_no_answer_where_none_has_a_body(self) -> None:
+        for status in (200, 204, 304):
+            head = b"HTTP/1.1 %d Some\r\n" % status + LENGTH + b"\r\n"
+            for resets in (False, True):
+                for cut in list_cuts(head):
+                    self.answer = Answer(cut, resets=resets)
+                    method = "HEAD" if status == 200 else "GET"
+                    self.assertEqual(502, read_status(self.fetch(method)), str(cut))
+            self.answer = Answer(head)
+            self.assertEqual(status, read_status(self.fetch("HEAD")))
+
+    # Guards against a stream that looks complete, to callers whose body ends with the connection.
+    def test_a_stream_that_breaks_off_says_so(self) -> None:
+        length = EVENTS_HEAD + b"Content-Length: %d\r\n\r\n" % len(EVENTS) + EVENTS
+        for whole in (WHOLE_STREAM, length):
+            for cut in list_cuts(whole):
+                for protocol, resets in (("1.0", True), ("1.1", False)):
+                    self.answer = Answer(cut, resets=resets)
+                    answer = self.fetch_stream(protocol=protocol)
+                    if b"\r\n\r\n" not in cut:
+                        self.assertEqual(502, read_status(answer), str(cut))
+                    else:
+                        self.assertTrue(is_visibly_cut(answer), f"{cut!r} {answer!r}")
+
+    # Guards against the error of a reset being lost, which is reported only once.
+    def test_a_stream_that_is_reset_behind_its_head_says_so(self) -> None:
+        for framing in (b"Content-Length: 30\r\n", CHUNKED, b""):
+            self.answer = Answer(EVENTS_HEAD + framing + b"\r\n", resets=True)
+            for protocol in ("1.0", "1.1"):
+                for _ in range(5):
+                    answer = self.fetch_stream(protocol=protocol)
+                    self.assertTrue(is_visibly_cut(answer), f"{framing!r} {answer!r}")
+
+    # Guards against a large body, passed on while it is received, that looks complete.
+    def test_a_large_body_that_breaks_off_looks_so(self) -> None:
+        length = MAX_BUFFERED_RESPONSE_BYTES + 1
+        head = OK + b"Content-Length: %d\r\n\r\n" % length
+        for protocol in ("1.0", "1.1"):
+            for sent in (0, 1, length - 1):
+                self.answer = Answer(head + bytes(sent))
+                received, _, body = self.fetch(protocol=protocol).partition(b"\r\n\r\n")
+                if received:
+                    self.assertIn(b"Content-Length: %d" % length, received)
+                self.assertTrue(len(body) < length)
+
 
 SEALED = OK + b"Attempt-Id: 1\r\nServer-Seal: s\r\n"
 ROUTES = (SAFE, UNSAFE, STREAM, RESUMABLE)
@@ -264,3 +332,111 @@
                 whole = SEALED + framing + b"\r\n" + make_chunk(BODY) + LAST_CHUNK + second
                 answer, _ = fetch(route, send_bytes(whole))
                 self.assertEqual(502, read_status(answer), f"{route.kind} {framing!r}")
+
+    # Guards against a rest of one answer that, with the begin of another, reads as a whole one.
+    def test_an_answer_that_breaks_off_behind_others_is_not_passed_on(self) -> None:
+        other = WHOLE_ANSWER.replace(b"\r\n", b"\r\nAttempt-Id: 77\r\nServer-Seal: s\r\n", 1)
+        interim = b"HTTP/1.1 103 Early Hints\r\nAttempt-Id: 1\r\n\r\n"
+        whole = SEALED + b"Content-Length: 2\r\n\r\nab"
+        chunked = SEALED + CHUNKED + b"\r\n" + make_chunk(b"ab") + LAST_CHUNK
+        route = make_route(RequestKind.SAFE, max_attempts=1)
+        for number, cut in enumerate((*list_cuts(whole), *list_cuts(chunked))):
+            for before in (other, interim, interim + other):
+                script = send_bytes(before + cut, resets=number % 2 == 1)
+                answer, _ = fetch(route, script)
+                self.assertEqual(502, read_status(answer), f"{before!r} {cut!r}")
+
+    # The same on a kept connection, behind the whole answer to another request.
+    def test_an_answer_that_breaks_off_on_a_kept_connection_is_not_passed_on(self) -> None:
+        whole = b"Server-Seal: s\r\nContent-Length: 2\r\n\r\nab"
+        route = make_route(RequestKind.SAFE, max_attempts=1)
+
+        async def scenario() -> None:
+            for number, cut in enumerate(list_cuts(whole)):
+
+                async def serve(
+                    call: Call, rest: bytes = cut, resets: bool = number % 2 == 1
+                ) -> None:
+                    if call.header("Attempt-Id") == "1":
+                        call.answer(b"done")
+                        return
+                    await send_bytes(OK + b"Attempt-Id: 2\r\n" + rest, resets=resets)(call)
+
+                fixture = await RelayFixture((serve,), make_configuration(route)).open()
+                self.assertIn(b"done", await fixture.fetch(request_id="1"))
+                answer = await fixture.fetch(request_id="2")
+                self.assertEqual(502, read_status(answer), str(cut))
+                self.assertEqual(1, fixture.upstreams[0].connections)
+
+        run(scenario())
+
+    # Guards against a caller that takes the beginning of a stream for the whole of it.
+    def test_a_stream_that_breaks_off_looks_so(self) -> None:
+        head = SEALED + b"Content-Type: text/event-stream\r\n"
+        event = b"id: 1\ndata: 1\n\n"
+        rest = event.replace(b"1", b"2")
+
+        async def scenario() -> None:
+            for framing, first, last in (
+                (b"Content-Length: %d\r\n\r\n" % len(event + rest), event, rest),
+                (CHUNKED + b"\r\n", make_chunk(event), make_chunk(rest) + LAST_CHUNK),
+            ):
+                for length in range(len(last)):
+                    script = send_bytes(head + framing + first + last[:length])
+                    fixture = await RelayFixture((script,), make_configuration(STREAM)).open()
+                    assert fixture.server is not None
+                    for protocol in (b"1.1", b"1.0"):
+                        answer, was_reset = await read_to_end(fixture.server.port, protocol)
+                        is_complete = answer.endswith(LAST_CHUNK) if protocol == b"1.1" else True
+                        self.assertTrue(was_reset or not is_complete, f"{answer!r} {length}")
+
+        run(scenario())
+
+
+async def read_to_end(port: int, protocol: bytes) -> tuple[bytes, bool]:
+    """Fetch ``/x/y``; return what was received, and whether the connection was reset."""
+    reader, writer = await asyncio.open_connection(LOOPBACK, port)
+    head = b"GET /x/y HTTP/%b\r\nHost: desk.example\r\nAttempt-Id: 1\r\n" % protocol
+    writer.write(head + b"Connection: close\r\n\r\n")
+    received = b""
+    try:
+        while part := await reader.read(65536):
+            received += part
+    except ConnectionError:
+        return received, True
+    finally:
+        writer.close()
+    return received, False
+
+
+class CallersOfGatewayTest(TestCase):
+    # Guards against a request that is passed on with half a body, its caller having broken off.
+    def test_a_request_that_breaks_off_is_not_passed_on(self) -> None:
+        first = FIRST_REQUEST.replace(b"/a", b"/x/a")
+        lines = REQUEST_LINES.replace(b"/a", b"/x/a")
+
+        async def scenario() -> None:
+            fixture = await RelayFixture((succeed,), make_configuration(UNSAFE)).open()
+            assert fixture.server is not None
+            calls = fixture.upstreams[0].calls
+            for body in REQUEST_BODIES:
+                for cut in list_cuts(lines + body):
+                    await send_and_leave(fixture.server.port, cut)
+                    await send_and_leave(fixture.server.port, first + cut, answers=1)
+            self.assertEqual({b"z"}, {call.body for call in calls})
+
+        run(scenario())
+
+
+async def send_and_leave(port: int, data: bytes, *, answers: int = 0) -> None:
+    """Send ``data``, wait for so many answers, and end the connection."""
+    reader, writer = await asyncio.open_connection(LOOPBACK, port)
+    writer.write(data)
+    for _ in range(answers):
+        await reader.readuntil(b"done")
+    writer.write_eof()
+    try:
+        await reader.read()
+    except ConnectionError:
+        pass
+    writer.close()
