--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -370,6 +370,23 @@
 
         run(scenario())
 
+    # The same for callers whose answer has no body, or ends with its connection.
+    def test_an_answer_that_breaks_off_is_none_for_callers_of_all_kinds(self) -> None:
+        head = SEALED + LENGTH + b"\r\n"
+
+        async def scenario() -> None:
+            for cut in list_cuts(head + BODY):
+                fixture = await RelayFixture((send_bytes(cut),), make_configuration(UNSAFE)).open()
+                assert fixture.server is not None
+                port = fixture.server.port
+                answer, _ = await read_to_end(port, b"1.0")
+                self.assertEqual(502, read_status(answer), str(cut))
+                answer, _ = await read_to_end(port, b"1.1", method=b"HEAD")
+                status = 200 if len(cut) >= len(head) else 502
+                self.assertEqual(status, read_status(answer), str(cut))
+
+        run(scenario())
+
     # Guards against a caller that takes the beginning of a stream for the whole of it.
     def test_a_stream_that_breaks_off_looks_so(self) -> None:
         head = SEALED + b"Content-Type: text/event-stream\r\n"
@@ -393,10 +410,10 @@
         run(scenario())
 
 
-async def read_to_end(port: int, protocol: bytes) -> tuple[bytes, bool]:
+async def read_to_end(port: int, protocol: bytes, *, method: bytes = b"GET") -> tuple[bytes, bool]:
     """Fetch ``/x/y``; return what was received, and whether the connection was reset."""
     reader, writer = await asyncio.open_connection(LOOPBACK, port)
-    head = b"GET /x/y HTTP/%b\r\nHost: desk.example\r\nAttempt-Id: 1\r\n" % protocol
+    head = b"%b /x/y HTTP/%b\r\nHost: desk.example\r\nAttempt-Id: 1\r\n" % (method, protocol)
     writer.write(head + b"Connection: close\r\n\r\n")
     received = b""
     try:
