--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -4,10 +4,13 @@
 import zlib
 from collections.abc import Iterator
 from json import dumps
+from socket import SHUT_RDWR, create_connection, create_server, socket
+from threading import Thread
 from typing import Any
 
 from testtools import ExpectedException, TestCase
 
+from bench.wire import PROBE_TIMEOUT_S, SHARED_KEY, WireBench
 from cherrylane.errors import (
     DECODING_ERRORS,
     IncompleteResponseError,
@@ -19,6 +22,8 @@
 from cherrylane.gateway.peer_sync import UPSTREAMS_PATH, PeerSync, _decompress
 from cherrylane.gateway.routing_state import RoutingState
 from cherrylane.gossip.messages import decode_heartbeat
+from cherrylane.peer.identity import PeerIdentity
+from cherrylane.peer.probe import ProbeAnswer, ProbeClient, SharedState
 from cherrylane.placement.caches import CacheMap
 from cherrylane.placement.loads import Load, LoadTracker
 from cherrylane.platform.caches import decode_cache_list
@@ -27,6 +32,7 @@
 from cherrylane.platform.reports import decode_incarnation
 from cherrylane.platform.versions import NO_VERSION, StoreVersion
 from cherrylane.settings.schema import Endpoint, PlatformSettings
+from cherrylane.telemetry.traffic import TrafficCounter
 from tests.test_gossip import make_heartbeat
 from tests.test_platform_documents import ENTRY
 from tests.test_relay import LAST_CHUNK, make_chunk
@@ -188,3 +194,73 @@
                     self.assertEqual(is_whole, state.snapshot.upstreams_version > NO_VERSION)
 
         run(scenario())
+
+
+class CutProbeTest(TestCase):
+    # Guards against a peer without loads or a configuration, seen in a reply that broke off.
+    def test_a_reply_to_a_probe_that_breaks_off_is_none(self) -> None:
+        with WireBench() as peer, CuttingForwarder(peer.port) as forwarder:
+            whole = self.probe(forwarder)
+            self.assertIsNotNone(whole)
+            length = forwarder.forwarded
+            for limit in range(1, length, 2):
+                forwarder.limit = limit
+                # The bytes behind the reply, which end the call, may be missing.
+                self.assertIn(self.probe(forwarder), (None, whole))
+            forwarder.limit = length // 2
+            self.assertIsNone(self.probe(forwarder))
+
+    def probe(self, forwarder: "CuttingForwarder") -> ProbeAnswer | None:
+        identity = PeerIdentity("host-2", "run")
+        client = ProbeClient(lambda: identity, SHARED_KEY, TrafficCounter())
+        endpoint = f"{LOOPBACK}:{forwarder.port}"
+        answer = client.probe(endpoint, SharedState(), timeout_s=PROBE_TIMEOUT_S)
+        client.close()
+        return answer
+
+
+class CuttingForwarder:
+    """Passes connections on to ``target``, and closes each one after ``limit`` bytes of answers."""
+
+    def __init__(self, target: int) -> None:
+        self.limit = 2**20
+        self.forwarded = 0
+        self._target = target
+        self._listener = create_server((LOOPBACK, 0))
+        self.port: int = self._listener.getsockname()[1]
+        Thread(target=self._accept, daemon=True).start()
+
+    def __enter__(self) -> "CuttingForwarder":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                caller, _ = self._listener.accept()
+            except OSError:
+                return
+            Thread(target=self._forward, args=(caller, self.limit), daemon=True).start()
+
+    def _forward(self, caller: socket, limit: int) -> None:
+        self.forwarded = 0
+        with caller, create_connection((LOOPBACK, self._target)) as target:
+            Thread(target=copy_all, args=(caller, target), daemon=True).start()
+            try:
+                while self.forwarded < limit and (data := target.recv(limit - self.forwarded)):
+                    caller.sendall(data)
+                    self.forwarded += len(data)
+                caller.shutdown(SHUT_RDWR)
+            except OSError:
+                return
+
+
+def copy_all(source: socket, target: socket) -> None:
+    try:
+        while data := source.recv(65536):
+            target.sendall(data)
+        target.shutdown(SHUT_RDWR)
+    except OSError:
+        return
