--- a/src/cherrylane/http/server.py
+++ b/src/cherrylane/http/server.py
@@ -3,11 +3,12 @@
 from collections.abc import Callable, Iterable, Iterator
 from json import dumps
 from math import ceil
+from re import compile as compile_pattern
 from socket import socket
 from threading import Thread
 from typing import Any
 
-from cheroot.server import HTTPConnection, HTTPRequest
+from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest
 from cheroot.wsgi import Gateway_10, Server
 
 from cherrylane.delivery.responses import (
@@ -19,7 +20,8 @@
 )
 from cherrylane.errors import Refusal, SettingsError
 from cherrylane.http.deadlines import DEADLINES
-from cherrylane.http.messages import BODILESS_STATUSES, has_body
+from cherrylane.http.framing import find_length_problem
+from cherrylane.http.messages import BODILESS_STATUSES, Header, RequestHead, has_body
 from cherrylane.settings.schema import Endpoint
 
 # Time limit in seconds for a whole head.
@@ -27,6 +29,10 @@
 # Longest line, such as the size of a chunk, and the most that one read of a body returns.
 MAX_LINE_BYTES = 64 * 1024
 MAX_READ_BYTES = 64 * 1024 * 1024
+CRLF = b"\r\n"
+# The line before a chunk: its size, and extensions that are ignored (RFC 9112, section 7.1).
+CHUNK_SIZE = compile_pattern(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?\r\n")
+read_headers = HeaderReader()
 CONNECTION_KEY = "cherrylane.connection"
 CLOSE_KEY = "cherrylane.close"
 STATUS_TEXTS = {
@@ -62,9 +68,39 @@
         raise TypeError("the body of a detached response cannot be iterated")
 
 
+class _HeaderLines:
+    """Passes the header lines of a request to cheroot, which folds and merges them."""
+
+    def __init__(self, reader: Any) -> None:
+        self._reader = reader
+        self.headers: list[Header] = []
+
+    def readline(self) -> bytes:
+        """Read a line; raises ``ValueError`` if it is folded or malformed.
+
+        cheroot would put a folded line in the place of the line before.
+        """
+        line: bytes = self._reader.readline()
+        if line not in (b"", CRLF):
+            name, _, value = line.partition(b":")
+            if name.strip() != name or b"\r" in line.removesuffix(CRLF):
+                raise ValueError("folded or malformed header")
+            self.headers.append((name, value.strip()))
+        return line
+
+
 class _JsonErrorRequest(HTTPRequest):
     """Responds with the JSON of a refusal to requests that cheroot itself rejects."""
 
+    def header_reader(self, reader: Any, headers: dict[bytes, bytes]) -> None:
+        """Read the headers; raises ``ValueError`` if they don't tell where the request ends."""
+        lines = _HeaderLines(reader)
+        read_headers(lines, headers)
+        is_http_1_0 = self.response_protocol != "HTTP/1.1"
+        head = RequestHead(tuple(lines.headers), http_1_0=is_http_1_0)
+        if problem := find_length_problem(head):
+            raise ValueError(problem)
+
     def parse_request(self) -> None:
         """Read the head of a request within ``HEAD_TIMEOUT_S``."""
         with DEADLINES.limit(self.conn.socket, HEAD_TIMEOUT_S, "head of a request"):
@@ -88,21 +124,46 @@
         self.conn.wfile.write(head.encode("latin-1") + body)
 
 
-class _BoundedReader:
-    """Reads from a caller's connection, with limits where cheroot has none.
+class _CheckedReader:
+    """Reads from a caller's connection, with limits and checks where cheroot has none.
 
-    These are lines with the size of a chunk, and chunks.
+    These are lines with the size of a chunk, chunks, and the lines behind the last chunk. cheroot
+    takes the end of the connection for the end of such a line, so that a size that is cut after
+    its first digit, a zero, would end the body.
     """
 
     def __init__(self, reader: Any) -> None:
         self._reader = reader
 
     def readline(self, size: int = -1) -> bytes:
-        """Read a line; raises ``ValueError`` if it is too long."""
-        limit = size if 0 <= size <= MAX_LINE_BYTES else MAX_LINE_BYTES + 1
-        line: bytes = self._reader.readline(limit)
+        """Read a line of a head in parts of ``size`` bytes, or, without it, the size of a chunk.
+
+        Raises ``ValueError`` for a size that is too long, malformed or cut short.
+        """
+        if size >= 0:
+            return bytes(self._reader.readline(min(size, MAX_LINE_BYTES)))
+        line = self._read_whole_line()
+        match = CHUNK_SIZE.fullmatch(line)
+        if match is None:
+            raise ValueError("malformed size of a chunk")
+        if int(match.group(1), 16) == 0:
+            self._skip_trailers()
+        return line
+
+    def _skip_trailers(self) -> None:
+        """Read up to the empty line behind the last chunk, without which no body is complete."""
+        left = MAX_LINE_BYTES
+        while (line := self._read_whole_line()) != CRLF:
+            left -= len(line)
+            if left < 0:
+                raise ValueError(f"trailers of more than {MAX_LINE_BYTES} bytes")
+
+    def _read_whole_line(self) -> bytes:
+        line: bytes = self._reader.readline(MAX_LINE_BYTES + 1)
         if len(line) > MAX_LINE_BYTES:
             raise ValueError(f"line of more than {MAX_LINE_BYTES} bytes")
+        if not line.endswith(CRLF):
+            raise ValueError("line without its end")
         return line
 
     def read(self, size: int = -1) -> bytes:
@@ -118,7 +179,17 @@
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
         super().__init__(*arguments, **options)
-        self.rfile = _BoundedReader(self.rfile)
+        self.rfile = _CheckedReader(self.rfile)
+
+    def close(self) -> None:
+        """Close this server's descriptor, also of a connection that was handed over.
+
+        The thread that served it would hold it open until its next request, so that the end of a
+        body that ends with its connection would not reach the caller.
+        """
+        super().close()
+        if self.linger:
+            self.socket.close()
 
 
 class _ConnectionGateway(Gateway_10):
