Take no body that the next answer on its connection has filled up

Cause: the framing of a body says how many bytes are its own, and nothing looked whether they are those of one answer. The same class as the glued heads: bytes taken for what their place says.

Ruled out: the connection's surplus alone as the sign (a whole answer with a second copy behind it is sound, and is passed on), and a status line alone (a text may quote one).

Change: a body, or complete events, that contain a status line with the request's own id behind it, or a status line while bytes are left over behind the body, were filled up: the attempt ends as unknown, or the stream is broken off there, before anything of it is sent.

What it costs: a search for 'HTTP/1.' in each body and part of a stream. A body that quotes a status line and its own request's id is refused.

--- a/src/cherrylane/http/outbound.py
+++ b/src/cherrylane/http/outbound.py
@@ -66,6 +66,7 @@
         self._may_be_merged = False
         # Whether the begin of a response was received, but not its end.
         self._in_message = False
+        self._is_malformed = False
         self._until_eof = False
         self._in_body = False
         self._failure = ""
@@ -99,6 +100,7 @@
         except HttpParserUpgrade:
             self._fail("an upgrade that was not asked for")
         except HttpParserError as error:
+            self._is_malformed = True
             self._fail(f"malformed answer: {error.__context__ or error}")
         self._check_size(len(data))
         if self._queued_bytes > READ_BUFFER_BYTES and not self._paused:
@@ -263,9 +265,8 @@
 
     def release(self, head: ResponseHead) -> bool:
         """End an exchange; returns whether the connection can be used for another one."""
-        has_extra_data = bool(self._parts) or self._in_message
         if (
-            has_extra_data
+            self.has_surplus
             or self._failure
             or self.exchanges >= MAX_EXCHANGES
             or not (head.keep_alive and self.is_reusable and self.is_flushed)
@@ -277,6 +278,11 @@
         self.keep_alive_s = _read_keep_alive(head)
         return True
 
+    @property
+    def has_surplus(self) -> bool:
+        """Whether bytes have come behind the end of the response that was read."""
+        return bool(self._parts) or self._in_message or self._is_malformed
+
     @property
     def is_open(self) -> bool:
         """Whether the connection can still be written to, as far as this process knows."""
--- a/src/cherrylane/relay/exchange.py
+++ b/src/cherrylane/relay/exchange.py
@@ -19,6 +19,7 @@
     read_signature,
 )
 from cherrylane.relay.answer_trace import AnswerTrace
+from cherrylane.relay.filled_bodies import contains_answer
 from cherrylane.relay.outcomes import Answered, Failed, NotRun, Outcome, Unknown
 from cherrylane.relay.request import CallerRequest
 from cherrylane.routing.upstreams import Upstream
@@ -99,6 +100,9 @@
         except BaseException:
             answer.connection.close()
             raise
+        if contains_answer(body, request.id, is_surplus=answer.connection.has_surplus):
+            answer.connection.close()
+            return Unknown("answer incomplete: another answer inside its body")
         self.release(upstream, answer)
         return classify_answer(answer.head, body)
 
--- a/src/cherrylane/relay/streams.py
+++ b/src/cherrylane/relay/streams.py
@@ -11,6 +11,7 @@
 from cherrylane.relay.continuity import ContinuityCheck, StreamProgress
 from cherrylane.relay.events import MAX_EVENT_BYTES, EventSplitter
 from cherrylane.relay.exchange import OpenAnswer
+from cherrylane.relay.filled_bodies import contains_answer
 from cherrylane.relay.outcomes import Broken, Completed, Outcome
 from cherrylane.relay.request import CallerRequest
 from cherrylane.relay.stalls import MIN_PATIENCE_S
@@ -63,7 +64,10 @@
         check = ContinuityCheck(self.progress, is_joined=is_joined)
         comments = b""
         while (part := await answer.connection.read_part()) is not None:
-            sound = check.take(splitter.feed(part))
+            complete = splitter.feed(part)
+            if contains_answer(complete, self.request.id):
+                return "another answer inside its body"
+            sound = check.take(complete)
             if sound.has_event:
                 await self._relay_events(answer.head, comments + sound.data)
                 comments = b""
