Gateway: a planned stop starts only what can end, and answers the rest

What callers saw: in a calm stop (grace_s 8, deadline 12 s, a new unsafe request each 50 ms from 2.5 s before the SIGTERM on) requests of 7 s sent up to 2.0 s after the SIGTERM were passed on and cut at 7.4 s with no byte of an answer; of requests of 9 s also those sent up to 1.5 s before it.

Cause: a host that stops knows when it ends, and no decision used that. The end of the drain was the end of the event loop, so connections closed without a status, also for requests that were sent nowhere or still being read. The stop slept for the lifetime of addresses whatever its grace was.

Ruled out: a drain that ends too early (it ended at 7.39 s of 7.3 s + a poll).

Change: RunTimes follows requests of each route from their start and counts those still running with their ages (product-limit estimate). In a stop an attempt (first, retry, beside a silent one, resumed stream) starts only if the deadline comes before the end, or at most 5 % of such requests take longer than what is left. At the end each running request is ended: 503 `stopping` if it was sent nowhere, else 502, a stream is broken off, a request being read gets 503; then the answers leave, within 0.25 s of the margin. `stopped` says refused, unknown, broken_off, cut. A grace shorter than the lifetime of addresses is kept. A stop wakes requests that wait for a first configuration.

Why it works: no request starts in a stop without a reason to expect its end, and none leaves the process without a true status.

Conclusion: what is still answered as unknown began before the SIGTERM and runs longer than the grace.

--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -2,10 +2,11 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 from os import urandom
 from time import monotonic
 
-from attrs import frozen
+from attrs import asdict, frozen
 from logbook import Logger
 
 from cherrylane.gateway.announcements import Announcements
@@ -27,6 +28,7 @@
 from cherrylane.gossip.members import Members
 from cherrylane.gossip.messages import UNCONFIRMED_MS, Heartbeat, HostState
 from cherrylane.gossip.node import GossipNode
+from cherrylane.http.framing import ReadFailure
 from cherrylane.http.limits import InboundLimits
 from cherrylane.http.listener import InboundServer
 from cherrylane.http.memory import SHARE_OF_MEMORY, BodyMemory
@@ -55,6 +57,7 @@
 from cherrylane.relay.forwarding import Forwarder
 from cherrylane.relay.selection import UpstreamSelector
 from cherrylane.relay.service import RelayService
+from cherrylane.relay.stopping import RETRY_STOPPING_S
 from cherrylane.relay.stream_origins import StreamBinder
 from cherrylane.routing.snapshot import Snapshot
 from cherrylane.routing.upstreams import Upstream
@@ -76,8 +79,12 @@
 STALL_LOGGED_S = 0.5
 # Minimum number of hosts by which fleet-wide limits are divided, since some may not be known yet.
 MIN_HOSTS_ASSUMED = 8
-# Seconds of the grace period reserved for the exit of the process, before it is killed.
+# Seconds of the grace period reserved for the last answers and the exit of the process, before it
+# is killed; at most half of it.
 GRACE_MARGIN_S = 0.7
+# Seconds of the margin in which the last answers may leave.
+FLUSH_S = 0.25
+FLUSH_POLL_S = 0.01
 # Polling interval while a stopping daemon has requests in progress, in seconds.
 DRAIN_POLL_S = 0.05
 BOOT_ID_BYTES = 6
@@ -255,19 +262,24 @@
     async def stop(self) -> None:
         """Shut down gracefully: deregister, drain the running requests, then close.
 
-        New requests are still served for as long as callers may cache the address of this host.
-        Later ones are rejected, with a response that says that they were not run.
+        New requests are still served for as long as callers may cache the address of this host, if
+        they are expected to end in time. Others are rejected, with a response that says that they
+        were not run. What still runs at the end is answered as far as its outcome is known.
         """
-        deadline = monotonic() + self.settings.bounds.grace_s - GRACE_MARGIN_S
+        grace_s = self.settings.bounds.grace_s
+        deadline = asyncio.get_running_loop().time() + grace_s - min(GRACE_MARGIN_S, grace_s / 2)
         self._is_stopping = True
+        stop = self._relay.stop
+        stop.ends_at = deadline
         self._upkeep.share_rate_limits(asyncio.get_running_loop().time(), takes_part=False)
         callers = self._listeners.callers
         log.notice("stopping", extra={"busy": callers.busy, "idle": len(callers.connections)})
         self._gossip.send_round(to_all=True)
         deregistration = asyncio.get_running_loop().create_task(self._registry.deregister())
         callers.draining = True
-        await asyncio.sleep(ADDRESS_LIFETIME_S)
-        self._relay.is_closed = True
+        time_left_s = deadline - asyncio.get_running_loop().time()
+        await asyncio.sleep(max(0.0, min(ADDRESS_LIFETIME_S, time_left_s)))
+        self._relay.close()
         await self._drain(deadline)
         self._gossip.send_round(to_all=True)
         for server in self._listeners.all():
@@ -275,7 +287,8 @@
         # The connections accepted last may bring requests.
         await asyncio.sleep(DRAIN_POLL_S)
         await self._drain(deadline)
-        log.notice("stopped", extra={"cut": callers.unfinished})
+        await self._end_requests()
+        log.notice("stopped", extra={**asdict(stop.tally), "cut": callers.unfinished})
         deregistration.cancel()
         for watcher in self._watchers:
             watcher.set_watching(False)
@@ -287,10 +300,25 @@
         """Wait until each request that has begun to arrive is answered, or for the deadline."""
         callers = self._listeners.callers
         callers.close_idle()
-        while callers.unfinished and monotonic() < deadline:
+        loop = asyncio.get_running_loop()
+        while callers.unfinished and loop.time() < deadline:
             await asyncio.sleep(DRAIN_POLL_S)
             callers.close_idle()
 
+    async def _end_requests(self) -> None:
+        """Answer all requests that are not finished, and wait until the answers have left."""
+        callers, stop = self._listeners.callers, self._relay.stop
+        stopping = ReadFailure(
+            HTTPStatus.SERVICE_UNAVAILABLE, "this host stops", retry_after_s=RETRY_STOPPING_S
+        )
+        loop = asyncio.get_running_loop()
+        flushed_by = loop.time() + FLUSH_S
+        stop.end()
+        while callers.has_unsent and loop.time() < flushed_by:
+            stop.tally.refused += callers.refuse_unread(stopping)
+            await asyncio.sleep(FLUSH_POLL_S)
+            callers.close_idle()
+
     def reload(self, settings: GatewaySettings) -> None:
         """Apply changed settings; changed listen addresses take effect at the next start only."""
         if settings == self.settings:
@@ -439,7 +467,9 @@
         if self._has_routing_data:
             self._relay.snapshot_available.set()
         if snapshot.table is not None:
-            self._listeners.callers.limits = snapshot.table.configuration.limits
+            configuration = snapshot.table.configuration
+            self._listeners.callers.limits = configuration.limits
+            self._relay.stop.run_times.keep({route.name for route in configuration.routes})
 
     def _find_max_idle_connections(self, upstream: str) -> int:
         max_connections = self.routing_state.snapshot.get_max_connections(upstream)
--- a/src/cherrylane/http/inbound.py
+++ b/src/cherrylane/http/inbound.py
@@ -156,6 +156,18 @@
         if is_idle and not self._has_unread_data():
             self.close()
 
+    def refuse_unread(self, failure: ReadFailure) -> bool:
+        """Answer a request that is being read with ``failure``; returns whether there was one."""
+        is_refused = self._reader.is_reading and not self._reader.is_stopped
+        if is_refused:
+            self._reader.fail(failure)
+        return is_refused
+
+    @property
+    def has_unreceived_data(self) -> bool:
+        """Whether bytes written have not been received by the other end's kernel."""
+        return self._unreceived_bytes > 0
+
     def _has_unread_data(self) -> bool:
         """Whether data, or the end of the connection, has arrived and will be read next."""
         poller = poll()
--- a/src/cherrylane/http/listener.py
+++ b/src/cherrylane/http/listener.py
@@ -7,6 +7,7 @@
 from attrs import define, field
 from logbook import Logger
 
+from cherrylane.http.framing import ReadFailure
 from cherrylane.http.inbound import FailureListener, Handler, InboundConnection
 from cherrylane.http.limits import InboundLimits
 from cherrylane.http.memory import BodyMemory
@@ -62,6 +63,15 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
+    def refuse_unread(self, failure: ReadFailure) -> int:
+        """Answer all requests that are still read with ``failure``; returns their number."""
+        return sum(connection.refuse_unread(failure) for connection in list(self.connections))
+
+    @property
+    def has_unsent(self) -> bool:
+        """Whether a response is due on a connection, or has not been received."""
+        return any(one.is_unfinished or one.has_unreceived_data for one in self.connections)
+
     def abort_all(self) -> None:
         """Reset all remaining connections."""
         for connection in list(self.connections):
--- a/src/cherrylane/relay/attempts.py
+++ b/src/cherrylane/relay/attempts.py
@@ -30,7 +30,6 @@
     Broken,
     Cause,
     Completed,
-    Failed,
     NotRun,
     Outcome,
     Rejection,
@@ -47,6 +46,7 @@
 from cherrylane.relay.request import CallerRequest
 from cherrylane.relay.selection import UpstreamSelector
 from cherrylane.relay.state import AttemptRecord, RequestState
+from cherrylane.relay.stopping import FinalOutcome, PlannedStop, Stopping
 from cherrylane.relay.stream_origins import (
     StreamBinder,
     StreamOrigin,
@@ -60,8 +60,6 @@
 # Attempts of one request that may be in progress at once.
 MAX_CONCURRENT = 2
 
-FinalOutcome = Answered | Failed | Completed | Broken | Rejection
-
 
 @define
 class AttemptRunner:
@@ -69,7 +67,7 @@
 
     ``load_tracker`` counts the requests in progress; ``find_retry_budget`` returns the budget of a
     service. ``crash_guard`` refuses requests that crash upstreams, and ``stream_binder`` finds
-    where a stream has to go on.
+    where a stream has to go on. ``stop`` says whether an attempt ends before this host does.
     """
 
     selector: UpstreamSelector
@@ -79,11 +77,12 @@
     find_retry_budget: Callable[[str], HostRetryBudget]
     crash_guard: CrashGuard = field(factory=CrashGuard)
     stream_binder: StreamBinder = field(factory=StreamBinder)
+    stop: PlannedStop = field(factory=PlannedStop)
     _refusals: Refusals = field(init=False)
 
     @_refusals.default
     def _make_refusals(self) -> Refusals:
-        return Refusals(self.selector, self.read_snapshot)
+        return Refusals(self.selector, self.read_snapshot, self.stop)
 
     async def run(self, state: RequestState, responder: Responder) -> FinalOutcome:
         """Return the final outcome; a stream has been relayed by then."""
@@ -113,7 +112,8 @@
                         if final is not None:
                             return final
         finally:
-            race.cancel()
+            # Attempts in progress may have been sent.
+            state.may_have_run |= bool(race.cancel())
             self.stream_binder.record_ended(state.request)
 
     async def _bind(self, state: RequestState) -> Rejection | None:
@@ -225,6 +225,8 @@
         """Return the upstream for the next attempt, or why there is none."""
         request = state.request
         now = asyncio.get_running_loop().time()
+        if not self.stop.can_end(request, now):
+            return Stopping()
         refusal = self.crash_guard.find_refusal(request, now)
         if refusal is not None:
             return refusal
--- a/src/cherrylane/relay/refusals.py
+++ b/src/cherrylane/relay/refusals.py
@@ -20,6 +20,7 @@
     UpstreamSelector,
 )
 from cherrylane.relay.state import RequestState
+from cherrylane.relay.stopping import RETRY_STOPPING_S, PlannedStop, Stopping
 from cherrylane.routing.snapshot import Snapshot
 
 # Retry-After, in seconds, by the reason why the request was not run.
@@ -33,7 +34,7 @@
 # Seconds over which callers are spread when an upstream accepts requests again.
 BACKOFF_SPREAD_S = 0.25
 
-NoChoice = Overloaded | AllBackingOff | RateLimited | OriginGone | Quarantined | None
+NoChoice = Overloaded | AllBackingOff | RateLimited | OriginGone | Quarantined | Stopping | None
 
 
 @define
@@ -42,6 +43,7 @@
 
     selector: UpstreamSelector
     read_snapshot: Callable[[], Snapshot]
+    stop: PlannedStop = field(factory=PlannedStop)
     retry_delays: RetryDelays = field(factory=RetryDelays)
     random: Random = field(factory=Random)
 
@@ -61,6 +63,10 @@
             case AllBackingOff(first_end_s=first_end_s):
                 delay_s = first_end_s + self.random.uniform(0.0, BACKOFF_SPREAD_S)
                 return self.give_up(state, responder, Cause.BACKING_OFF, delay_s)
+            case Stopping():
+                outcome = self.give_up(state, responder, Cause.STOPPING, RETRY_STOPPING_S)
+                self.stop.tally.record(outcome)
+                return outcome
             case None:
                 return self.give_up(state, responder, Cause.NO_UPSTREAM)
 
--- a/src/cherrylane/relay/service.py
+++ b/src/cherrylane/relay/service.py
@@ -16,7 +16,6 @@
 from cherrylane.relay.outcomes import (
     Answered,
     Broken,
-    Cause,
     Completed,
     Failed,
     Rejection,
@@ -24,6 +23,7 @@
 )
 from cherrylane.relay.request import CallerRequest
 from cherrylane.relay.state import RequestState
+from cherrylane.relay.stopping import PlannedStop
 from cherrylane.relay.streams import StreamProgress
 from cherrylane.routing.snapshot import Snapshot
 from cherrylane.telemetry.counters import Telemetry
@@ -31,8 +31,6 @@
 # Seconds after the start in which requests wait for the first configuration and list of upstreams;
 # an available store delivers them within 0.05 s.
 STARTUP_WAIT_S = 0.4
-# Retry-After, in seconds, from a host that is stopping; the caller may try another host at once.
-RETRY_STOPPING_S = 0.0
 
 log = Logger("cherrylane.relay")
 
@@ -54,6 +52,16 @@
     snapshot_available: asyncio.Event = field(factory=asyncio.Event)
     _startup_wait_until: float = float("-inf")
 
+    @property
+    def stop(self) -> PlannedStop:
+        """The planned stop of this host."""
+        return self.attempt_runner.stop
+
+    def close(self) -> None:
+        """Reject new requests from now on, and those that wait for the first configuration."""
+        self.is_closed = True
+        self.snapshot_available.set()
+
     def begin(self) -> None:
         """Start the time in which requests wait for the first configuration."""
         self._startup_wait_until = asyncio.get_running_loop().time() + STARTUP_WAIT_S
@@ -64,9 +72,7 @@
         if not self.snapshot_available.is_set() and now < self._startup_wait_until:
             await self._wait_for_snapshot()
         if self.is_closed:
-            admitted: CallerRequest | Rejection = Rejection(
-                Cause.STOPPING, retry_after_s=RETRY_STOPPING_S
-            )
+            admitted: CallerRequest | Rejection = self.stop.refuse()
         else:
             admitted = self.admission.admit(request, self.read_snapshot(), now)
         match admitted:
@@ -101,7 +107,8 @@
         outcome = "caller left"
         status = 0
         try:
-            result = await self.attempt_runner.run(state, responder)
+            work = self.attempt_runner.run(state, responder)
+            result = await self.stop.run(state, responder, work)
             outcome, status = self._answer(request, result, responder)
         finally:
             state.held.release()
