Gateway: the last answers of a stop get three fifths of its margin

Cause: a fixed time for the answers, of a margin that is itself shorter where the grace is short; a host with half a core needs longer.

Ruled out: a kill in the middle; the answers have left before, and the exit took 0.18 s.

Change: the answers may take three fifths of the margin (0.42 s of 0.7 s). The host waits only as long as some have not left.

Why it works: what is left of the margin is for the exit alone, during which no answer is due.

Conclusion: callers who do not read are cut when that time is over, and are counted as cut.

--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -82,8 +82,8 @@
 # Seconds of the grace period reserved for the last answers and the exit of the process, before it
 # is killed; at most half of it.
 GRACE_MARGIN_S = 0.7
-# Seconds of the margin in which the last answers may leave.
-FLUSH_S = 0.25
+# Share of the margin in which the last answers may leave.
+FLUSH_SHARE = 0.6
 FLUSH_POLL_S = 0.01
 # Polling interval while a stopping daemon has requests in progress, in seconds.
 DRAIN_POLL_S = 0.05
@@ -267,7 +267,8 @@
         were not run. What still runs at the end is answered as far as its outcome is known.
         """
         grace_s = self.settings.bounds.grace_s
-        deadline = asyncio.get_running_loop().time() + grace_s - min(GRACE_MARGIN_S, grace_s / 2)
+        margin_s = min(GRACE_MARGIN_S, grace_s / 2)
+        deadline = asyncio.get_running_loop().time() + grace_s - margin_s
         self._is_stopping = True
         stop = self._relay.stop
         stop.ends_at = deadline
@@ -287,7 +288,7 @@
         # The connections accepted last may bring requests.
         await asyncio.sleep(DRAIN_POLL_S)
         await self._drain(deadline)
-        await self._end_requests()
+        await self._end_requests(margin_s * FLUSH_SHARE)
         log.notice("stopped", extra={**asdict(stop.tally), "cut": callers.unfinished})
         deregistration.cancel()
         for watcher in self._watchers:
@@ -305,14 +306,14 @@
             await asyncio.sleep(DRAIN_POLL_S)
             callers.close_idle()
 
-    async def _end_requests(self) -> None:
-        """Answer all requests that are not finished, and wait until the answers have left."""
+    async def _end_requests(self, flush_s: float) -> None:
+        """Answer all requests that are not finished; the answers leave within ``flush_s``."""
         callers, stop = self._listeners.callers, self._relay.stop
         stopping = ReadFailure(
             HTTPStatus.SERVICE_UNAVAILABLE, "this host stops", retry_after_s=RETRY_STOPPING_S
         )
         loop = asyncio.get_running_loop()
-        flushed_by = loop.time() + FLUSH_S
+        flushed_by = loop.time() + flush_s
         stop.end()
         while callers.has_unsent and loop.time() < flushed_by:
             stop.tally.refused += callers.refuse_unread(stopping)
