Gateway: a stop during the start answers the requests that wait

What callers saw: the sockets are open while the modules are loaded, so connections are accepted and requests wait there. A SIGTERM in that time ended the process at once, and these connections were reset.

Cause: the handler in force before the event loop exits, on the assumption that no request is there yet; what waits at an open socket was not counted.

Ruled out: SIGHUP (ignored then) and SIGTERM before the sockets are open, which still exits at once.

Change: from the opening of the sockets on, a SIGTERM is kept; the event loop then starts and stops as at any other time.

Why it works: one path for every stop after the sockets are open.

--- a/src/cherrylane/gateway/__main__.py
+++ b/src/cherrylane/gateway/__main__.py
@@ -13,7 +13,7 @@
 def main() -> None:
     """Run the daemon until it receives a termination signal."""
     # In force until the event loop installs its own handlers. SIGHUP can be ignored because the
-    # settings are read below; SIGTERM can exit at once because no request is in progress yet.
+    # settings are read below; SIGTERM can exit at once because no socket is open yet.
     signal(SIGHUP, SIG_IGN)
     signal(SIGTERM, lambda signal_number, frame: exit_process(EXIT_OK))
     from attrs import evolve
@@ -24,6 +24,7 @@
 
     options = _parse_arguments()
     path = options.settings or find_boot_file()
+    early_signals: list[int] = []
     try:
         settings = read_boot_file(path)
         if options.metrics_port is not None:
@@ -31,6 +32,8 @@
         if options.check:
             print(f"{path}: settings of host {settings.identity.name} are valid")
             exit_process(EXIT_OK)
+        # Requests may wait at open sockets, so the daemon starts and stops as it does later.
+        signal(SIGTERM, lambda signal_number, frame: early_signals.append(signal_number))
         sockets = open_sockets(settings)
     except SettingsError as error:
         print(error, file=stderr)
@@ -38,7 +41,7 @@
     # Imported only now: the open sockets accept callers' connections during the slow import.
     from cherrylane.gateway.serving import serve
 
-    serve(path, settings, sockets, log_level=options.log_level)
+    serve(path, settings, sockets, early_signals, log_level=options.log_level)
 
 
 def _parse_arguments() -> Namespace:
--- a/src/cherrylane/gateway/serving.py
+++ b/src/cherrylane/gateway/serving.py
@@ -22,20 +22,32 @@
 
 
 def serve(
-    path: Path, settings: GatewaySettings, sockets: ListeningSockets, *, log_level: str
+    path: Path,
+    settings: GatewaySettings,
+    sockets: ListeningSockets,
+    early_signals: list[int],
+    *,
+    log_level: str,
 ) -> None:
-    """Serve until SIGTERM or SIGINT, then shut down gracefully."""
+    """Serve until SIGTERM or SIGINT, then shut down gracefully.
+
+    ``early_signals`` are those that have arrived before the event loop handles signals.
+    """
     writer = LineWriter(stdout.fileno())
     level = lookup_level(log_level)
     with RateLimitedHandler(writer, settings.identity.name, level=level).applicationbound():
-        asyncio.run(_serve(path, settings, sockets, writer))
+        asyncio.run(_serve(path, settings, sockets, early_signals, writer))
         # All tasks have ended; what remains is the end of the interpreter.
         log.notice("event loop closed")
         writer.flush()
 
 
 async def _serve(
-    path: Path, settings: GatewaySettings, sockets: ListeningSockets, writer: LineWriter
+    path: Path,
+    settings: GatewaySettings,
+    sockets: ListeningSockets,
+    early_signals: list[int],
+    writer: LineWriter,
 ) -> None:
     loop = asyncio.get_running_loop()
     stop_requested = asyncio.Event()
@@ -43,6 +55,8 @@
     for signal_number in (SIGTERM, SIGINT):
         loop.add_signal_handler(signal_number, stop_requested.set)
     loop.add_signal_handler(SIGHUP, reload_requested.set)
+    if early_signals:
+        stop_requested.set()
     gateway = Gateway(settings, writer)
     await gateway.start(sockets)
     settings_task = loop.create_task(_watch_settings(path, gateway, reload_requested))
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -43,11 +43,12 @@
 class GatewayProcess:
     """One daemon process with a grace time in seconds; collects its log lines."""
 
-    def __init__(self, store_port: int, grace_s: int = 8) -> None:
+    def __init__(self, store_port: int, grace_s: int = 8, callers_port: int = 0) -> None:
         self._folder = TemporaryDirectory()
         self.settings = Path(self._folder.name) / "boot.conf"
         text = BOOT.replace("10.1.0.4", LOOPBACK).replace("10.9.0.1:90", f"{LOOPBACK}:{store_port}")
-        for port in ("80", "81", "82"):
+        text = text.replace(f"{LOOPBACK}:80\n", f"{LOOPBACK}:{callers_port}\n")
+        for port in ("81", "82"):
             text = text.replace(f"{LOOPBACK}:{port}\n", f"{LOOPBACK}:0\n")
         text = text.replace("port_range=7000,7010", "port_range=0,0")
         text = text.replace("bounds.grace_s=8", f"bounds.grace_s={grace_s}")
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -23,7 +23,7 @@
     stream,
     succeed,
 )
-from tests.test_gateway import DESK, ROUTE, GatewayCase
+from tests.test_gateway import DESK, ROUTE, GatewayCase, GatewayProcess
 from tests.test_responder import make_responder
 from tests.wire import (
     LOOPBACK,
@@ -31,6 +31,7 @@
     ScriptedUpstream,
     make_configuration,
     make_request,
+    open_listener,
     run,
     send_raw,
     wait_for,
@@ -209,6 +210,31 @@
         self.assertEqual(0, self.gateway.process.wait(timeout=20))
 
 
+class StopBeforeStartTest(TestCase):
+    # Guards against connections that are accepted and reset while the process still starts.
+    def test_a_stop_before_the_start_answers_requests_that_wait(self) -> None:
+        with open_listener() as reserved:
+            port = reserved.getsockname()[1]
+        gateway = GatewayProcess(store_port=1, grace_s=3, callers_port=port)
+        self.addCleanup(gateway.close)
+
+        async def work() -> bytes:
+            while True:
+                try:
+                    reader, writer = await asyncio.open_connection(LOOPBACK, port)
+                    break
+                except ConnectionRefusedError:
+                    await asyncio.sleep(0.01)
+            writer.write(encode("unsafe", 1, "Connection: close\r\n"))
+            gateway.process.send_signal(SIGTERM)
+            answer = await reader.read()
+            writer.close()
+            return answer
+
+        self.assertThat(run(work()), StartsWith(b"HTTP/1.1 503"))
+        self.assertEqual(0, gateway.process.wait(timeout=20))
+
+
 class FurtherAttemptTest(TestCase):
     def fetch_in_stop(self, fixture: RelayFixture, time_left_s: float) -> bytes:
         async def work() -> bytes:
