Take ids of nineteen digits for numbers

What callers saw: a resumable stream whose ids are times in nanoseconds broke off for good where it went on before, since ids of more than eighteen digits were taken for none (found by the review; not in any release). Cause: the bound on digits was chosen for 64 bits and one too low for it. Ruled out: no bound, since a text of digits is compared and logged.

Conclusion: fixed.

--- a/src/cherrylane/relay/events.py
+++ b/src/cherrylane/relay/events.py
@@ -9,8 +9,8 @@
 
 from attrs import define
 
-# Most digits of an id that is taken for a number; it fits into 64 bits.
-MAX_ID_DIGITS = 18
+# Most digits of an id that is taken for a number, such as a time in nanoseconds.
+MAX_ID_DIGITS = 19
 EVENT_END = re.compile(rb"\n\r?\n")
 # The common form of an event: lines of fields, of which one at most has an id, a plain number.
 COMMON_EVENT = re.compile(
