Judge run times in a stop without refused requests, and not by one long request

What callers saw (found by the review): in a planned stop, sound requests of a route were refused as not run although nearly all of them are short: after 10 ended ones of 0.5 s and one of 6 s that still runs, with 7 s left; and where most requests are refused at once, these took the places of those from which something is known.

Cause: a share of 5 % cannot be told from fewer than twenty requests, and each request was followed, also one that no upstream ever got.

Change: from ten followed requests on, a single one that takes longer is no reason to refuse; a request that was refused before anything of it ran is no longer followed. With nothing known the deadline still counts: a refusal as not run lets its caller try another host at once, a request that is cut leaves its outcome unknown.

--- a/src/cherrylane/limits/run_times.py
+++ b/src/cherrylane/limits/run_times.py
@@ -9,6 +9,7 @@
 """
 
 from collections import deque
+from math import isclose
 
 from attrs import define, field
 
@@ -19,6 +20,8 @@
 MIN_START_INTERVAL_S = 0.2
 # Largest share of requests that may take longer than the time left for one to be started.
 MAX_LATE_SHARE = 0.05
+# Requests from which on a single one that takes longer is no reason to refuse all others.
+MIN_RUNS_BESIDE_ONE = 10
 
 
 @define(eq=False)
@@ -61,6 +64,12 @@
             runs.append(run)
         return run
 
+    def discard(self, route: str, run: Run) -> None:
+        """Stop to follow a request that was refused before anything of it ran."""
+        runs = self._runs.get(route)
+        if runs is not None and run in runs:
+            runs.remove(run)
+
     def keep(self, routes: set[str]) -> None:
         """Forget all routes but these."""
         for route in self._runs.keys() - routes:
@@ -82,4 +91,8 @@
 
     def can_end_within(self, route: str, seconds: float, now: float) -> bool:
         """Return whether a request of ``route`` that starts now is expected to end in time."""
-        return self.estimate_late_share(route, seconds, now) <= MAX_LATE_SHARE
+        followed = len(self._runs.get(route, ()))
+        share = self.estimate_late_share(route, seconds, now)
+        if followed >= MIN_RUNS_BESIDE_ONE:
+            return share <= max(MAX_LATE_SHARE, 1 / followed) or isclose(share, 1 / followed)
+        return share <= MAX_LATE_SHARE
--- a/src/cherrylane/relay/stopping.py
+++ b/src/cherrylane/relay/stopping.py
@@ -77,14 +77,16 @@
         Raises what ``work`` raises.
         """
         loop = asyncio.get_running_loop()
-        run = self.run_times.begin(state.request.route.name, loop.time())
+        route = state.request.route.name
+        run = self.run_times.begin(route, loop.time())
         limit = asyncio.timeout(None)
-        is_whole = False
+        is_whole = is_refused = False
         try:
             async with limit:
                 self._limits.add(limit)
                 outcome = await work
                 is_whole = isinstance(outcome, Answered | Completed | Failed)
+                is_refused = isinstance(outcome, Rejection) and not state.times_sent
                 return outcome
         except TimeoutError:
             if not limit.expired():
@@ -93,6 +95,8 @@
         finally:
             self._limits.discard(limit)
             run.end(loop.time(), is_whole=is_whole)
+            if is_refused:
+                self.run_times.discard(route, run)
 
     def end(self) -> None:
         """End all requests that still run, with truthful answers."""
--- a/tests/test_run_times.py
+++ b/tests/test_run_times.py
@@ -42,6 +42,28 @@
         play(run_times, seconds=[0.1] * 39 + [7.0], until=60.0)
         self.assertTrue(run_times.can_end_within(ROUTE, 2.0, now=60.0))
 
+    def test_one_long_request_among_few_short_ones(self) -> None:
+        for short in (9, 10, 18, 19, 20):
+            run_times = RunTimes()
+            run_times.begin(ROUTE, 0.0)
+            for index in range(short):
+                run_times.begin(ROUTE, 1.0 + index * 0.25).end(1.5 + index * 0.25, is_whole=True)
+            self.assertTrue(run_times.can_end_within(ROUTE, 5.0, now=7.0), short)
+            run_times.begin(ROUTE, 6.2)
+            run_times.begin(ROUTE, 6.4)
+            self.assertFalse(run_times.can_end_within(ROUTE, 0.55, now=7.0), short)
+
+    # Guards against refused requests that take the places of those from which something is known.
+    def test_refused_requests_are_not_followed(self) -> None:
+        run_times = RunTimes()
+        play(run_times, seconds=[0.3], until=30.0)
+        for index in range(1000):
+            started_at = 30.0 + index * 0.25
+            run = run_times.begin(ROUTE, started_at)
+            run.end(started_at, is_whole=False)
+            run_times.discard(ROUTE, run)
+        self.assertEqual(0.0, run_times.estimate_late_share(ROUTE, 1.0, now=300.0))
+
     def test_nothing_is_known_of_a_route_without_ended_requests(self) -> None:
         run_times = RunTimes()
         self.assertEqual(1.0, run_times.estimate_late_share(ROUTE, 60.0, now=0.0))
