Bound the size of the heads that an upstream sends before its answer

What was wrong: since heads are checked as a whole, the thread daemon keeps the lines of a response's head and of the interim ones before it until the head is complete. Interim heads without end were held for as long as a head may take: 58 MB in 0.3 s from one upstream, of 10 s that it has.

Cause: each line was bounded, and the time, but not the sum of what is kept. The class: a limit on parts without one on the whole. Ruled out: heads without end (http.client takes 100 headers), bodies and trailers (metered).

Change: a megabyte for all heads of a response.

--- a/src/cherrylane/delivery/exchange.py
+++ b/src/cherrylane/delivery/exchange.py
@@ -34,6 +34,8 @@
 MILLISECONDS_PER_SECOND = 1000
 READ_BYTES = 64 * 1024
 CLOSE_DELIMITED = "Connection: close"
+# Bytes of a response's head with the interim ones before it.
+MAX_HEADS_BYTES = 1024 * 1024
 # Bytes of chunk sizes, extensions and trailers that are tolerated in a body in any case.
 MAX_FRAMING_BYTES = 64 * 1024
 MAX_FULL_BODY_BYTES = 64 * 1024 * 1024
@@ -59,13 +61,17 @@
 
     def __init__(self, reader: Any) -> None:
         self._reader = reader
+        self._left = MAX_HEADS_BYTES
         self.lines: list[bytes] = []
 
     def readline(self, size: int = -1) -> bytes:
-        """Read a line; raises ``HTTPException`` if it is not complete."""
+        """Read a line; raises ``HTTPException`` if it breaks off, or the heads are too large."""
         line: bytes = self._reader.readline(size)
         if not line.endswith(b"\n") and len(line) != size:
             raise HTTPException("the connection was closed within a head")
+        self._left -= len(line)
+        if self._left < 0:
+            raise HTTPException(f"heads of more than {MAX_HEADS_BYTES} bytes")
         self.lines.append(line)
         return line
 
--- a/tests/test_slow_and_endless.py
+++ b/tests/test_slow_and_endless.py
@@ -61,6 +61,18 @@
         with ExpectedException(UpstreamError):
             self.read(script, head_timeout_s=SHORT_S)
 
+    # Guards against memory that grows with what an upstream sends before its answer.
+    def test_interim_responses_have_a_limit_of_size(self) -> None:
+        for status in (100, 103):
+            head = b"HTTP/1.1 %d Interim\r\nX: %b\r\n\r\n" % (status, BLOCK)
+            error = self.assertRaises(UpstreamError, self.read, send_repeatedly(b"", head))
+            self.assertIn("heads of more than", str(error))
+
+    def test_interim_responses_now_and_then_have_a_time_limit_as_a_whole(self) -> None:
+        script = send_repeatedly(b"", b"HTTP/1.1 103 Early Hints\r\n\r\n", PAUSE_S)
+        with ExpectedException(UpstreamError):
+            self.read(script, head_timeout_s=SHORT_S)
+
     def test_a_head_has_a_time_limit_as_a_whole(self) -> None:
         with ExpectedException(UpstreamError):
             self.read(send_repeatedly(HEAD + b"X: ", b"x", PAUSE_S), head_timeout_s=SHORT_S)
