Soak: the link proxy and the choice of free ports move to the stand-ins

The proxy stands for a network link as the other stand-ins stand for the store and the services, and tests use it without a soak. The proxy resets connections itself, since stand-ins don't depend on the tests. Nothing else changes.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,8 +11,8 @@
 from soak.checks import DRAIN_S
 from soak.disturbances import Disturbance
 from soak.fleet import SERVICES, SoakFleet, SoakHost
-from soak.proxy import LinkState
 from soak.upstreams import SOFTWARE, Behaviour, NamedLimit, SoakUpstream
+from standins.links import LinkState
 from tests.odd_entries import ODD_ENTRIES
 
 # Ranges of the time between the starts of two faults and of a fault's duration; about three
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -6,7 +6,6 @@
 from os import environ
 from pathlib import Path
 from signal import SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM
-from socket import AF_INET, SOCK_DGRAM, SOCK_STREAM, socket
 from subprocess import Popen
 from typing import Any
 
@@ -17,9 +16,9 @@
 from cherrylane.platform.client import AsyncPlatformClient
 from cherrylane.platform.objects import Kind, PlatformObject
 from cherrylane.settings.schema import PlatformSettings
-from soak.proxy import Link
 from soak.upstreams import SoakUpstream
 from standins.fleet import ROOT, Fleet
+from standins.links import Link, find_free_ports
 
 # Interval at which new versions of the configuration are written.
 VERSION_INTERVAL_S = 0.7
@@ -346,25 +345,6 @@
     }
 
 
-def find_free_ports(count: int) -> list[int]:
-    """Return ports that are free for both TCP and UDP on the loopback address."""
-    ports: list[int] = []
-    sockets = []
-    while len(ports) < count:
-        stream, datagram = socket(AF_INET, SOCK_STREAM), socket(AF_INET, SOCK_DGRAM)
-        sockets += [stream, datagram]
-        stream.bind(("127.0.0.1", 0))
-        port = stream.getsockname()[1]
-        try:
-            datagram.bind(("127.0.0.1", port))
-        except OSError:
-            continue
-        ports.append(port)
-    for opened in sockets:
-        opened.close()
-    return ports
-
-
 def decode_addresses(body: bytes) -> list[str]:
     """Return the IP addresses in a response of the directory service."""
     return [str(address).rpartition(":")[0] for address in loads(body)["addresses"]]
--- a/soak/proxy.py
+++ b/standins/links.py
@@ -1,18 +1,39 @@
-"""A loopback TCP proxy that can delay, reset or block connections, also in one direction only."""
+"""Free ports on loopback, and a proxy that delays, resets or blocks connections there."""
 
 import asyncio
 from enum import Enum
+from socket import AF_INET, SO_LINGER, SOCK_DGRAM, SOCK_STREAM, SOL_SOCKET, socket
+from struct import pack
 
 from attrs import define, field
 
-from tests.wire import reset_connection
-
 # Maximum number of bytes that are forwarded at once.
 CHUNK_BYTES = 16 * 1024
 # Interval at which a blocked link checks whether it is unblocked.
 POLL_INTERVAL_S = 0.02
 # Delay of each chunk on a slow link.
 SLOW_DELAY_S = 0.15
+# The linger option that makes a close a reset.
+RESET_ON_CLOSE = pack("ii", 1, 0)
+
+
+def find_free_ports(count: int) -> list[int]:
+    """Return ports that are free for both TCP and UDP on the loopback address."""
+    ports: list[int] = []
+    sockets = []
+    while len(ports) < count:
+        stream, datagram = socket(AF_INET, SOCK_STREAM), socket(AF_INET, SOCK_DGRAM)
+        sockets += [stream, datagram]
+        stream.bind(("127.0.0.1", 0))
+        port = stream.getsockname()[1]
+        try:
+            datagram.bind(("127.0.0.1", port))
+        except OSError:
+            continue
+        ports.append(port)
+    for opened in sockets:
+        opened.close()
+    return ports
 
 
 class LinkState(Enum):
@@ -50,7 +71,7 @@
         self.state = state
         if state is LinkState.RESET:
             for writer in list(self._writers):
-                reset_connection(writer)
+                _reset(writer)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
@@ -58,7 +79,7 @@
             while self.state is LinkState.SILENT:
                 await asyncio.sleep(POLL_INTERVAL_S)
             if self.state is LinkState.RESET:
-                reset_connection(writer)
+                _reset(writer)
                 return
             target_reader, target_writer = await asyncio.open_connection(
                 "127.0.0.1", self.target_port
@@ -72,7 +93,7 @@
                 self._writers.discard(target_writer)
                 target_writer.close()
         except OSError:
-            reset_connection(writer)
+            _reset(writer)
         finally:
             self._writers.discard(writer)
             writer.close()
@@ -89,3 +110,10 @@
             await writer.drain()
         if writer.can_write_eof():
             writer.write_eof()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    connection = writer.get_extra_info("socket")
+    if connection is not None and connection.fileno() >= 0:
+        connection.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
+    writer.transport.abort()
--- a/tests/test_out_of_step.py
+++ b/tests/test_out_of_step.py
@@ -13,8 +13,8 @@
 
 from soak.callers import Callers, Exchange, RequestKind
 from soak.fleet import SERVICES, SoakFleet
-from soak.proxy import LinkState
 from soak.upstreams import EVENT_COUNT, SoakUpstream, make_event
+from standins.links import LinkState
 from tests.wire import run
 
 LAST_EVENT = 3
