Soak: upstreams that answer twice or falsely, ids sent again, and planned stops beside long requests

Why the soak missed the incident: its upstreams never answered one request in two ways, where a stream goes on they wrote only what is due there, each request had its own id, and requests were over long before a stop's grace was. So nothing that a host passed on could be a success of a run that had failed, or a rest that is none.

Upstreams now draw odd answers (standins/odd_answers.py), from the seed, the request and their name, so the faults that old seeds draw stay as they were: a failure (500 or 503, with the id, none, an empty one or several) and up to 0.3 s later a success for the same id; the begin of a head, then a close or a reset; a stream that breaks off within an event; and where a stream goes on, a text, a whole head, an event without an id, events from the start, the last event again, a gap, or nothing, chunked or of length 0. Callers send some safe requests again under the same id (the body tells the runs apart), and requests that run for 1 to 6 s with 9 s of time, on connections that were idle before, to any host, so also to one whose grace is 4 s.

Checks: no success of a run that had answered with a failure (answers name their run); no answer of an earlier run of an id; no connection closed without an answer to a request that an upstream has got, also at the end of a stop's grace. The last one is stricter than before: test_a_request_may_be_lost_only_as_it_crosses_a_stop_or_when_its_grace_is_over allowed such a close from five sixths of the grace on. Two tests replace it: a request may be lost only as it crosses the stop, and only an answer that has begun may break off when the grace is over.

Heads that stop: no violation.

Not shown: 503 for safe requests that have run isn't judged, as before.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -29,6 +29,14 @@
 # Share of whole streams that their callers take up although they have every event, as after a break
 # before the end.
 WHOLE_TAKE_UP_SHARE = 0.05
+# Share of safe requests whose callers ask again at once under the same id.
+REPEATED_SHARE = 0.3
+# Seconds for which a long request runs, the time that it has, the pause until the next one is sent
+# and the longest time for which its connection has been open by then.
+LONG_RUN_S = (1.0, 6.0)
+LONG_DEADLINE_S = 9.0
+LONG_PAUSE_S = 0.25
+LONG_IDLE_S = 1.5
 # Share of requests that go to the most recently added route.
 NEW_ROUTE_SHARE = 0.1
 
@@ -63,7 +71,7 @@
     """A response as the caller received it; ``complete`` if it was read to its end.
 
     ``leaving_upstream`` is the upstream that said in this response that it leaves, if any, and
-    ``limiting_upstream`` the one that named a request limit.
+    ``limiting_upstream`` the one that named a request limit; ``run`` is the run that it is of.
     """
 
     status: int = 0
@@ -73,6 +81,7 @@
     complete: bool = False
     leaving_upstream: str = ""
     limiting_upstream: str = ""
+    run: str = ""
 
 
 @define
@@ -81,7 +90,8 @@
 
     ``version`` is the configuration version that added the request's route, 0 for the routes that
     every version has. ``incarnation`` counts the starts of the host's process. A request that takes
-    a stream up names the one that began it, ``resumes``, and the last event that has come.
+    a stream up names the one that began it, ``resumes``, and the last event that has come; one that
+    is sent again bears the id of that before, ``repeats``. A long one runs for ``run_s``.
     """
 
     id: str
@@ -96,11 +106,23 @@
     response: Response = field(factory=Response)
     ending: Ending = Ending.NOT_SENT
     is_large: bool = False
+    repeats: str = ""
+    run_s: float = 0.0
+
+    @property
+    def attempt_id(self) -> str:
+        """The id under which it is sent."""
+        return self.repeats or self.id
+
+    @property
+    def deadline_s(self) -> float:
+        """The time that the request gave."""
+        return LONG_DEADLINE_S if self.run_s else DEADLINE_S
 
     @property
     def due(self) -> float:
         """The end of the time that the request gave."""
-        return self.sent + DEADLINE_S
+        return self.sent + self.deadline_s
 
 
 @define
@@ -112,6 +134,7 @@
     history: list[Exchange] = field(factory=list)
     _ids: "count[int]" = field(factory=lambda: count(1))
     _broken: list[Exchange] = field(factory=list)
+    _own_random: Random = field(factory=lambda: Random(0))
 
     async def run(self, until: float) -> None:
         """Send requests until the loop time ``until``, over one connection after another."""
@@ -128,6 +151,18 @@
                 while self._broken:
                     await self._take_up(self._broken.pop())
 
+    async def send_long_requests(self, until: float) -> None:
+        """Send requests that run for seconds, on connections to any host, until a loop time."""
+        tasks = []
+        while asyncio.get_running_loop().time() < until:
+            host = self._own_random.choice(self.fleet.hosts)
+            exchange = self._record_exchange(host, self._own_random.choice(list(RequestKind)), 0)
+            exchange.run_s = self._own_random.uniform(*LONG_RUN_S)
+            idle_s = self._own_random.uniform(0, LONG_IDLE_S)
+            tasks.append(asyncio.create_task(self._send_alone(host, [exchange], idle_s)))
+            await asyncio.sleep(LONG_PAUSE_S)
+        await asyncio.gather(*tasks)
+
     async def _take_up(self, broken: Exchange) -> None:
         """Take up a stream that broke off, at any host."""
         host = await self._resolve()
@@ -145,12 +180,17 @@
         await self._send_alone(host, [exchange])
         return exchange
 
-    async def _send_alone(self, host: SoakHost, exchanges: list[Exchange]) -> None:
-        """Send requests one after the other over a new connection."""
+    async def _send_alone(
+        self, host: SoakHost, exchanges: list[Exchange], idle_s: float = 0.0
+    ) -> None:
+        """Send requests one after the other over a new connection, idle for a while before."""
         try:
             async with asyncio.timeout(DEADLINE_S):
                 reader, writer = await asyncio.open_connection(host.address, host.callers_port)
             try:
+                await asyncio.sleep(idle_s)
+                if host.incarnation != exchanges[0].incarnation:
+                    return
                 for exchange in exchanges:
                     if not await _send_and_receive(reader, writer, [exchange]):
                         return
@@ -192,6 +232,12 @@
                 whole = [exchange for exchange in exchanges if _has_all_events(exchange)]
                 if whole and self.random.random() < WHOLE_TAKE_UP_SHARE:
                     await self._take_up(whole[0])
+                is_safe = exchanges[-1].kind is RequestKind.SAFE and not is_slow
+                if is_safe and self._own_random.random() < REPEATED_SHARE:
+                    repeated = self._record_exchange(host, RequestKind.SAFE, 0)
+                    repeated.repeats = exchanges[-1].attempt_id
+                    if not await _send_and_receive(reader, writer, [repeated]):
+                        return
                 await asyncio.sleep(PAUSE_S * self.random.random())
         finally:
             writer.close()
@@ -245,7 +291,7 @@
         slow_s = SLOW_READ_S if exchange.is_large else 0.0
         exchange.ending = Ending.CLOSED
         try:
-            async with asyncio.timeout(DEADLINE_S + PATIENCE_S + slow_s):
+            async with asyncio.timeout(exchange.deadline_s + PATIENCE_S + slow_s):
                 is_reusable &= await _receive(reader, exchange, slow_s)
             exchange.ending = Ending.ANSWERED
         except TimeoutError:
@@ -291,13 +337,16 @@
 def _encode_request(exchange: Exchange) -> bytes:
     path = f"/v{exchange.version}/" if exchange.version else f"/{exchange.kind.value}/"
     path += LARGE_PATH if exchange.is_large else ""
+    path = f"/long{path}" if exchange.run_s else path
     method = "GET" if exchange.kind is RequestKind.SAFE else "POST"
     length = "" if method == "GET" else "Content-Length: 0\r\n"
     resumed = f"Resumes: {exchange.resumes}\r\nLast-Event-Id: {exchange.last_event}\r\n"
     length += resumed if exchange.resumes else ""
+    length += f"Soak-Request: {exchange.id}\r\n" if exchange.repeats else ""
+    length += f"Soak-Seconds: {exchange.run_s}\r\n" if exchange.run_s else ""
     return (
-        f"{method} {path} HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: {exchange.id}\r\n"
-        f"Deadline-Ms: {int(DEADLINE_S * 1000)}\r\n{length}\r\n".encode()
+        f"{method} {path} HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: {exchange.attempt_id}\r\n"
+        f"Deadline-Ms: {int(exchange.deadline_s * 1000)}\r\n{length}\r\n".encode()
     )
 
 
@@ -311,10 +360,10 @@
     response.status = int(head[0].split()[1])
     response.request_id = headers.get("attempt-id", "")
     response.signature = headers.get("server-seal", "")
-    if "server-leaving" in headers:
-        response.leaving_upstream = headers.get("soak-upstream", "")
-    if "server-limit" in headers:
-        response.limiting_upstream = headers.get("soak-upstream", "")
+    response.run = headers.get("soak-run", "")
+    upstream = response.run.partition("/")[0]
+    response.leaving_upstream = upstream if "server-leaving" in headers else ""
+    response.limiting_upstream = upstream if "server-limit" in headers else ""
     await asyncio.sleep(slow_s)
     if headers.get("transfer-encoding") == "chunked":
         while size := int(await reader.readuntil(b"\r\n"), 16):
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -68,9 +68,12 @@
     """Return a description of each violation of a guarantee."""
     violations = []
     for exchange in observed.history:
-        violations += check_response(exchange, observed.executions[exchange.id])
+        odd = [upstream.odd_answers.get(exchange.id) for upstream in observed.upstreams]
+        found = check_response(exchange, observed.executions[exchange.id])
+        violations += [", ".join([text, *(one.value for one in odd if one)]) for text in found]
     violations += _check_versions(observed.history)
     violations += check_streams(observed.history)
+    violations += _check_failed_runs(observed)
     violations += _check_retries(observed)
     violations += _check_silences(observed)
     violations += _check_endings(observed)
@@ -99,7 +102,7 @@
         and executions
     ):
         found.append(f"answered {response.status} but was executed")
-    if response.complete and response.request_id not in ("", exchange.id):
+    if response.complete and response.request_id not in ("", exchange.attempt_id):
         found.append(f"got the response to {response.request_id}")
     if response.complete and 200 <= response.status < 300:
         if not response.signature:
@@ -157,6 +160,17 @@
     return violations
 
 
+def _check_failed_runs(observed: Observations) -> list[str]:
+    """Check that nothing is passed on as a success of a run that had answered with a failure."""
+    failed_runs = {run for upstream in observed.upstreams for run in upstream.failed_runs}
+    return [
+        f"{exchange.id} ({exchange.kind.value} at {exchange.host}): a success of the run "
+        f"{exchange.response.run}, which had answered with a failure"
+        for exchange in observed.history
+        if exchange.response.run in failed_runs and 200 <= exchange.response.status < 300
+    ]
+
+
 def _check_retries(observed: Observations) -> list[str]:
     """Check that all hosts together stay within the retry budget in every window."""
     sent_times = sorted(exchange.sent for exchange in observed.history)
@@ -319,9 +333,10 @@
 
 
 def _has_lost_host(observed: Observations, exchange: Exchange) -> bool:
-    """Return whether the process was killed, or ended by the end of its grace.
+    """Return whether the process was killed, or ended an answer at the end of its grace.
 
-    A request may also cross the orderly end of a process that has not passed it on.
+    A request may also cross the orderly end of a process that has not passed it on. Any other one
+    gets an answer, by which its caller learns that its outcome is unknown.
     """
     if _is_disturbed(observed, exchange, exchange.host, "host killed"):
         return True
@@ -330,7 +345,7 @@
     return any(
         stop.overlaps(exchange.sent, exchange.ended)
         and (
-            exchange.ended >= stop.began + FINISHING_S
+            (exchange.ending is not Ending.CLOSED and exchange.ended >= stop.began + FINISHING_S)
             or (is_crossing and exchange.sent >= stop.began)
         )
         for stop in observed.disturbances
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -230,7 +230,8 @@
         if len(upstreams) >= MAX_UPSTREAMS:
             return
         name, random = f"i-{len(upstreams)}", Random(fault.variant)
-        joining = SoakUpstream(name, random, upstreams[0].silences, software=SOFTWARE[-1])
+        other = upstreams[0]
+        joining = SoakUpstream(name, random, other.silences, SOFTWARE[-1], other.odd_seed)
         service = SERVICES[fault.target % len(SERVICES)]
         await self.fleet.release(await joining.open(), service)
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -314,6 +314,10 @@
     services = {"safe": "desk", "stream": "desk", "unsafe": "filing"}
     routes = [_make_route(f"/{kind}/", kind, service) for kind, service in services.items()]
     first = max(1, version - VERSION_ROUTES_KEPT)
+    routes += [
+        _make_route(f"/long/{kind}/", kind, service, timeout_ms=9000)
+        for kind, service in services.items()
+    ]
     routes += [_make_route(f"/v{added}/", "safe", "desk") for added in range(first, version + 1)]
     return {
         "version": version,
@@ -328,14 +332,14 @@
     }
 
 
-def _make_route(prefix: str, kind: str, service: str) -> dict[str, Any]:
+def _make_route(prefix: str, kind: str, service: str, timeout_ms: int = 3000) -> dict[str, Any]:
     return {
         "name": prefix.strip("/"),
         "host": "soak.example",
         "path_prefix": prefix,
         "kind": "streaming" if kind == "stream" else kind,
-        "timeout_ms": 3000,
-        "target_latency_ms": 500,
+        "timeout_ms": timeout_ms,
+        "target_latency_ms": timeout_ms // 6,
         "gap_aim_ms": 200,
         "priority": 1,
         "service": service,
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -62,10 +62,12 @@
             Random(options.seed + number),
             silences,
             choose_software(options.seed, number),
+            options.seed,
         ).open()
         for number in range(UPSTREAMS)
     ]
-    callers = Callers(fleet, Random(options.seed))
+    own_random = Random(f"long and repeated requests {options.seed}")
+    callers = Callers(fleet, Random(options.seed), own_random=own_random)
     injector = FaultInjector(fleet)
     delays = [0.0]
     try:
@@ -75,6 +77,7 @@
         watcher = asyncio.create_task(_watch_processes(fleet, delays))
         until = asyncio.get_running_loop().time() + options.seconds
         caller_loops = [callers.run(until) for _ in range(options.callers)]
+        caller_loops.append(callers.send_long_requests(until))
         await asyncio.gather(injector.run(faults), *caller_loops)
         writer.cancel()
         unrecovered += await _wait_until_serving(fleet, callers)
@@ -95,8 +98,9 @@
     )
     statuses = Counter(item.response.status for item in callers.history)
     status_counts = ", ".join(f"{status or 'none'}: {n}" for status, n in sorted(statuses.items()))
+    odd = sum(len(item.odd_answers) for item in upstreams)
     summary = (
-        f"{len(faults)} faults, {len(observed.silences)} silences, "
+        f"{len(faults)} faults, {len(observed.silences)} silences, {odd} odd answers, "
         f"responses by status: {status_counts}, the soak was up to {max(delays):.2f} s late"
     )
     return SoakReport(summary, find_violations(observed))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -36,10 +36,22 @@
 from soak.silences import Silence, Silences
 from soak.streams import check_streams
 from soak.upstreams import NamedLimit, Refusal, SoakUpstream, make_event, make_response_body
+from standins.odd_answers import (
+    FAILURE_IDS,
+    RESTS,
+    STREAMS,
+    OddAnswer,
+    draw_odd_answer,
+    make_failure,
+    make_rest,
+    make_stopped_head,
+)
 from tests.test_platform_documents import BOOT
 from tests.wire import TEST_TIMEOUT_S
 
 SECONDS = 6.0
+# A seed whose short soak stops a host early on.
+STOP_SEED = 8
 TWO_VERSIONS = "r1: the stream has events of the versions [b'v1', b'v2']"
 # Seeds that have found a fault, with its cause; `make soak SEED=...` runs one of them.
 #   9: a SIGTERM during start-up ended the daemon with the exit code of the signal.
@@ -47,6 +59,8 @@
 #      request was sent; the check went by the time of sending.
 #   210: beside much load, a SIGHUP before the interpreter had reached the daemon (KNOWN-RED.txt).
 #   3: a SIGHUP during start-up ended the daemon, because its handler was not installed yet.
+#   8: a late success was passed on for a run that had answered with a failure, streams took in what
+#      was no rest of theirs, and a planned stop cut requests off without an answer.
 #   400: a silent upstream's connection was closed before another one had begun to answer, a slow
 #      caller got an event twice, and responses were cut that a slow caller had not read yet.
 
@@ -58,6 +72,17 @@
             report = asyncio.run(run_soak(options, Path(work_dir)))
         self.assertEqual([], report.violations, report.summary)
 
+    # Guards against a stop that cuts long requests off without an answer (LOST).
+    def test_a_short_soak_with_a_planned_stop_finds_no_violations(self) -> None:
+        with TemporaryDirectory() as work_dir:
+            options = SoakOptions(seed=STOP_SEED, seconds=SECONDS, hosts=3, callers=4)
+            report = asyncio.run(run_soak(options, Path(work_dir)))
+        self.assertEqual([], report.violations, report.summary)
+
+    def test_the_seed_of_a_planned_stop_stops_a_host(self) -> None:
+        kinds = [fault.kind for fault in draw_faults(Random(STOP_SEED), SECONDS)]
+        self.assertIn(FaultKind.HOST_STOPPED, kinds)
+
     def test_the_same_seed_draws_the_same_faults(self) -> None:
         first, repeated = draw_faults(Random(7), 60.0), draw_faults(Random(7), 60.0)
         self.assertEqual(first, repeated)
@@ -82,6 +107,38 @@
         self.assertFalse(silences.is_refused("r2", "i-2"))
 
 
+class OddAnswersTest(TestCase):
+    def test_a_seed_draws_the_same_odd_answers_and_each_kind_of_them(self) -> None:
+        def draw_all(is_stream: bool, last_event: int) -> list[OddAnswer | None]:
+            random = Random(7)
+            return [draw_odd_answer(random, is_stream, last_event, 8) for _ in range(2000)]
+
+        self.assertEqual(draw_all(True, 0), draw_all(True, 0))
+        self.assertEqual({None, *STREAMS}, set(draw_all(True, 0)))
+        self.assertEqual({None, OddAnswer.TWICE, OddAnswer.STOP_IN_HEAD}, set(draw_all(False, 0)))
+        self.assertEqual({None, *RESTS}, set(draw_all(True, 3)))
+        self.assertEqual({None, *RESTS} - {OddAnswer.GAP}, set(draw_all(True, 7)))
+        self.assertEqual({None}, set(draw_all(True, 8)))
+
+    def test_a_failure_bears_the_id_of_its_request_or_none_or_several(self) -> None:
+        failures = {make_failure(Random(seed), "r1") for seed in range(100)}
+        self.assertEqual(2 * len(set(FAILURE_IDS)), len(failures))
+        self.assertEqual({0, 1, 2}, {failure.count(b"Attempt-Id") for failure in failures})
+
+    def test_a_head_stops_before_its_end(self) -> None:
+        for seed in range(200):
+            head = make_stopped_head(Random(seed), "r1", "Content-Length: 64")
+            self.assertFalse(head.replace(b"\r", b"").endswith(b"\n\n"))
+            self.assertTrue(head)
+
+    def test_no_false_rest_is_what_follows_the_last_event(self) -> None:
+        following = [make_event(number) for number in range(4, 9)]
+        rests = {answer: make_rest(answer, 4, 8, make_event) for answer in RESTS}
+        self.assertNotIn(following, rests.values())
+        self.assertEqual(following[1:], rests[OddAnswer.GAP])
+        self.assertEqual([make_event(3), *following], rests[OddAnswer.OVERLAP])
+
+
 class SignalAtStartTest(TestCase):
     def test_sighup_during_start_up_does_not_end_the_daemon(self) -> None:
         """Found by soak seed 3: SIGHUP arrived before its handler was installed."""
@@ -164,6 +221,32 @@
         lost.incarnation = 2
         self.assertEqual([], find_violations(observed))
 
+    # Guards against a late success for a run that had answered with a failure (MIXED).
+    def test_a_success_of_a_run_that_had_failed_is_found(self) -> None:
+        upstream = SoakUpstream("i-1", Random(1), failed_runs={"i-1/r1"})
+        for kind, response in (
+            (RequestKind.SAFE, Response(200, "r1", "s", make_response_body("r1"), True)),
+            (RequestKind.STREAM, Response(200, "r1", "s", make_event(1))),
+        ):
+            exchange = make_exchange(kind, response)
+            observed = Observations([exchange], Counter(r1=1), [], upstreams=[upstream])
+            exchange.response.run = "i-2/r1"
+            self.assertEqual([], find_violations(observed))
+            exchange.response.run = "i-1/r1"
+            self.assertThat(find_violations(observed)[0], Contains("answered with a failure"))
+            exchange.response.status = 500
+            self.assertEqual([], find_violations(observed))
+
+    # Guards against an answer to an earlier run that bears the same id (MIXED).
+    def test_the_answer_to_an_earlier_request_of_the_same_id_is_found(self) -> None:
+        for body, is_allowed in (
+            (make_response_body("r2"), True),
+            (make_response_body("r1"), False),
+        ):
+            repeated = make_exchange(RequestKind.SAFE, Response(200, "r1", "s", body, True))
+            repeated.id, repeated.repeats = "r2", "r1"
+            self.assertEqual(is_allowed, not check_response(repeated, 1))
+
     def test_retries_beyond_the_budget_are_found(self) -> None:
         arrivals = [(number / 100, "r1") for number in range(100)]
         observed = Observations([], Counter(), arrivals)
@@ -336,20 +419,22 @@
                 expected = is_allowed and kind is RequestKind.STREAM
                 self.assertEqual(expected, not find_violations(observed))
 
-    def test_a_request_may_be_lost_only_as_it_crosses_a_stop_or_when_its_grace_is_over(
-        self,
-    ) -> None:
+    # Guards against requests that a planned stop cuts off without an answer (LOST).
+    def test_a_request_may_be_lost_only_as_it_crosses_a_stop(self) -> None:
         for sent, ended, has_arrived, is_allowed in (
             (1.1, 1.2, False, True),  # It crosses the end.
             (1.1, 1.2, True, False),
             (1.1, 1.2 + CROSSING_S, False, False),
             (0.9, 1.1, False, False),  # Sent before the signal.
-            (1.1, 1.1 + FINISHING_S, True, True),
+            (1.1, 1.1 + FINISHING_S, True, False),
+            (1.1, 1.1 + FINISHING_S, False, False),
         ):
-            exchange = make_exchange(RequestKind.SAFE, Response(), sent=sent, ended=ended)
-            exchange.ending = Ending.CLOSED
-            observed = Observations([exchange], Counter(), [(sent, "r1")] if has_arrived else [])
-            observed.disturbances = [Disturbance("host-1", "host stopped", 1.0, 5.0)]
+            observed = make_stopped_exchange(sent, ended, Ending.CLOSED, has_arrived)
+            self.assertEqual(is_allowed, not find_violations(observed))
+
+    def test_an_answer_that_has_begun_may_break_off_when_the_grace_is_over(self) -> None:
+        for ended, is_allowed in ((1.1 + FINISHING_S, True), (0.9 + FINISHING_S, False)):
+            observed = make_stopped_exchange(1.1, ended, Ending.BROKEN, has_arrived=True)
             self.assertEqual(is_allowed, not find_violations(observed))
 
     def test_a_response_may_be_late_only_if_its_host_was_frozen_or_starting(self) -> None:
@@ -377,3 +462,14 @@
         Observations([exchange], executions, [], upstreams=upstreams, silences=[silence]),
         exchange,
     )
+
+
+def make_stopped_exchange(
+    sent: float, ended: float, ending: Ending, has_arrived: bool
+) -> Observations:
+    """Return an exchange without a whole response whose host was told to stop at 1 s."""
+    exchange = make_exchange(RequestKind.SAFE, Response(), sent=sent, ended=ended)
+    exchange.ending = ending
+    observed = Observations([exchange], Counter(), [(sent, "r1")] if has_arrived else [])
+    observed.disturbances = [Disturbance("host-1", "host stopped", 1.0, 5.0)]
+    return observed
