Soak: no gap in the rest that an upstream writes for a caller's own take-up

A host that has sent earlier events of the stream itself knows how its ids rise and must see a gap; one that knows only the caller's Last-Event-Id can't tell a gap from the upstream's own numbering, as it can't tell an empty rest, which was left out before for this reason. So upstreams don't draw a gap there any more. The check of what callers get stays as it is, gaps stay where a host itself joins two runs, and all other false rests stay in both places.

--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -13,8 +13,8 @@
 from cherrylane.http.messages import encode_chunk
 from soak.silences import Silence, Silences
 from standins.odd_answers import (
-    EMPTY_RESTS,
     FOREIGN_IDS,
+    PLAUSIBLE_RESTS,
     OddAnswer,
     draw_odd_answer,
     make_failure,
@@ -197,8 +197,8 @@
         random = Random(f"{self.odd_seed} {_name_request(call)} {self.name}")
         request_id, last_event = call.header("Attempt-Id"), int(call.header("Last-Event-Id") or 0)
         odd = draw_odd_answer(random, _is_stream(call), last_event, EVENT_COUNT)
-        # To a caller that asks for a rest, an empty one says that there is none.
-        if odd is None or (odd in EMPTY_RESTS and call.header("Resumes")):
+        # A caller that takes a stream up tells its host no more than the last event's id.
+        if odd is None or (odd in PLAUSIBLE_RESTS and call.header("Resumes")):
             return False
         self.odd_answers[_name_request(call)] = odd
         self.misbehaved.add(_name_request(call))
--- a/standins/odd_answers.py
+++ b/standins/odd_answers.py
@@ -46,7 +46,9 @@
 REST_SHARE = 0.4
 WHOLE_ANSWERS = (OddAnswer.TWICE, OddAnswer.STOP_IN_HEAD)
 STREAMS = (*WHOLE_ANSWERS, OddAnswer.BREAK_OFF)
-EMPTY_RESTS = (OddAnswer.EMPTY, OddAnswer.NO_BODY)
+# What a host can't tell from a sound rest if it has nothing of the stream but the last event's id:
+# ids need not rise by one, and nothing may be left.
+PLAUSIBLE_RESTS = (OddAnswer.GAP, OddAnswer.EMPTY, OddAnswer.NO_BODY)
 RESTS = tuple(answer for answer in OddAnswer if answer not in STREAMS)
 
 
