--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,8 +11,8 @@
 from soak.checks import DRAIN_S
 from soak.disturbances import Disturbance
 from soak.fleet import SERVICES, SoakFleet, SoakHost
-from soak.proxy import LinkState
 from soak.upstreams import SOFTWARE, Behaviour, NamedLimit, SoakUpstream
+from standins.links import LinkState
 from tests.odd_entries import ODD_ENTRIES
 
 # Ranges of the time between the starts of two faults and of a fault's duration; about three
@@ -230,7 +230,8 @@
         if len(upstreams) >= MAX_UPSTREAMS:
             return
         name, random = f"i-{len(upstreams)}", Random(fault.variant)
-        joining = SoakUpstream(name, random, upstreams[0].silences, software=SOFTWARE[-1])
+        other = upstreams[0]
+        joining = SoakUpstream(name, random, other.silences, SOFTWARE[-1], other.odd_seed)
         service = SERVICES[fault.target % len(SERVICES)]
         await self.fleet.release(await joining.open(), service)
 
