Move the draining of callers' connections out of the gateway's runtime

The runtime starts and stops the parts of a host; waiting for callers' requests and answering the rest at the end of a stop is a job of its own (gateway/draining.py). Behaviour is unchanged: test_planned_stop and test_gateway pass.

--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from http import HTTPStatus
 from os import urandom
 from time import monotonic
 
@@ -10,6 +9,7 @@
 from logbook import Logger
 
 from cherrylane.gateway.announcements import Announcements
+from cherrylane.gateway.draining import DRAIN_POLL_S, CallerDrain
 from cherrylane.gateway.endpoints import ADDRESS_LIFETIME_S, Endpoints
 from cherrylane.gateway.follower_selection import FollowerSelection
 from cherrylane.gateway.incarnations import is_listed_incarnation
@@ -28,7 +28,6 @@
 from cherrylane.gossip.members import Members
 from cherrylane.gossip.messages import UNCONFIRMED_MS, Heartbeat, HostState
 from cherrylane.gossip.node import GossipNode
-from cherrylane.http.framing import ReadFailure
 from cherrylane.http.limits import InboundLimits
 from cherrylane.http.listener import InboundServer
 from cherrylane.http.memory import SHARE_OF_MEMORY, BodyMemory
@@ -57,7 +56,6 @@
 from cherrylane.relay.forwarding import Forwarder
 from cherrylane.relay.selection import UpstreamSelector
 from cherrylane.relay.service import RelayService
-from cherrylane.relay.stopping import RETRY_STOPPING_S
 from cherrylane.relay.stream_origins import StreamBinder
 from cherrylane.routing.snapshot import Snapshot
 from cherrylane.routing.upstreams import Upstream
@@ -84,9 +82,6 @@
 GRACE_MARGIN_S = 0.7
 # Share of the margin in which the last answers may leave.
 FLUSH_SHARE = 0.6
-FLUSH_POLL_S = 0.01
-# Polling interval while a stopping daemon has requests in progress, in seconds.
-DRAIN_POLL_S = 0.05
 BOOT_ID_BYTES = 6
 
 log = Logger("cherrylane.gateway")
@@ -272,6 +267,7 @@
         self._is_stopping = True
         stop = self._relay.stop
         stop.ends_at = deadline
+        drain = CallerDrain(self._listeners.callers, stop)
         self._upkeep.share_rate_limits(asyncio.get_running_loop().time(), takes_part=False)
         callers = self._listeners.callers
         log.notice("stopping", extra={"busy": callers.busy, "idle": len(callers.connections)})
@@ -281,14 +277,14 @@
         time_left_s = deadline - asyncio.get_running_loop().time()
         await asyncio.sleep(max(0.0, min(ADDRESS_LIFETIME_S, time_left_s)))
         self._relay.close()
-        await self._drain(deadline)
+        await drain.wait(deadline)
         self._gossip.send_round(to_all=True)
         for server in self._listeners.all():
             server.stop_accepting()
         # The connections accepted last may bring requests.
         await asyncio.sleep(DRAIN_POLL_S)
-        await self._drain(deadline)
-        await self._end_requests(margin_s * FLUSH_SHARE)
+        await drain.wait(deadline)
+        await drain.end_requests(margin_s * FLUSH_SHARE)
         log.notice("stopped", extra={**asdict(stop.tally), "cut": callers.unfinished})
         deregistration.cancel()
         for watcher in self._watchers:
@@ -297,29 +293,6 @@
             task.cancel()
         self._writer.flush()
 
-    async def _drain(self, deadline: float) -> None:
-        """Wait until each request that has begun to arrive is answered, or for the deadline."""
-        callers = self._listeners.callers
-        callers.close_idle()
-        loop = asyncio.get_running_loop()
-        while callers.unfinished and loop.time() < deadline:
-            await asyncio.sleep(DRAIN_POLL_S)
-            callers.close_idle()
-
-    async def _end_requests(self, flush_s: float) -> None:
-        """Answer all requests that are not finished; the answers leave within ``flush_s``."""
-        callers, stop = self._listeners.callers, self._relay.stop
-        stopping = ReadFailure(
-            HTTPStatus.SERVICE_UNAVAILABLE, "this host stops", retry_after_s=RETRY_STOPPING_S
-        )
-        loop = asyncio.get_running_loop()
-        flushed_by = loop.time() + flush_s
-        stop.end()
-        while callers.has_unsent and loop.time() < flushed_by:
-            stop.tally.refused += callers.refuse_unread(stopping)
-            await asyncio.sleep(FLUSH_POLL_S)
-            callers.close_idle()
-
     def reload(self, settings: GatewaySettings) -> None:
         """Apply changed settings; changed listen addresses take effect at the next start only."""
         if settings == self.settings:
