Test refused retries in a stop without a race against its end

Found by the review: two tests of FurtherAttemptTest ended the stop half a second after they let the upstream refuse; on a host that is slower than that, the request would still wait and get 502 in place of 503. Nothing in them needs that end: the request is answered when the upstream has refused, or broken off.

--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -236,7 +236,11 @@
 
 
 class FurtherAttemptTest(TestCase):
-    def fetch_in_stop(self, fixture: RelayFixture, time_left_s: float) -> bytes:
+    def fetch_in_stop(
+        self, fixture: RelayFixture, time_left_s: float, *, ends: bool = False
+    ) -> bytes:
+        """Return the answer to a request that runs as the stop begins, and, if it ends, ends."""
+
         async def work() -> bytes:
             await fixture.open()
             assert fixture.relay is not None
@@ -244,8 +248,9 @@
             await wait_for(lambda: sum(fixture.calls) == 1)
             fixture.relay.stop.ends_at = asyncio.get_running_loop().time() + time_left_s
             released.set()
-            await asyncio.sleep(time_left_s)
-            fixture.relay.stop.end()
+            if ends:
+                await asyncio.sleep(time_left_s)
+                fixture.relay.stop.end()
             return await running
 
         released = asyncio.Event()
@@ -270,7 +275,7 @@
             await call.reader.read()
 
         fixture = RelayFixture((never_answer, succeed), make_configuration(SAFE))
-        answer = self.fetch_in_stop(fixture, SAFE.target_s)
+        answer = self.fetch_in_stop(fixture, SAFE.target_s, ends=True)
         self.assertThat(answer, StartsWith(b"HTTP/1.1 502"))
         self.assertEqual([1, 0], fixture.calls)
 
