Review case 7: the same with real processes

Rule: CONFIG. The harness gives each run addresses of its own, and a case that is terminated ends its processes.

--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -126,6 +126,8 @@
         self.servers = []
         self.calls = 0
         self.connections = set()
+        # While set, calls that come are never answered.
+        self.is_silent = False
 
     async def open_port(self, serve=None):
         """Listen on one more free port and return it."""
@@ -167,6 +169,8 @@
                 line, headers = await read_head(reader)
                 body = await read_body(reader, headers)
                 self.calls += 1
+                if self.is_silent:
+                    await asyncio.Event().wait()
                 method, target, _ = line.split(" ")
                 status, answer = await self._answer(method, target, body)
                 data = encode_answer(answer)
@@ -403,7 +407,9 @@
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         ports = [find_free_port("0.0.0.0") for _ in range(5)]
         self.front, self.ready, self.control, self.directory, self.peers = ports
-        self.addresses = [f"127.0.2.{number + 1}" for number in range(count)]
+        # The metrics port is the same in each run, so each has addresses of its own.
+        net = f"127.{10 + os.getpid() % 200}.{1 + os.getpid() // 200 % 250}"
+        self.addresses = [f"{net}.{number + 1}" for number in range(count)]
         self.processes = {}
         seeds = ",".join(f"{address}:{self.control}" for address in self.addresses[:3])
         for number, address in enumerate(self.addresses):
@@ -564,12 +570,15 @@
     record = Record(folder)
 
     async def limited():
+        # A case that is terminated ends its processes as well.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(limit_s):
             return await case(record)
 
     try:
         is_broken = asyncio.run(limited())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.write(f"could not run: {type(error).__name__}: {error}")
         print(f"could not run: {type(error).__name__}: {error}", file=sys.stderr)
         sys.exit(2)
