--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -29,19 +29,27 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def find_free_port(address="127.0.0.1"):
-    """Return a port that is free for TCP and UDP."""
+def find_free_port(addresses):
+    """Return a port that is free for TCP and UDP on all of these loopback addresses."""
     while True:
-        with socket(AF_INET, SOCK_STREAM) as stream, socket(AF_INET, SOCK_DGRAM) as datagram:
-            stream.bind((address, 0))
-            port = stream.getsockname()[1]
-            try:
-                datagram.bind((address, port))
-            except OSError:
-                continue
+        with socket(AF_INET, SOCK_STREAM) as first:
+            first.bind((addresses[0], 0))
+            port = first.getsockname()[1]
+        if all(is_free(address, port) for address in addresses):
             return port
 
 
+def is_free(address, port):
+    """Return whether a port of an address is free for TCP and UDP."""
+    with socket(AF_INET, SOCK_STREAM) as stream, socket(AF_INET, SOCK_DGRAM) as datagram:
+        try:
+            stream.bind((address, port))
+            datagram.bind((address, port))
+        except OSError:
+            return False
+    return True
+
+
 def reset(writer):
     """Close a connection with a reset."""
     sock = writer.get_extra_info("socket")
@@ -405,11 +413,11 @@
 
     def __init__(self, count, store_ports):
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
-        ports = [find_free_port("0.0.0.0") for _ in range(5)]
-        self.front, self.ready, self.control, self.directory, self.peers = ports
         # The metrics port is the same in each run, so each has addresses of its own.
         net = f"127.{10 + os.getpid() % 200}.{1 + os.getpid() // 200 % 250}"
         self.addresses = [f"{net}.{number + 1}" for number in range(count)]
+        ports = [find_free_port(self.addresses) for _ in range(5)]
+        self.front, self.ready, self.control, self.directory, self.peers = ports
         self.processes = {}
         seeds = ",".join(f"{address}:{self.control}" for address in self.addresses[:3])
         for number, address in enumerate(self.addresses):
