--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -443,6 +443,11 @@
 
     def start(self, number):
         """Start a gateway with the command of the deploy file."""
+        if number in self.processes:
+            # "`bootstrap` is true only when the whole system starts for the first time."
+            path = self.find_settings(number)
+            text = path.read_text(encoding="utf-8")
+            path.write_text(text.replace("bootstrap=true", "bootstrap=false"), encoding="utf-8")
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text(encoding="utf-8"))
         command = shlex.split(deploy["roles"]["gateway"]["run"])
         if command[0] == "python3":
