Bound how long a lost watch of the store is awaited

Cause: a pending watch counted as evidence for up to 27 s. Ruled out: changes that arrive and are not applied, and hosts that know and are not heard.

Change: a watch waits 1 to 2 s, at random, and its response has to begin within 0.75 s after that. The pause behind a change is random too. An overdue watch no longer counts as a confirmed state. The same cause in the watches of upstreams and evacuations, and in the thread daemon (watch_s 60 s, 32 s in effect; now 3 to 6 s). test_async_watcher.FirstWaitTest asked for a first wait of 1 s that grows to 25 s; WaitTest asks that every wait and its grace stay below 3 s and that no two of a fleet are alike.

--- a/src/cherrylane/gateway/evacuation_sync.py
+++ b/src/cherrylane/gateway/evacuation_sync.py
@@ -20,9 +20,6 @@
 from cherrylane.routing.upstreams import Upstream
 from cherrylane.telemetry.counters import Telemetry
 
-# Seconds that the first watch after a change waits. One that the store does not answer ends 2 s
-# later, within the bound of 5 s; with 25 s, all hosts could miss the next evacuation that long.
-FIRST_WAIT_S = 1.0
 # Seconds between checks whether the state was confirmed after the grace period of a restored store.
 RECHECK_S = 0.25
 # Share of the bound beyond which a stall of the process leaves too little time for the changes that
@@ -100,13 +97,7 @@
         """Return the watcher of the store's evacuations, if this is enabled."""
         if not self.is_enabled:
             return []
-        self._watcher = AsyncWatcher(
-            store,
-            Kind.EVACUATIONS,
-            self._apply_list,
-            self._apply_changes,
-            first_wait_s=FIRST_WAIT_S,
-        )
+        self._watcher = AsyncWatcher(store, Kind.EVACUATIONS, self._apply_list, self._apply_changes)
         return [self._watcher]
 
     def apply_peer(self, state: Evacuations, known_at: float) -> None:
--- a/src/cherrylane/gateway/follower_selection.py
+++ b/src/cherrylane/gateway/follower_selection.py
@@ -37,8 +37,8 @@
 class FollowerSelection:
     """Decides whether this host follows the store, and starts or stops its ``watchers``.
 
-    ``find_silent_since`` returns when the store last fell silent, None while it answers: a watch
-    that is pending may never be answered.
+    ``find_silent_since`` returns since when the store does not answer probes, None while it does: a
+    watch that is pending may never be answered.
     """
 
     members: Members
@@ -78,7 +78,7 @@
         """
         confirmed_at = self._confirmed_at
         if all(watcher.is_confirmed for watcher in self.watchers):
-            silent_since = self.find_silent_since(now)
+            silent_since = self._find_first_silence(now)
             if silent_since is None:
                 return 0
             confirmed_at = max(confirmed_at, silent_since)
@@ -93,10 +93,18 @@
         watchers = self.watchers
         if not watchers or not all(watcher.is_confirmed for watcher in watchers):
             return 0.0
-        if self.find_silent_since(now) is not None:
+        if self._find_first_silence(now) is not None:
             return 0.0
         return max(0.0, now - max(watcher.contact_since for watcher in watchers))
 
+    def _find_first_silence(self, now: float) -> float | None:
+        """Return since when a probe or a watch is overdue, None if none is."""
+        found = [
+            self.find_silent_since(now),
+            *(watcher.find_silent_since(now) for watcher in self.watchers),
+        ]
+        return min((since for since in found if since is not None), default=None)
+
     def _is_needed(self, now: float) -> bool:
         own = self.members.own_address
         hosts = [own, *(member.address for member in self.members.live(now))]
--- a/src/cherrylane/gateway/store_probe.py
+++ b/src/cherrylane/gateway/store_probe.py
@@ -1,9 +1,9 @@
 """Detection of an outage of the store that a pending watch does not show.
 
-A watch waits up to half a minute for changes. If the store falls silent meanwhile, the watch may
+A watch waits up to two seconds for changes. If the store falls silent meanwhile, the watch may
 never be answered, although new calls succeed again: the host would miss all changes until the watch
-times out. A cheap read now and then fails during the outage; after the next one that succeeds, the
-watches are started anew.
+times out. A cheap read now and then fails during an outage of seconds; after the next one that
+succeeds, the watches are started anew. Shorter silences are left to the time limits of the watches.
 """
 
 import asyncio
--- a/src/cherrylane/platform/async_watcher.py
+++ b/src/cherrylane/platform/async_watcher.py
@@ -8,18 +8,24 @@
 from logbook import Logger
 
 from cherrylane.errors import PlatformError, WatchExpiredError
-from cherrylane.platform.client import AsyncPlatformClient
+from cherrylane.platform.client import WATCH_GRACE_S, AsyncPlatformClient
 from cherrylane.platform.objects import Kind, ObjectList, WatchEvents
 from cherrylane.platform.versions import StoreVersion
 
 # Seconds between retries while the store is unavailable: the first delay, and the longest.
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 1.0
-# Seconds that a watch waits for changes; the store allows at most 30.
-WATCH_WAIT_S = 25.0
+# Range of the seconds that a watch waits for changes. A random wait keeps hosts from renewing their
+# watches at the same moment, at which one silence of the store could swallow all of them.
+WATCH_MIN_S = 1.0
+WATCH_MAX_S = 2.0
+# Seconds beyond its wait in which the response to a watch has to begin, and from which on the watch
+# counts as unanswered.
+RESPONSE_GRACE_S = 0.75
+OVERDUE_S = 0.3
 # Seconds that the first watch after a failure waits, so that a recovery is detected soon.
 FIRST_WATCH_WAIT_S = 0.1
-# Seconds between a change and the next watch, so that a burst of changes costs one call.
+# Mean seconds between a change and the next watch, so that a burst of changes costs one call.
 COALESCE_S = 0.1
 
 log = Logger("cherrylane.platform")
@@ -35,16 +41,15 @@
     failure, and ``contact_since`` when the calls began to succeed that have not failed since. All
     are in seconds of the loop's clock.
 
-    The first watch after a list, a change or a failure waits ``first_wait_s``, and each watch
-    without changes about doubles that. All hosts watch anew at these moments, so a short silence of
-    the store then may leave no host with a watch that is ever answered.
+    A store that is silent for a moment may never answer a watch that was sent or pending then, and
+    new calls do not show it. So a watch is evidence for ``WATCH_MAX_S`` at most: by then it is
+    answered and renewed, or given up and sent again.
     """
 
     client: AsyncPlatformClient
     kind: Kind
     on_list: Callable[[ObjectList], None]
     on_changes: Callable[[WatchEvents], None]
-    first_wait_s: float = WATCH_WAIT_S
     last_success_at: float = float("-inf")
     unavailable_since: float | None = None
     recovered_at: float = float("-inf")
@@ -52,7 +57,9 @@
     contact_since: float = float("inf")
     _random: Random = field(factory=Random, repr=False)
     _delay_s: float = RETRY_MIN_S
-    _wait_s: float = WATCH_WAIT_S
+    # When the pending watch was sent, and when its wait ends.
+    _sent_at: float = float("-inf")
+    _due_at: float = float("inf")
     _version: StoreVersion | None = None
     _task: asyncio.Task[None] | None = field(default=None, repr=False)
 
@@ -85,6 +92,10 @@
         """Whether this host is watching the store."""
         return self._task is not None
 
+    def find_silent_since(self, now: float) -> float | None:
+        """Return when the pending watch was sent if its response is overdue, else None."""
+        return self._sent_at if now > self._due_at + OVERDUE_S else None
+
     def record_era(self, era: int) -> None:
         """List again at once if the store was restored; a pending watch may learn of it late."""
         if self._version is not None and self._version.era < era:
@@ -145,20 +156,28 @@
                     "version": str(listed.version),
                 },
             )
-        self._wait_s = self.first_wait_s
         self.on_list(listed)
         return listed.version
 
     async def _watch(self, version: StoreVersion) -> StoreVersion:
-        wait_s = self._wait_s if self.unavailable_since is None else FIRST_WATCH_WAIT_S
-        changes = await self.client.watch(self.kind, version, wait_s=wait_s)
+        wait_s = self._random.uniform(WATCH_MIN_S, WATCH_MAX_S)
+        grace_s = RESPONSE_GRACE_S
+        if self.unavailable_since is not None:
+            # A store that has become slow gets more time.
+            wait_s, grace_s = FIRST_WATCH_WAIT_S, WATCH_GRACE_S
+        self._sent_at = asyncio.get_running_loop().time()
+        self._due_at = self._sent_at + wait_s
+        try:
+            changes = await self.client.watch(
+                self.kind, version, wait_s=wait_s, response_grace_s=grace_s
+            )
+        finally:
+            self._due_at = float("inf")
         self._record_success()
         self._version = changes.version
-        self._wait_s = min(WATCH_WAIT_S, self._wait_s * self._random.uniform(1.5, 2.5))
         if changes.events:
-            self._wait_s = self.first_wait_s
             self.on_changes(changes)
-            await asyncio.sleep(COALESCE_S)
+            await asyncio.sleep(COALESCE_S * self._random.uniform(0.5, 1.5))
         return changes.version
 
     async def _wait_before_retry(self) -> None:
@@ -177,7 +196,6 @@
             self.recovered_at = now
 
     def _record_failure(self, error: PlatformError) -> None:
-        self._wait_s = self.first_wait_s
         if self.unavailable_since is None:
             self.unavailable_since = asyncio.get_running_loop().time()
             self.lost_at = self.last_success_at
--- a/src/cherrylane/platform/client.py
+++ b/src/cherrylane/platform/client.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
+from random import Random
 from threading import Thread
 from typing import Any, TypeVar
 from urllib.parse import urlsplit
@@ -45,7 +46,7 @@
 from cherrylane.platform.versions import StoreVersion
 from cherrylane.settings.schema import Endpoint, PlatformSettings
 
-# Seconds that the response to a watch may take beyond the time that the watch waits.
+# Seconds that the whole response to a watch may take beyond the time that the watch waits.
 WATCH_GRACE_S = 2.0
 # Seconds that the store lets a watch wait at most.
 MAX_WATCH_S = 30.0
@@ -125,15 +126,27 @@
         :class:`ConflictError`."""
         await self._write_if(version, make_delete(kind, name, version))
 
-    async def watch(self, kind: Kind, version: StoreVersion, *, wait_s: float) -> WatchEvents:
+    async def watch(
+        self,
+        kind: Kind,
+        version: StoreVersion,
+        *,
+        wait_s: float,
+        response_grace_s: float = WATCH_GRACE_S,
+    ) -> WatchEvents:
         """Wait up to ``wait_s`` seconds for changes of ``kind`` after ``version``.
 
-        Raises :class:`WatchExpiredError` if the store no longer has the changes since ``version``,
-        or was restored from an older copy meanwhile.
+        The response has to begin within ``response_grace_s`` after the wait; a large one may take
+        ``WATCH_GRACE_S`` as a whole. Raises :class:`WatchExpiredError` if the store no longer has
+        the changes since ``version``, or was restored from an older copy meanwhile.
         """
         wait_s = min(wait_s, MAX_WATCH_S)
         call = make_watch(kind, version, wait_s)
-        response = await self._call(call, timeout_s=wait_s + WATCH_GRACE_S)
+        response = await self._call(
+            call,
+            timeout_s=wait_s + WATCH_GRACE_S,
+            head_timeout_s=wait_s + response_grace_s,
+        )
         if response.era != version.era:
             raise WatchExpiredError(
                 f"the store was restored from an older copy (era {response.era})",
@@ -156,11 +169,13 @@
             )
         return response
 
-    async def _call(self, call: Call, *, timeout_s: float | None = None) -> StoreResponse:
+    async def _call(
+        self, call: Call, *, timeout_s: float | None = None, head_timeout_s: float | None = None
+    ) -> StoreResponse:
         self.calls += 1
         try:
             async with asyncio.timeout(timeout_s or self._settings.timeout_s):
-                response = await self._exchange(call)
+                response = await self._exchange(call, head_timeout_s)
         except (UpstreamError, TimeoutError) as error:
             raise PlatformUnavailableError(
                 f"no response from the platform to {call.method} {call.target.split('?')[0]} "
@@ -171,16 +186,21 @@
         raise_for_status(call, response)
         return response
 
-    async def _exchange(self, call: Call) -> StoreResponse:
+    async def _exchange(self, call: Call, head_timeout_s: float | None) -> StoreResponse:
         # Each call has a connection of its own. Responses carry no id, so a second copy of one that
         # is sent late would be taken for the response to the next call.
-        connection = await open_connection(self._endpoint, self._settings.timeout_s)
+        connection = None
         try:
-            return await self._send(connection, call)
+            async with asyncio.timeout(head_timeout_s):
+                connection = await open_connection(self._endpoint, self._settings.timeout_s)
+                self._send(connection, call)
+                head = await connection.read_head()
+            return StoreResponse(head.status, await connection.read_body(), read_era(head))
         finally:
-            connection.close()
+            if connection is not None:
+                connection.close()
 
-    async def _send(self, connection: OutboundConnection, call: Call) -> StoreResponse:
+    def _send(self, connection: OutboundConnection, call: Call) -> None:
         headers: list[Header] = [(b"Host", str(self._endpoint).encode()), (b"Connection", b"close")]
         if self._settings.token:
             headers.append((b"Authorization", b"Bearer " + self._settings.token.encode()))
@@ -193,8 +213,6 @@
                 call.method.encode(), target, headers, call.body or b"", has_body=has_body
             )
         )
-        head = await connection.read_head()
-        return StoreResponse(head.status, await connection.read_body(), read_era(head))
 
 
 class PlatformClient:
@@ -208,6 +226,7 @@
 
     def __init__(self, settings: PlatformSettings) -> None:
         self._settings = settings
+        self._random = Random()
         self._client = AsyncPlatformClient(settings)
         self._loop = asyncio.new_event_loop()
         Thread(target=self._loop.run_forever, name="platform", daemon=True).start()
@@ -237,12 +256,14 @@
     def watch(
         self, kind: Kind, version: StoreVersion, *, wait_s: float | None = None
     ) -> WatchEvents:
-        """Wait for changes of ``kind`` after ``version``, by default for the settings' ``watch_s``.
+        """Wait for changes of ``kind`` after ``version``, by default for up to ``watch_s``.
 
-        Raises :class:`WatchExpiredError` if the store no longer has the changes since ``version``,
-        or was restored from an older copy meanwhile.
+        The default is a random wait from half of the settings' ``watch_s`` on, so that hosts do not
+        renew their watches at the same moment. Raises :class:`WatchExpiredError` if the store no
+        longer has the changes since ``version``, or was restored from an older copy meanwhile.
         """
-        wait_s = self._settings.watch_s if wait_s is None else wait_s
+        if wait_s is None:
+            wait_s = self._settings.watch_s * self._random.uniform(0.5, 1.0)
         return self._wait(self._client.watch(kind, version, wait_s=wait_s))
 
     def _wait(self, call: Coroutine[Any, Any, T]) -> T:
--- a/src/cherrylane/settings/schema.py
+++ b/src/cherrylane/settings/schema.py
@@ -94,12 +94,16 @@
 
 @frozen
 class PlatformSettings:
-    """The connection to the platform's object service."""
+    """The connection to the platform's object service.
+
+    ``timeout_s`` is for each call, and ``watch_s`` the longest time that a watch waits for changes.
+    A change that a pending watch misses while the service is silent is learned after that.
+    """
 
     url: str = field(validator=matches_re(r"https?://\S+"))
     token: str = field(default="", repr=False)
     timeout_s: float = field(default=3.0, validator=gt(0))
-    watch_s: float = field(default=60.0, validator=gt(0))
+    watch_s: float = field(default=6.0, validator=gt(0))
 
 
 @frozen
--- a/tests/test_async_watcher.py
+++ b/tests/test_async_watcher.py
@@ -3,10 +3,12 @@
 from testtools import TestCase
 
 from cherrylane.errors import ObjectNotFoundError, PlatformUnavailableError
+from cherrylane.gateway.follower_selection import FollowerSelection
 from cherrylane.gateway.store_probe import StoreProbe
+from cherrylane.gossip.members import Members
 from cherrylane.platform import async_watcher
 from cherrylane.platform.async_watcher import AsyncWatcher
-from cherrylane.platform.client import AsyncPlatformClient
+from cherrylane.platform.client import WATCH_GRACE_S, AsyncPlatformClient
 from cherrylane.platform.objects import Kind, ObjectList, PlatformObject, WatchEvent, WatchEvents
 from cherrylane.platform.versions import StoreVersion
 from cherrylane.settings.schema import PlatformSettings
@@ -26,7 +28,14 @@
     async def list(self, kind: Kind, *, stale: bool = False) -> ObjectList:
         return ObjectList([], StoreVersion(1, self.version))
 
-    async def watch(self, kind: Kind, version: StoreVersion, *, wait_s: float) -> WatchEvents:
+    async def watch(
+        self,
+        kind: Kind,
+        version: StoreVersion,
+        *,
+        wait_s: float,
+        response_grace_s: float = WATCH_GRACE_S,
+    ) -> WatchEvents:
         self.watches += 1
         while self.version == version.revision:
             await asyncio.sleep(0.001)
@@ -71,37 +80,65 @@
 
 
 class QuietStore(FakeStore):
-    """Answers a watch at once, with a change if it would wait the longest time."""
+    """Answers a watch at once, every second one with a change; ``waits`` are those asked for."""
 
     def __init__(self) -> None:
         super().__init__()
         self.waits: list[float] = []
 
-    async def watch(self, kind: Kind, version: StoreVersion, *, wait_s: float) -> WatchEvents:
-        self.waits.append(wait_s)
-        self.version += wait_s >= async_watcher.WATCH_WAIT_S
+    async def watch(
+        self,
+        kind: Kind,
+        version: StoreVersion,
+        *,
+        wait_s: float,
+        response_grace_s: float = WATCH_GRACE_S,
+    ) -> WatchEvents:
+        self.waits.append(wait_s + response_grace_s)
+        self.version += len(self.waits) % 2
         if version.revision != self.version:
             return await super().watch(kind, version, wait_s=wait_s)
         return WatchEvents((), version)
 
 
-class FirstWaitTest(TestCase):
-    # Guards against all hosts hanging on watches that they began in a silence after a change.
-    def test_watches_are_short_after_a_list_and_after_a_change(self) -> None:
+class WaitTest(TestCase):
+    # Guards against all hosts hanging on watches that they sent in a silence of the store, and
+    # against all of them renewing their watches at the same moment, which may be the next silence.
+    def test_watches_are_short_and_do_not_end_together(self) -> None:
         async def work() -> list[float]:
-            store = QuietStore()
-            watcher = AsyncWatcher(
-                store, Kind.EVACUATIONS, lambda found: None, lambda changes: None, first_wait_s=1.0
-            )
+            stores = [QuietStore() for _ in range(7)]
+            watchers = [
+                AsyncWatcher(store, Kind.CONFIG, lambda found: None, lambda changes: None)
+                for store in stores
+            ]
+            for watcher in watchers:
+                watcher.set_watching(True)
+            await wait_for(lambda: all(len(store.waits) >= 4 for store in stores))
+            for watcher in watchers:
+                watcher.set_watching(False)
+            return [wait for store in stores for wait in store.waits]
+
+        waits = run(work())
+        # Changes are to be known when the store has been undisturbed for 3 s.
+        self.assertTrue(max(waits) < 3.0, max(waits))
+        self.assertEqual(len(waits), len({round(wait, 3) for wait in waits}))
+
+    def test_a_watch_that_is_overdue_is_no_evidence(self) -> None:
+        async def work() -> None:
+            store = SilentStore()
+            watcher = AsyncWatcher(store, Kind.CONFIG, lambda found: None, lambda changes: None)
+            selection = FollowerSelection(Members("10.0.0.1"), [watcher])
             watcher.set_watching(True)
-            await wait_for(lambda: store.waits.count(1.0) >= 2)
+            await wait_for(lambda: store.watches == 1)
+            now = asyncio.get_running_loop().time()
+            self.assertEqual(0, selection.get_state_age_ms(now))
+            overdue_at = now + async_watcher.WATCH_MAX_S + 2 * async_watcher.OVERDUE_S
+            age_ms = selection.get_state_age_ms(overdue_at)
+            self.assertTrue(age_ms >= async_watcher.WATCH_MAX_S * 1000, age_ms)
+            self.assertEqual(0.0, selection.get_contact_s(overdue_at))
             watcher.set_watching(False)
-            return store.waits
 
-        waits = run(work())
-        first = waits[: waits.index(1.0, 1)]
-        self.assertEqual(sorted(first), first)
-        self.assertEqual((1.0, async_watcher.WATCH_WAIT_S), (first[0], first[-1]))
+        run(work())
 
 
 class SilentStore(FakeStore):
@@ -116,7 +153,15 @@
         self.lists += 1
         return await super().list(kind, stale=stale)
 
-    async def watch(self, kind: Kind, version: StoreVersion, *, wait_s: float) -> WatchEvents:
+    async def watch(
+        self,
+        kind: Kind,
+        version: StoreVersion,
+        *,
+        wait_s: float,
+        response_grace_s: float = WATCH_GRACE_S,
+    ) -> WatchEvents:
+        self.watches += 1
         await asyncio.Event().wait()
         raise AssertionError("unreachable")
 
