Release the memory of a request once

Cause: a request's memory is released when it ends; its attempts are cancelled at that moment, end one step of the event loop later, and subtracted once more what they had read. Each caller that left while a failure was read for it lowered the account below zero by the size of that body, until it bounded nothing. Found with the process test of endless bytes: a second crowd of 40 callers took a process with 100 MB from 115 to 212 MB, and the account held -22 MB between the two. Ruled out: objects that stay, and the allocator (one crowd alone takes 65 MB).

Change: memory that was released neither shrinks nor grows.

Before: the new test of test_memory fails with -917,504 bytes held; after: 0.

--- a/src/cherrylane/http/memory.py
+++ b/src/cherrylane/http/memory.py
@@ -123,19 +123,24 @@
 
 @define(eq=False)
 class HeldMemory:
-    """The memory that a body or a queue holds, or several of one request."""
+    """The memory that a body or a queue holds, or several of one request.
+
+    Once released, it holds nothing and never grows: attempts of a request may be cancelled, and
+    then end, after the request has.
+    """
 
     account: MemoryAccount
     reader: Reader | None = None
     kind: Held = Held.ANSWER
     size: int = 0
+    is_released: bool = False
 
     def grow(self, count: int) -> bool:
         """Hold ``count`` bytes more; returns False if that is more than there is for one body.
 
         Callers that read slowly yield first.
         """
-        if not self._may_grow(count) and not self._relieve(count):
+        if self.is_released or (not self._may_grow(count) and not self._relieve(count)):
             return False
         self.hold(count)
         return True
@@ -166,6 +171,8 @@
 
     def hold(self, count: int) -> None:
         """Hold ``count`` bytes more, fewer if it is negative, whether there is memory or not."""
+        if self.is_released:
+            return
         account = self.account
         self.size += count
         account.pressure.held_bytes += count
@@ -190,5 +197,6 @@
         return HeldMemory(self.account, self.reader, kind)
 
     def release(self) -> None:
-        """Hold nothing any more."""
+        """Hold nothing any more, from now on."""
         self.resize(0)
+        self.is_released = True
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -11,14 +11,22 @@
 
 from cherrylane.http.limits import InboundLimits
 from cherrylane.http.listener import InboundServer
-from cherrylane.http.memory import SHARE_OF_FREE, MemoryAccount
+from cherrylane.http.memory import SHARE_OF_FREE, Held, MemoryAccount
 from cherrylane.http.messages import Request, Response
 from cherrylane.http.responder import Responder
 from cherrylane.limits.memory_pressure import SMALL_BYTES
 from tests.relay_fixture import SAFE, UNSAFE, RelayFixture, fail, fetch, succeed
 from tests.test_endless_bytes import CHUNKED, HEAD
 from tests.test_inbound import open_slow_caller
-from tests.wire import Call, make_configuration, open_listener, run, send_raw, wait_for
+from tests.wire import (
+    LOOPBACK,
+    Call,
+    make_configuration,
+    open_listener,
+    run,
+    send_raw,
+    wait_for,
+)
 
 LIMIT = 10_000_000
 BODY = b"x" * 500_000
@@ -171,6 +179,30 @@
         self.assertThat(sound, Contains(b"done"))
         self.assertEqual((0, 1), (left, calls))
 
+    # Guards against an account that falls below zero, and then lets everything in: what a request
+    # held was released when its caller left, and once more by its attempt, which was cancelled then.
+    def test_what_a_caller_that_leaves_had_held_is_released_once(self) -> None:
+        async def fail_slowly(call: Call) -> None:
+            call.start_answer(LIMIT, status=500)
+            while True:
+                call.writer.write(bytes(SMALL_BYTES))
+                await asyncio.sleep(0.05)
+
+        async def scenario() -> list[int]:
+            fixture = await RelayFixture((fail_slowly,), make_configuration(SAFE)).open()
+            assert fixture.relay is not None and fixture.server is not None
+            memory = fixture.relay.memory = MemoryAccount(LIMIT)
+            for number in range(3):
+                _, writer = await asyncio.open_connection(LOOPBACK, fixture.server.port)
+                head = f"GET /x/y HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: {number}\r\n\r\n"
+                writer.write(head.encode())
+                await wait_for(lambda: memory.held_by_kind[Held.ANSWER] > SMALL_BYTES)
+                writer.close()
+                await wait_for(lambda: not memory.sources)
+            return memory.held_by_kind
+
+        self.assertEqual([0] * len(Held), run(scenario()))
+
     # Guards against reading what cannot be passed on: a success without a signature.
     def test_an_unsigned_success_is_given_up_at_its_head(self) -> None:
         async def answer_without_end(call: Call) -> None:
