Bound the memory of small pieces, and not only their bytes

Cause: a chunk of 24 bytes was an object of 72 in the queue of a connection, in a body and in an unfinished event; trailers were appended to the fields of a complete head, 140 bytes for 4; 64 KB of head could be 16,000 fields; requests in one read were all queued before more than 16 were refused; bodies behind refusals, and behind answers to other requests, were kept to be thrown away; and a failed request's body lived on in its traceback.

Change: one buffer for each body and unfinished event, small parts that wait are joined, trailers dropped, 500 fields in a response, requests count with the objects of their heads, the body of a refusal is read up to 64 KB, and other answers are skipped without being kept. The thread daemon's bodies likewise.

More than 16 pipelined requests are refused as before; test_request_reader is unchanged in that.

--- a/src/cherrylane/delivery/exchange.py
+++ b/src/cherrylane/delivery/exchange.py
@@ -320,16 +320,14 @@
         )
 
     def _read_all(self) -> bytes:
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         for chunk in self.chunks():
-            parts.append(chunk)
-            size += len(chunk)
-            if size > MAX_FULL_BODY_BYTES:
+            body += chunk
+            if len(body) > MAX_FULL_BODY_BYTES:
                 raise self._make_truncated_error(
-                    size, f"longer than the maximum of {MAX_FULL_BODY_BYTES} bytes"
+                    len(body), f"longer than the maximum of {MAX_FULL_BODY_BYTES} bytes"
                 )
-        return b"".join(parts)
+        return bytes(body)
 
     def detach(self) -> DetachedBody:
         """Return a non-blocking socket from which the rest of the body can be read.
--- a/src/cherrylane/gateway/calls.py
+++ b/src/cherrylane/gateway/calls.py
@@ -21,13 +21,14 @@
     body: bytes | None = None,
     timeout_s: float,
     may_send: Callable[[], bool] = lambda: True,
+    limits: ResponseLimits = DEFAULT_LIMITS,
 ) -> bytes:
     """Send a GET, or a POST if ``body`` is given, and return the body of the response.
 
     Raises what :func:`call_with_head` raises.
     """
     _, response_body = await call_with_head(
-        endpoint, target, body=body, timeout_s=timeout_s, may_send=may_send
+        endpoint, target, body=body, timeout_s=timeout_s, may_send=may_send, limits=limits
     )
     return response_body
 
@@ -73,9 +74,9 @@
 async def _read_response(connection: OutboundConnection) -> tuple[ResponseHead, bytes]:
     for _ in range(MAX_FOREIGN_RESPONSES):
         head = await connection.read_head()
-        body = await connection.read_body()
         if not read_request_id(head):
-            return head, body
+            return head, await connection.read_body()
+        await connection.skip_body()
     raise IncompleteResponseError(
         f"{MAX_FOREIGN_RESPONSES} responses to other requests",
         remedy="check the server",
--- a/src/cherrylane/gateway/incarnations.py
+++ b/src/cherrylane/gateway/incarnations.py
@@ -10,11 +10,13 @@
 
 from cherrylane.errors import ConnectError, IncompleteResponseError, UpstreamError
 from cherrylane.gateway.calls import call
+from cherrylane.http.limits import ResponseLimits
 from cherrylane.platform.reports import REPORT_PATH, decode_incarnation
 from cherrylane.routing.upstreams import Upstream
 
 # Time limit of the question, in seconds; an attempt at the upstream follows.
 REPORT_TIMEOUT_S = 0.3
+REPORT_LIMITS = ResponseLimits(max_body_bytes=256 * 1024)
 
 log = Logger("cherrylane.relay")
 
@@ -35,6 +37,7 @@
             REPORT_PATH,
             timeout_s=REPORT_TIMEOUT_S,
             may_send=lambda: may_send_to(upstream),
+            limits=REPORT_LIMITS,
         )
         incarnation = decode_incarnation(body)
     except (ConnectError, IncompleteResponseError, TimeoutError) as error:
--- a/src/cherrylane/gateway/recovery.py
+++ b/src/cherrylane/gateway/recovery.py
@@ -18,6 +18,7 @@
 from cherrylane.gateway.peer_sync import PeerSync
 from cherrylane.gateway.routing_state import RoutingState
 from cherrylane.gossip.members import SMALL_FLEET_HOSTS, Members
+from cherrylane.http.limits import ResponseLimits
 from cherrylane.placement.caches import CachedPart
 from cherrylane.placement.ranking import rank_names
 from cherrylane.platform.caches import CACHE_LIST_PATH, decode_cache_list
@@ -41,6 +42,8 @@
 POLL_S = 0.05
 # Time limit for the list of one engine, in seconds.
 LIST_TIMEOUT_S = 1.0
+# A list has some 60 bytes for each cached part of a prompt.
+LIST_LIMITS = ResponseLimits(max_body_bytes=4 * 1024 * 1024)
 
 log = Logger("cherrylane.recovery")
 
@@ -124,6 +127,7 @@
                 CACHE_LIST_PATH,
                 timeout_s=LIST_TIMEOUT_S,
                 may_send=lambda: self.routing_state.snapshot.may_send_to(engine),
+                limits=LIST_LIMITS,
             )
             parts = decode_cache_list(body)
         except (UpstreamError, TimeoutError) as error:
--- a/src/cherrylane/http/framing.py
+++ b/src/cherrylane/http/framing.py
@@ -90,6 +90,6 @@
     return ""
 
 
-def measure_head(head: RequestHead) -> int:
-    """Return the size of a request head in bytes, approximately as it was sent."""
-    return len(head.target) + sum(len(name) + len(value) + 4 for name, value in head.headers)
+def measure_field(name: bytes, value: bytes) -> int:
+    """Return the size of a header field in bytes, approximately as it was sent."""
+    return len(name) + len(value) + 4
--- a/src/cherrylane/http/outbound.py
+++ b/src/cherrylane/http/outbound.py
@@ -38,6 +38,8 @@
 STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}(?: |$)")
 # Exchanges after which a connection is not reused; bounds what it remembers of its requests.
 MAX_EXCHANGES = 128
+# Header fields of a response; as objects, short ones take many times their size.
+MAX_HEADER_FIELDS = 500
 
 
 class OutboundConnection(asyncio.Protocol):
@@ -164,6 +166,11 @@
         self._reason_phrase += reason_phrase
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self._in_body:
+            return  # Trailers are not passed on.
+        if len(self._headers) >= MAX_HEADER_FIELDS:
+            # An exception ends the parsing of what follows.
+            raise ValueError(f"more than {MAX_HEADER_FIELDS} header fields")
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -263,27 +270,38 @@
             case _:
                 return None
 
-    async def read_body(self, held: HeldMemory | None = None) -> bytes:
-        """Return the whole body, unless it is larger than the limit, or than ``held`` may grow.
+    async def read_body(
+        self, held: HeldMemory | None = None, max_bytes: int | None = None
+    ) -> bytes:
+        """Return the whole body, unless it is larger than ``max_bytes``, or than ``held`` may grow.
 
-        What it holds is released if it is not returned.
+        The default of ``max_bytes`` is that of the connection's limits. What is held is released if
+        it is not returned.
         """
-        parts: list[bytes] = []
-        size = 0
+        max_bytes = self._limits.max_body_bytes if max_bytes is None else max_bytes
+        body = bytearray()
         try:
             while (part := await self.read_part()) is not None:
                 if held is not None and not await self._grow(held, len(part)):
-                    raise self._refuse_body(f"a body of {size} bytes without memory for more")
-                parts.append(part)
-                size += len(part)
-                if size > self._limits.max_body_bytes:
-                    limit = self._limits.max_body_bytes
-                    raise self._refuse_body(f"a body of more than {limit} bytes")
+                    raise self._refuse_body(f"a body of {len(body)} bytes without memory for more")
+                body += part
+                if len(body) > max_bytes:
+                    raise self._refuse_body(f"a body of more than {max_bytes} bytes")
         except BaseException:
             if held is not None:
-                held.shrink(size)
+                held.shrink(len(body))
+            # The traceback keeps this frame, and may live for longer than the request.
+            body.clear()
             raise
-        return b"".join(parts)
+        return bytes(body)
+
+    async def skip_body(self) -> None:
+        """Read a body to its end without keeping it, unless it is larger than the limit."""
+        size = 0
+        while (part := await self.read_part()) is not None:
+            size += len(part)
+            if size > self._limits.max_body_bytes:
+                raise self._refuse_body(f"a body of more than {self._limits.max_body_bytes} bytes")
 
     async def _grow(self, held: HeldMemory, count: int) -> bool:
         """Let ``held`` grow, if need be once others hold less; returns whether it has grown."""
@@ -338,6 +356,7 @@
     def close(self) -> None:
         """Close at once; a response that is being read is abandoned."""
         self._fail("closed here")
+        self._received.clear()
         self._end_counting()
         self._transport.abort()
 
--- a/src/cherrylane/http/received_parts.py
+++ b/src/cherrylane/http/received_parts.py
@@ -10,6 +10,9 @@
 
 # Bytes of response that may be queued for a reader before reading from the connection pauses.
 READ_BUFFER_BYTES = 256 * 1024
+# Bytes below which a part of a body is joined with the one before it: as an object of its own, a
+# chunk of a few bytes would take many times its size.
+JOINED_BYTES = 4 * 1024
 
 
 @frozen
@@ -26,6 +29,8 @@
 class ReceivedParts:
     """A queue of the parts of responses, and how many bytes of bodies it holds.
 
+    Small parts of a body that wait one behind the other are joined.
+
     ``held`` counts these bytes in the memory account while a response is expected, if they are more
     than ``UNCOUNTED_BYTES``; ``is_counted`` tells. While memory is short, the queue takes no more
     until its reader has taken everything.
@@ -34,25 +39,46 @@
     queued_bytes: int = 0
     held: HeldMemory | None = None
     is_counted: bool = False
-    parts: deque[Part] = field(factory=deque)
+    parts: deque[Part | bytearray] = field(factory=deque)
     _changed: asyncio.Future[None] | None = None
 
     def put(self, part: Part) -> None:
         """Queue a part."""
         if isinstance(part, bytes):
             self.queued_bytes += len(part)
-        self.parts.append(part)
+        if not isinstance(part, bytes) or not self._join(part):
+            self.parts.append(part)
         self.notify()
 
+    def _join(self, data: bytes) -> bool:
+        """Append small data to the part before it if that is small or was joined already."""
+        if not self.parts or len(data) >= JOINED_BYTES:
+            return False
+        match self.parts[-1]:
+            case bytearray() as joined:
+                joined += data
+            case bytes() as last if len(last) < JOINED_BYTES:
+                self.parts[-1] = bytearray(last) + data
+            case _:
+                return False
+        return True
+
     def take(self) -> Part:
         """Return the first part; there must be one."""
         part = self.parts.popleft()
+        if isinstance(part, bytearray):
+            part = bytes(part)
         if isinstance(part, bytes):
             self.queued_bytes -= len(part)
             if self.is_counted:
                 self.count()
         return part
 
+    def clear(self) -> None:
+        """Drop what is queued."""
+        self.parts.clear()
+        self.queued_bytes = 0
+
     def count(self) -> None:
         """Count what is queued, if that is more than is usually passed on at once."""
         if self.held is not None:
--- a/src/cherrylane/http/request_reader.py
+++ b/src/cherrylane/http/request_reader.py
@@ -7,7 +7,12 @@
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
-from cherrylane.http.framing import FramingMeter, ReadFailure, find_framing_problem, measure_head
+from cherrylane.http.framing import (
+    FramingMeter,
+    ReadFailure,
+    find_framing_problem,
+    measure_field,
+)
 from cherrylane.http.limits import InboundLimits
 from cherrylane.http.memory import Held, HeldMemory, MemoryAccount
 from cherrylane.http.messages import Header, Request, RequestHead
@@ -15,6 +20,8 @@
 
 # Requests that may be queued behind the one being handled; RFC 9112 lets a server limit pipelining.
 MAX_PIPELINED = 16
+# Bytes that the objects of a header field take beside its text.
+FIELD_BYTES = 140
 # Retry-After, in seconds, while the bodies of other requests hold the memory.
 RETRY_NO_MEMORY_S = 0.5
 
@@ -46,8 +53,10 @@
         self._target = b""
         self._headers: list[Header] = []
         self._head: RequestHead | None = None
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        # The size of the target and the header fields as they were sent, and what they take here.
+        self._fields_bytes = 0
+        self._fields_memory = 0
+        self._body = bytearray()
         self._head_bytes = 0
         self._body_started_at = 0.0
         # Set while a body is read.
@@ -66,7 +75,8 @@
     def stop(self) -> None:
         """Ignore what arrives from now on."""
         self.is_stopped = True
-        self._body = []
+        self._headers = []
+        self._body = bytearray()
         self._held.release()
 
     def discard(self) -> None:
@@ -93,19 +103,14 @@
             self._parse(data)
         except HttpParserError as error:
             self.fail(ReadFailure(HTTPStatus.BAD_REQUEST, str(error)))
+        self._count_head()
         if self._head is None and self._head_bytes > self._get_limits().max_header_bytes:
-            self.fail(
-                ReadFailure(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "request head too large")
-            )
+            self._fail_large_head()
         if self._meter is not None and self._meter.is_excessive:
             self.fail(ReadFailure(HTTPStatus.BAD_REQUEST, "more framing than data in the body"))
-        if len(self.requests) > MAX_PIPELINED:
-            self.fail(
-                ReadFailure(HTTPStatus.BAD_REQUEST, f"more than {MAX_PIPELINED} pipelined requests")
-            )
 
     def _parse(self, data: bytes) -> None:
-        while not self.is_stopped and len(self.requests) <= MAX_PIPELINED:
+        while not self.is_stopped:
             try:
                 self._parser.feed_data(data)
                 return
@@ -130,16 +135,32 @@
         self.is_reading = True
         self._target = b""
         self._headers = []
+        self._fields_bytes = self._fields_memory = 0
         self._head = None
-        self._body = []
-        self._body_bytes = 0
+        self._body = bytearray()
 
     def on_url(self, url: bytes) -> None:
         self._target += url
+        self._fields_bytes += len(url)
+        self._fields_memory += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self._head is not None or self.is_stopped:
+            return  # Trailers are not passed on.
+        size = measure_field(name, value)
+        self._fields_bytes += size
+        self._fields_memory += size + FIELD_BYTES
+        if self._fields_bytes > self._get_limits().max_header_bytes:
+            self._fail_large_head()
+            return
         self._headers.append((name, value))
 
+    def _count_head(self) -> None:
+        """Count a head that has not arrived completely; a whole one is counted at its end."""
+        if self._head is None and self.is_reading and not self.is_stopped:
+            if not self._held.grow(self._fields_memory - self._held.size):
+                self._fail_without_memory()
+
     def on_headers_complete(self) -> None:
         if self._parser.should_upgrade() and self._parser.get_method() != b"CONNECT":
             return
@@ -158,14 +179,7 @@
             self.fail(ReadFailure(HTTPStatus.BAD_REQUEST, problem))
             return
         limits = self._get_limits()
-        if (
-            self._head_bytes > limits.max_header_bytes
-            and measure_head(head) > limits.max_header_bytes
-        ):
-            self.fail(
-                ReadFailure(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "request head too large")
-            )
-            return
+        self._held.resize(self._fields_memory)
         length = int(head.find(b"content-length") or 0)
         if length > limits.max_body_bytes:
             self.fail(ReadFailure(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "request body too large"))
@@ -178,10 +192,10 @@
     def on_body(self, data: bytes) -> None:
         if self.is_stopped:
             return
-        self._body.append(data)
-        self._body_bytes += len(data)
+        self._body += data
+        size = len(self._body)
         # A body with a length holds all of it from its head on.
-        if self._body_bytes > self._held.size and not self._held.grow(len(data)):
+        if self._fields_memory + size > self._held.size and not self._held.grow(len(data)):
             self._fail_without_memory()
             return
         if self._meter is not None:
@@ -189,7 +203,7 @@
         limits = self._get_limits()
         time_left_s = self._body_started_at + limits.body_timeout_s - monotonic()
         self._on_due(max(0.0, min(limits.read_timeout_s, time_left_s)))
-        if self._body_bytes > self._get_limits().max_body_bytes:
+        if size > limits.max_body_bytes:
             self.fail(ReadFailure(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "request body too large"))
 
     def on_message_complete(self) -> None:
@@ -200,15 +214,23 @@
         if self.requests and self._memory.pressure.is_full:
             self._fail_without_memory()
             return
-        self._held.hold(measure_head(self._head))
-        self.requests.append(Request(self._head, b"".join(self._body), self._held))
+        if len(self.requests) >= MAX_PIPELINED:
+            self.fail(
+                ReadFailure(HTTPStatus.BAD_REQUEST, f"more than {MAX_PIPELINED} pipelined requests")
+            )
+            return
+        self.requests.append(Request(self._head, bytes(self._body), self._held))
         self._held = self._memory.open(self._caller, Held.REQUEST)
-        self._body = []
+        self._headers = []
+        self._body = bytearray()
         self._head = None
         self._meter = None
         self.owes_continue = False
         self._on_queued()
 
+    def _fail_large_head(self) -> None:
+        self.fail(ReadFailure(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "request head too large"))
+
     def _fail_without_memory(self) -> None:
         self.fail(
             ReadFailure(
--- a/src/cherrylane/relay/events.py
+++ b/src/cherrylane/relay/events.py
@@ -12,6 +12,8 @@
 # Most digits of an id that is taken for a number, such as a time in nanoseconds.
 MAX_ID_DIGITS = 19
 EVENT_END = re.compile(rb"\n\r?\n")
+# A line that is neither a comment nor empty.
+FIELD_LINE = re.compile(rb"^(?!:)[^\n]*?[^\s]", re.MULTILINE)
 # The common form of an event: lines of fields, of which one at most has an id, a plain number.
 COMMON_EVENT = re.compile(
     rb"(?![:\s])(?:(?!id|\r).++\n)*+"
@@ -34,28 +36,33 @@
         splitter.feed(b"id: 1\\ndata: a\\n\\nid: 2\\nda")  # b"id: 1\\ndata: a\\n\\n"
     """
 
-    # The bytes after the last complete event, as they arrived; joined only once it is complete.
-    _pieces: list[bytes] = field(factory=list)
-    size: int = 0
+    # The bytes after the last complete event.
+    _rest: bytearray = field(factory=bytearray)
 
     def feed(self, data: bytes) -> bytes:
         """Append ``data`` and return the bytes of all events that are now complete."""
-        if not self.size and data.endswith(b"\n\n"):
+        if not self._rest and data.endswith(b"\n\n"):
             return data
         # What ends an event has three bytes at the most, of which some may have arrived before.
-        tail = b"".join(self._pieces[-2:])[-2:] if self.size else b""
+        tail = bytes(self._rest[-2:])
         end = _find_last_event_end(tail + data) - len(tail)
         if end <= 0:
-            if data:
-                self._pieces.append(data)
-                self.size += len(data)
+            self._rest += data
             return b""
-        complete = b"".join((*self._pieces, data[:end])) if self.size else data[:end]
-        rest = data[end:]
-        self._pieces = [rest] if rest else []
-        self.size = len(rest)
+        self._rest += data[:end]
+        complete = bytes(self._rest)
+        self._rest = bytearray(data[end:])
         return complete
 
+    def clear(self) -> None:
+        """Drop the buffered bytes."""
+        self._rest = bytearray()
+
+    @property
+    def size(self) -> int:
+        """The number of buffered bytes."""
+        return len(self._rest)
+
     @property
     def is_oversized(self) -> bool:
         """Whether the incomplete event is longer than any event may be."""
@@ -64,13 +71,14 @@
     @property
     def remainder(self) -> bytes:
         """The buffered bytes after the last complete event."""
-        return b"".join(self._pieces)
+        return bytes(self._rest)
 
     @property
     def is_inside_event(self) -> bool:
         """Whether more than empty lines and complete comments follow the last complete event."""
-        *lines, unfinished_line = self.remainder.split(b"\n")
-        return bool(unfinished_line) or any(map(_is_field, lines))
+        if not self._rest:
+            return False
+        return not self._rest.endswith(b"\n") or FIELD_LINE.search(self._rest) is not None
 
 
 def read_events(data: bytes) -> Iterator[tuple[int, bytes]]:
--- a/src/cherrylane/relay/exchange.py
+++ b/src/cherrylane/relay/exchange.py
@@ -30,6 +30,8 @@
 # Statuses of requests that were not run; the upstream must also say so in a header.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 FIRST_SERVER_ERROR = 500
+# Bytes of a body that is read for the sake of its connection only.
+MAX_DISCARDED_BYTES = 64 * 1024
 # Number of answers to other requests after which the answer to this one is no longer awaited.
 MAX_FOREIGN_ANSWERS = 32
 
@@ -115,7 +117,7 @@
             answer.connection.close()
             return classify_answer(answer.head, b"")
         try:
-            body = await answer.connection.read_body(held)
+            body = await answer.connection.read_body(held, _find_body_limit(answer.head))
         except IncompleteResponseError as error:
             answer.connection.close()
             if is_not_executed(answer.head):
@@ -164,6 +166,15 @@
     return Answered(head, body)
 
 
+def _find_body_limit(head: ResponseHead) -> int | None:
+    """Return how much of a body is read at the most, None if it may be passed on."""
+    match classify_answer(head, b""):
+        case Answered() | Failed():
+            return None
+        case _:
+            return MAX_DISCARDED_BYTES
+
+
 async def _read_matching_head(
     connection: OutboundConnection, request_id: str, upstream: str, trace: AnswerTrace
 ) -> ResponseHead:
@@ -196,7 +207,7 @@
                 "exchange": trace.exchange,
             },
         )
-        await connection.read_body()
+        await connection.skip_body()
     raise IncompleteResponseError(
         f"{trace.skipped} answers to other requests", remedy="use another connection", sent=True
     )
--- a/src/cherrylane/relay/streams.py
+++ b/src/cherrylane/relay/streams.py
@@ -43,7 +43,8 @@
     record_first_event: Callable[[], None] = lambda: None
     record_under_way: Callable[[float], None] = lambda answered_at: None
     held: HeldMemory = field(factory=lambda: MemoryAccount().open())
-    _comments: bytes = b""
+    _splitter: EventSplitter = field(factory=EventSplitter)
+    _comments: bytearray = field(factory=bytearray)
     _started_at: float | None = None
     _is_under_way: bool = False
 
@@ -66,10 +67,13 @@
         try:
             return await self._relay_counted(answer)
         finally:
+            # An exception keeps this relay for as long as its traceback lives.
+            self._splitter.clear()
+            self._comments = bytearray()
             self.held.release()
 
     async def _relay_counted(self, answer: OpenAnswer) -> str:
-        splitter = EventSplitter()
+        splitter = self._splitter
         is_joined = self.responder.started
         check = ContinuityCheck(self.progress, is_joined=is_joined)
         while (part := await answer.connection.read_part()) is not None:
@@ -90,7 +94,7 @@
             return problem
         self.claim()
         if self._comments or splitter.size:
-            self._forward(answer.head, self._comments + splitter.remainder)
+            self._forward(answer.head, bytes(self._comments) + splitter.remainder)
             await self.responder.drain()
         return ""
 
@@ -106,8 +110,8 @@
             self.claim()
             # A caller that reads slowly is no silence of the upstream.
             self.record_progress(None)
-            self._forward(head, self._comments + sound.data)
-            self._comments = b""
+            self._forward(head, bytes(self._comments) + sound.data)
+            self._comments = bytearray()
         elif self._started_at is None:
             # Comments keep a connection alive; they are no progress, and no begin.
             self._comments += sound.data
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -180,7 +180,7 @@
         self.assertEqual((0, 1), (left, calls))
 
     # Guards against an account that falls below zero, and then lets everything in: what a request
-    # held was released when its caller left, and once more by its attempt, which was cancelled then.
+    # held was released when its caller left, and again by its attempt, which was cancelled then.
     def test_what_a_caller_that_leaves_had_held_is_released_once(self) -> None:
         async def fail_slowly(call: Call) -> None:
             call.start_answer(LIMIT, status=500)
--- a/tests/test_request_reader.py
+++ b/tests/test_request_reader.py
@@ -4,7 +4,7 @@
 from cherrylane.http.limits import InboundLimits
 from cherrylane.http.memory import MemoryAccount
 from cherrylane.http.messages import Request
-from cherrylane.http.request_reader import MAX_PIPELINED, RequestReader
+from cherrylane.http.request_reader import FIELD_BYTES, MAX_PIPELINED, RequestReader
 
 LIMITS = InboundLimits(max_header_bytes=512, max_body_bytes=64)
 GET = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -19,9 +19,10 @@
         self.reader = self.make_reader()
 
     def make_reader(self) -> RequestReader:
+        self.memory = MemoryAccount()
         return RequestReader(
             lambda: LIMITS,
-            MemoryAccount(),
+            self.memory,
             on_queued=self.count_queued,
             on_due=self.due.append,
             on_continue=self.count_continue,
@@ -81,6 +82,22 @@
         self.assertIsInstance(self.reader.requests[-1], ReadFailure)
         self.assertTrue(self.reader.is_stopped)
 
+    # Guards against short header lines, and trailers, that take many times their size uncounted.
+    def test_a_head_counts_with_the_objects_that_hold_it(self) -> None:
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+        self.reader.feed(head + b"a:\r\n" * 50)
+        incomplete = self.memory.held_bytes
+        self.assertTrue(incomplete > 50 * FIELD_BYTES, incomplete)
+        self.reader.feed(b"\r\n1\r\nx\r\n0\r\n" + b"b:\r\n" * 50)
+        complete = self.memory.held_bytes
+        # The parser reports a field only when the next line begins.
+        self.assertTrue(complete - incomplete < 2 * FIELD_BYTES, complete)
+        self.reader.feed(b"\r\n")
+        first = self.reader.requests[0]
+        assert isinstance(first, Request)
+        self.assertEqual((52, b"x"), (len(first.head.headers), first.body))
+        self.assertEqual(complete, self.memory.held_bytes)
+
     def test_a_caller_that_waits_for_leave_is_reported_until_its_body_has_come(self) -> None:
         head = b"POST /a HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n"
         self.reader.feed(head)
