Read lists of the store in which an entry breaks off

Ruled out: the handling of entries that were read.

Change: items are looked for by the members with which they begin, and read one by one. Of one that breaks off its metadata hold, so that it names no upstream to use.

--- a/src/cherrylane/platform/calls.py
+++ b/src/cherrylane/platform/calls.py
@@ -1,6 +1,6 @@
 """The platform store's API: requests and the decoding of responses."""
 
-from json import dumps
+from json import dumps, loads
 from typing import Any, NoReturn
 from urllib.parse import quote, urlencode
 
@@ -27,6 +27,7 @@
     WatchEvents,
 )
 from cherrylane.platform.partial import load_partly
+from cherrylane.platform.torn import ListLayout, count_starts, load_torn
 from cherrylane.platform.versions import StoreVersion
 
 # Rises by one each time the store comes back from an older copy.
@@ -37,6 +38,10 @@
 OBJECT_LEVELS = 1
 LIST_LEVELS = 3
 EVENTS_LEVELS = 4
+LIST_LAYOUT = ListLayout(
+    "items", ("metadata", "spec", "status"), ("more", "store_revision"), levels=1
+)
+EVENTS_LAYOUT = ListLayout("events", ("object", "deleted"), ("store_revision",), levels=2)
 
 log = Logger("cherrylane.platform")
 
@@ -129,7 +134,7 @@
 
 def read_page(kind: Kind, response: StoreResponse) -> ListPage:
     """Decode a page of a list; items without a name or version are left out."""
-    wire = _decode(response.body, LIST_LEVELS)
+    wire = _decode_list(response.body, LIST_LEVELS, LIST_LAYOUT)
     items = _read_array(wire, "items")
     objects = [
         PlatformObject.from_wire(kind, item, response.era) for item in items if _is_object(item)
@@ -158,7 +163,7 @@
 
 def read_events(kind: Kind, response: StoreResponse) -> WatchEvents:
     """Decode the response to a watch; events without an object name or version are left out."""
-    wire = _decode(response.body, EVENTS_LEVELS)
+    wire = _decode_list(response.body, EVENTS_LEVELS, EVENTS_LAYOUT)
     items = _read_array(wire, "events")
     events = tuple(
         WatchEvent(
@@ -260,6 +265,33 @@
     return wire
 
 
+def _decode_list(body: bytes, levels: int, layout: ListLayout) -> dict[str, Any]:
+    """Decode a list; items that cannot be read do not make those behind them unreadable."""
+    try:
+        wire = _load_list(body, levels, layout)
+    except DECODING_ERRORS as error:
+        _raise_malformed(f"{type(error).__name__}: {error}")
+    if not isinstance(wire, dict):
+        _raise_malformed("not a JSON object")
+    return wire
+
+
+def _load_list(body: bytes, levels: int, layout: ListLayout) -> Any:
+    try:
+        return loads(body)
+    except DECODING_ERRORS as error:
+        reason = f"{type(error).__name__}: {error}"
+    try:
+        wire = load_partly(body, levels)
+        # Two items that break off may hide those between them.
+        if len(wire[layout.array]) == count_starts(body, layout):
+            return wire
+    except DECODING_ERRORS as error:
+        reason = f"{type(error).__name__}: {error}"
+    log.warning("list with items that break off", extra={"reason": reason})
+    return load_torn(body, layout)
+
+
 def _raise_malformed(problem: str) -> NoReturn:
     raise PlatformUnavailableError(
         f"malformed response from the platform: {problem}", remedy="retry later"
--- a/tests/odd_entries.py
+++ b/tests/odd_entries.py
@@ -62,6 +62,19 @@
     "version of 70,000 characters": change(version="v" * 70_000),
     "unknown state": change(state="resting"),
     "state as a list": change(state=["ready"]),
+    "breaks off within a text": b'{"service": "desk", "address": "127.0',
+    "breaks off within a key": b'{"service": "desk", "addr',
+    "breaks off behind a colon": b'{"service": "desk", "address":',
+    "breaks off within an escape": b'{"service": "desk", "address": "\\',
+    "breaks off within an object": b'{"service": "desk", "slots": {',
+    "breaks off within arrays": b'{"service": "desk", "slots": [[[',
+    "a quote": b'"',
+    "nothing": b"",
+    "a comma": b",",
+    "a bracket too many": dumps(SOUND).encode() + b"}",
+    "brackets too many": dumps(SOUND).encode() + b"}]",
+    "brackets and a comma too many": dumps(SOUND).encode() + b"}],",
+    "an array's end too many": dumps(SOUND).encode() + b"]",
 }
 # Names under which no entry names an upstream to use.
 ODD_NAMES = ("\ud800", "i-\r\nTenant: other", "i" * 3000, " i", "i\0", "")
