Log who ended a caller's connection, for each request on it

Change: each connection records who ended it first; the line `request` has it as ended_by, and requests that were read and not handled have a line of their own. A list of the store that ends with its connection is no longer mended, since the list itself may have broken off there.

--- a/src/cherrylane/gateway/runtime.py
+++ b/src/cherrylane/gateway/runtime.py
@@ -354,6 +354,7 @@
                 self._relay.handle,
                 InboundLimits(),
                 self._relay.record_read_failure,
+                self._relay.record_dropped,
                 self._memory,
                 find_callers_limit(self.settings.max_descriptors),
             ),
--- a/src/cherrylane/http/inbound.py
+++ b/src/cherrylane/http/inbound.py
@@ -19,6 +19,7 @@
 from cherrylane.http.memory import MemoryAccount
 from cherrylane.http.messages import (
     Request,
+    RequestHead,
     Response,
     encode_response_head,
 )
@@ -39,6 +40,8 @@
 
 Handler = Callable[[Request, Responder], Awaitable[None]]
 FailureListener = Callable[[ReadFailure], None]
+# Called with the head of a request that was read and not handled, and who ended its connection.
+DropListener = Callable[[RequestHead, str], None]
 
 
 class ConnectionOwner(Protocol):
@@ -61,6 +64,10 @@
     def on_read_failure(self) -> FailureListener:
         """The function that is told of requests that could not be read."""
 
+    @property
+    def on_dropped(self) -> DropListener:
+        """The function that is told of requests that were read and not handled."""
+
 
 class InboundConnection(asyncio.Protocol):
     """A connection from a caller."""
@@ -93,6 +100,8 @@
         self.is_busy = False
         self.is_lost = False
         self.served = 0
+        # Who ended the connection first, and why; empty while it is open.
+        self.ended_by = ""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -119,12 +128,14 @@
 
     def eof_received(self) -> bool:
         # A caller that closed its sending side counts as disconnected: nobody reads the response.
+        self._record_end("caller: end of its sending side")
         if self._task is not None:
             self._task.cancel()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.is_lost = True
+        self._record_end(f"network: {type(exc).__name__}" if exc else "caller: close")
         self._server.connections.discard(self)
         if self._timeout_handle is not None:
             self._timeout_handle.cancel()
@@ -132,6 +143,9 @@
             self._writable.set_result(None)
         if self._task is not None:
             self._task.cancel()
+        for item in self._reader.requests:
+            if isinstance(item, Request):
+                self._server.on_dropped(item.head, self.ended_by)
         self._reader.discard()
         self._unsent.release()
         self._server.memory.pressure.close(self._caller)
@@ -192,14 +206,19 @@
         """Stop sending, and linger so that the last response arrives."""
         if self.is_lost or self._lingering:
             return
+        self._record_end("host: close after a response")
         self._lingering = True
         self._reader.stop()
         if self._transport.can_write_eof():
             self._transport.write_eof()
         self._linger()
 
-    def abort(self) -> None:
+    def _record_end(self, ended_by: str) -> None:
+        self.ended_by = self.ended_by or ended_by
+
+    def abort(self, reason: str = "reset within a response") -> None:
         """Reset the connection, so that a partial response does not look complete."""
+        self._record_end(f"host: {reason}")
         if not self.is_lost:
             sock = self._transport.get_extra_info("socket")
             sock.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
@@ -223,7 +242,7 @@
 
     def cut(self) -> None:
         """Reset the connection to free its memory; a response in progress stays incomplete."""
-        self.abort()
+        self.abort("reset for the sake of memory or descriptors")
         self._unsent.release()
         if self._task is not None:
             self._task.cancel()
@@ -239,6 +258,7 @@
             while not self._lingering:
                 await self._serve_next()
         except asyncio.CancelledError:
+            self._record_end("host: cancelled")
             if not self.is_lost:
                 self._transport.abort()
 
@@ -365,6 +385,7 @@
         if self._lingering and self._is_response_read:
             self._linger()
         elif self._lingering:
+            self._record_end("host: response not read in time")
             self._transport.abort()
         elif self.is_busy or self._reader.requests:
             return
--- a/src/cherrylane/http/listener.py
+++ b/src/cherrylane/http/listener.py
@@ -8,7 +8,7 @@
 from logbook import Logger
 
 from cherrylane.http.framing import ReadFailure
-from cherrylane.http.inbound import FailureListener, Handler, InboundConnection
+from cherrylane.http.inbound import DropListener, FailureListener, Handler, InboundConnection
 from cherrylane.http.limits import InboundLimits
 from cherrylane.http.memory import MemoryAccount
 
@@ -22,6 +22,7 @@
     handle: Handler
     limits: InboundLimits
     on_read_failure: FailureListener = lambda failure: None
+    on_dropped: DropListener = lambda head, ended_by: None
     memory: MemoryAccount = field(factory=MemoryAccount)
     # The descriptor from which on a new connection is one too many, 0 for none.
     max_descriptor: int = 0
@@ -77,7 +78,7 @@
     def abort_all(self) -> None:
         """Reset all remaining connections."""
         for connection in list(self.connections):
-            connection.abort()
+            connection.abort("reset at the end of the process")
 
     @property
     def unfinished(self) -> int:
--- a/src/cherrylane/http/responder.py
+++ b/src/cherrylane/http/responder.py
@@ -20,6 +20,8 @@
 class Connection(Protocol):
     """The connection that a response is written to."""
 
+    ended_by: str
+
     def write(self, data: bytes) -> None:
         """Queue bytes for sending."""
 
@@ -85,6 +87,11 @@
         else:
             self._connection.write(self._encode(data))
 
+    @property
+    def ended_by(self) -> str:
+        """Who ended the connection, and why; empty while it is open."""
+        return self._connection.ended_by
+
     async def drain(self) -> None:
         """Wait while the caller reads too slowly."""
         await self._connection.drain()
--- a/src/cherrylane/platform/calls.py
+++ b/src/cherrylane/platform/calls.py
@@ -57,11 +57,15 @@
 
 @frozen
 class StoreResponse:
-    """A response of the store with the era that it comes from."""
+    """A response of the store with the era that it comes from.
+
+    One that is not ``is_delimited`` ends with its connection, and may have broken off.
+    """
 
     status: int
     body: bytes
     era: int
+    is_delimited: bool = True
 
 
 @frozen
@@ -134,7 +138,7 @@
 
 def read_page(kind: Kind, response: StoreResponse) -> ListPage:
     """Decode a page of a list; items without a name or version are left out."""
-    wire = _decode_list(response.body, LIST_LEVELS, LIST_LAYOUT)
+    wire = _decode_list(response, LIST_LEVELS, LIST_LAYOUT)
     items = _read_array(wire, "items")
     objects = [
         PlatformObject.from_wire(kind, item, response.era) for item in items if _is_object(item)
@@ -163,7 +167,7 @@
 
 def read_events(kind: Kind, response: StoreResponse) -> WatchEvents:
     """Decode the response to a watch; events without an object name or version are left out."""
-    wire = _decode_list(response.body, EVENTS_LEVELS, EVENTS_LAYOUT)
+    wire = _decode_list(response, EVENTS_LEVELS, EVENTS_LAYOUT)
     items = _read_array(wire, "events")
     events = tuple(
         WatchEvent(
@@ -265,10 +269,14 @@
     return wire
 
 
-def _decode_list(body: bytes, levels: int, layout: ListLayout) -> dict[str, Any]:
+def _decode_list(response: StoreResponse, levels: int, layout: ListLayout) -> dict[str, Any]:
     """Decode a list; items that cannot be read do not make those behind them unreadable."""
     try:
-        wire = _load_list(body, levels, layout)
+        if response.is_delimited:
+            wire = _load_list(response.body, levels, layout)
+        else:
+            # What breaks off may be the list, and not an item of it.
+            wire = load_partly(response.body, levels)
     except DECODING_ERRORS as error:
         _raise_malformed(f"{type(error).__name__}: {error}")
     if not isinstance(wire, dict):
--- a/src/cherrylane/platform/client.py
+++ b/src/cherrylane/platform/client.py
@@ -195,7 +195,8 @@
                 connection = await open_connection(self._endpoint, self._settings.timeout_s)
                 self._send(connection, call)
                 head = await connection.read_head()
-            return StoreResponse(head.status, await connection.read_body(), read_era(head))
+            body = await connection.read_body()
+            return StoreResponse(head.status, body, read_era(head), is_delimited=head.has_length)
         finally:
             if connection is not None:
                 connection.close()
--- a/src/cherrylane/relay/service.py
+++ b/src/cherrylane/relay/service.py
@@ -8,7 +8,7 @@
 
 from cherrylane.http.framing import ReadFailure
 from cherrylane.http.memory import MemoryAccount
-from cherrylane.http.messages import Request, Response
+from cherrylane.http.messages import Request, RequestHead, Response
 from cherrylane.http.responder import Responder
 from cherrylane.limits.memory_pressure import CutReason, Reader
 from cherrylane.platform.headers import REQUEST_ID, encode_retry_after, read_request_id
@@ -110,6 +110,14 @@
             extra={"status": int(failure.status), "reason": failure.reason},
         )
 
+    def record_dropped(self, head: RequestHead, ended_by: str) -> None:
+        """Log a request that was read and not handled, since its connection has ended."""
+        self.telemetry.count("dropped_requests")
+        log.info(
+            "request dropped with its connection",
+            extra={"request": read_request_id(head), "path": head.path, "ended_by": ended_by},
+        )
+
     def record_cut(self, reason: CutReason, reader: Reader) -> None:
         """Log a caller whose connection was ended for the sake of the memory."""
         self.telemetry.count("memory_cuts", reason=reason.name.lower())
@@ -140,7 +148,7 @@
             if state.held.reader is not None and state.held.reader.is_cut and not status:
                 outcome = "caller cut"
             state.held.release()
-            self._log_request(state, outcome, status)
+            self._log_request(state, outcome, status, responder.ended_by)
 
     def _answer(
         self,
@@ -191,7 +199,7 @@
             headers.append(encode_retry_after(rejection.retry_after_s))
         responder.send(make_response(rejection, headers))
 
-    def _log_request(self, state: RequestState, outcome: str, status: int) -> None:
+    def _log_request(self, state: RequestState, outcome: str, status: int, ended_by: str) -> None:
         request = state.request
         kind_of_outcome = outcome.partition(":")[0]
         answering = state.find_attempt(kind_of_outcome.capitalize())
@@ -212,6 +220,7 @@
                 "account": request.account.name if request.account else "",
                 "outcome": outcome,
                 "status": status,
+                "ended_by": ended_by,
                 "framing": state.framing,
                 "attempts": [
                     [attempt.upstream, attempt.outcome, round(attempt.seconds * 1000, 1)]
--- a/tests/test_inbound.py
+++ b/tests/test_inbound.py
@@ -1,4 +1,5 @@
 import asyncio
+from collections.abc import Callable
 from contextlib import suppress
 from socket import SO_RCVBUF, SOL_SOCKET, create_connection, socket
 
@@ -10,9 +11,9 @@
 from cherrylane.http.inbound import LINGER_S
 from cherrylane.http.limits import InboundLimits
 from cherrylane.http.listener import InboundServer
-from cherrylane.http.messages import LAST_CHUNK, Request, Response, encode_chunk
+from cherrylane.http.messages import LAST_CHUNK, Request, RequestHead, Response, encode_chunk
 from cherrylane.http.responder import Responder
-from tests.wire import LOOPBACK, open_listener, run, send_raw, wait_for
+from tests.wire import LOOPBACK, open_listener, reset_connection, run, send_raw, wait_for
 
 LIMITS = InboundLimits(
     max_header_bytes=1000, max_body_bytes=100, read_timeout_s=0.3, idle_timeout_s=0.3
@@ -527,3 +528,48 @@
 
     def test_an_idle_connection_is_closed_without_a_response(self) -> None:
         self.assertEqual(b"", self.send(b""))
+
+
+class EndTest(InboundCase):
+    """Guards against connections that end without an answer and without a trace of who ended them.
+
+    The record of a lost request (LOST, altamaha-lots-grown) could not be explained by the logs.
+    """
+
+    def end(self, act: Callable[[InboundServer, asyncio.StreamWriter], None]) -> list[str]:
+        """Return who has ended a connection, as the handler of a request and one behind it see."""
+        ends: list[str] = []
+
+        async def handle(request: Request, responder: Responder) -> None:
+            try:
+                await asyncio.Event().wait()
+            finally:
+                ends.append(f"{request.head.path} {responder.ended_by}")
+
+        def record_dropped(head: RequestHead, ended_by: str) -> None:
+            ends.append(f"{head.path} {ended_by}")
+
+        async def scenario() -> None:
+            server = InboundServer(handle, LIMITS, on_dropped=record_dropped)
+            await server.listen(open_listener())
+            _, writer = await asyncio.open_connection(LOOPBACK, server.port)
+            writer.write(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n")
+            await wait_for(lambda: server.busy == 1)
+            act(server, writer)
+            await wait_for(lambda: len(ends) == 2)
+
+        run(scenario())
+        return sorted(ends)
+
+    def test_who_has_ended_a_connection_is_told_for_each_of_its_requests(self) -> None:
+        def cut(server: InboundServer, writer: asyncio.StreamWriter) -> None:
+            next(iter(server.connections)).cut()
+
+        acts: dict[str, Callable[[InboundServer, asyncio.StreamWriter], None]] = {
+            "caller: end of its sending side": lambda server, writer: writer.write_eof(),
+            "network: ConnectionResetError": lambda server, writer: reset_connection(writer),
+            "host: reset for the sake of memory or descriptors": cut,
+            "host: reset at the end of the process": lambda server, writer: server.abort_all(),
+        }
+        for ended_by, act in acts.items():
+            self.assertEqual([f"/a {ended_by}", f"/b {ended_by}"], self.end(act))
--- a/tests/test_responder.py
+++ b/tests/test_responder.py
@@ -21,6 +21,7 @@
     """A connection that records what is written."""
 
     written: bytes = b""
+    ended_by: str = ""
 
     def write(self, data: bytes) -> None:
         self.written += data
--- a/tests/test_torn.py
+++ b/tests/test_torn.py
@@ -62,6 +62,12 @@
                 PlatformUnavailableError, read_page, Kind.CONFIG, StoreResponse(200, body, 1)
             )
 
+    # Guards against a list that broke off with its connection taken for one whose entry did.
+    def test_a_list_that_ends_with_its_connection_is_not_mended(self) -> None:
+        body = b'{"store_revision": 7, "items": [%s, {"meta' % encode_items([ENTRY])[0]
+        cut = StoreResponse(200, body, 1, is_delimited=False)
+        self.assertRaises(PlatformUnavailableError, read_page, Kind.CONFIG, cut)
+
     def test_very_many_broken_items_are_given_up(self) -> None:
         body = b'{"items": [' + b'{"spec":' * 100_000 + b'], "store_revision": 7}'
         self.assertRaises(
