Measure header fields by their least size, and open the slow readers' service with any script

Cause: found when reading the change: a field sent without a space behind its colon was measured one byte too long, so that a head of many short fields within max_header_bytes could have been refused; comments before the first event of a stream were copied with each event; test_endless_memory repeated the set-up of test_slow_readers. Change: accordingly.

--- a/src/cherrylane/http/framing.py
+++ b/src/cherrylane/http/framing.py
@@ -91,5 +91,5 @@
 
 
 def measure_field(name: bytes, value: bytes) -> int:
-    """Return the size of a header field in bytes, approximately as it was sent."""
-    return len(name) + len(value) + 4
+    """Return the least size in bytes of a header field as it was sent, with its line end."""
+    return len(name) + len(value) + 3
--- a/src/cherrylane/relay/streams.py
+++ b/src/cherrylane/relay/streams.py
@@ -94,7 +94,7 @@
             return problem
         self.claim()
         if self._comments or splitter.size:
-            self._forward(answer.head, bytes(self._comments) + splitter.remainder)
+            self._forward(answer.head, self._take_comments() + splitter.remainder)
             await self.responder.drain()
         return ""
 
@@ -110,8 +110,7 @@
             self.claim()
             # A caller that reads slowly is no silence of the upstream.
             self.record_progress(None)
-            self._forward(head, bytes(self._comments) + sound.data)
-            self._comments = bytearray()
+            self._forward(head, self._take_comments() + sound.data)
         elif self._started_at is None:
             # Comments keep a connection alive; they are no progress, and no begin.
             self._comments += sound.data
@@ -119,6 +118,13 @@
             self._forward(head, sound.data)
         return sound.offence, sound.has_event
 
+    def _take_comments(self) -> bytes:
+        """Return the comments before the first event, which are passed on together with it."""
+        if not self._comments:
+            return b""
+        comments, self._comments = bytes(self._comments), bytearray()
+        return comments
+
     def _find_problem_at_end(
         self, head: ResponseHead, splitter: EventSplitter, *, is_joined: bool
     ) -> str:
--- a/tests/test_endless_memory.py
+++ b/tests/test_endless_memory.py
@@ -11,11 +11,8 @@
 from testtools.content import text_content
 from testtools.matchers import Contains, LessThan, StartsWith
 
-from cherrylane.platform.client import AsyncPlatformClient
-from cherrylane.platform.objects import Kind, PlatformObject
-from tests.test_gateway import DESK
-from tests.test_slow_readers import SlowReadersCase, make_route
-from tests.wire import LOOPBACK, Call, ScriptedUpstream
+from tests.test_slow_readers import SlowReadersCase
+from tests.wire import LOOPBACK, Call
 
 MEGABYTE = 1024 * 1024
 # Callers that wait for an endless response at once, and for how many seconds.
@@ -106,17 +103,6 @@
     its memory, and the requests of other clients ended with it (review/8).
     """
 
-    async def open_faulty_service(self) -> None:
-        document = DESK | {"routes": [make_route("streams"), make_route("plain")]}
-        client = AsyncPlatformClient(self.store)
-        await client.create(PlatformObject(Kind.CONFIG, "main", document))
-        for number in range(3):
-            upstream = await ScriptedUpstream(serve).start()
-            self.upstreams.append(upstream)
-            entry = upstream.make_entry("desk", slots=2000)
-            await client.create(PlatformObject(Kind.UPSTREAMS, f"i-{number}", entry))
-        await self.wait_until_ready()
-
     async def ask(self, path: str, request_id: int) -> None:
         """Send a request and read for ``HOLD_S``, as long as a response or a reset may come."""
         head = f"GET {path} HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: {request_id}\r\n\r\n"
@@ -142,7 +128,7 @@
 
     def check(self, crowds: dict[str, Callable[[], list[Awaitable[None]]]]) -> None:
         async def work() -> tuple[dict[str, int], bytes]:
-            await self.open_faulty_service()
+            await self.open_service(serve)
             peaks = {name: await self.measure(crowd) for name, crowd in crowds.items()}
             return peaks, await self.fetch("/plain/", 1)
 
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -16,7 +16,7 @@
 from cherrylane.platform.client import AsyncPlatformClient
 from cherrylane.platform.objects import Kind, PlatformObject
 from tests.test_gateway import DESK, ROUTE, GatewayCase
-from tests.wire import LOOPBACK, Call, ScriptedUpstream, send_raw
+from tests.wire import LOOPBACK, Call, Script, ScriptedUpstream, send_raw
 
 MEMORY_MB = 100
 # Ends a test that hangs; no assertion depends on it.
@@ -106,13 +106,13 @@
 
         return asyncio.run(bounded())
 
-    async def open_service(self) -> None:
+    async def open_service(self, script: Script = serve) -> None:
         """Start upstreams with room for every request, and wait until the gateway is ready."""
         document = DESK | {"routes": [make_route("streams"), make_route("plain")]}
         client = AsyncPlatformClient(self.store)
         await client.create(PlatformObject(Kind.CONFIG, "main", document))
         for number in range(3):
-            upstream = await ScriptedUpstream(serve).start()
+            upstream = await ScriptedUpstream(script).start()
             self.upstreams.append(upstream)
             entry = upstream.make_entry("desk", slots=2000)
             await client.create(PlatformObject(Kind.UPSTREAMS, f"i-{number}", entry))
