--- a/tests/test_torn.py
+++ b/tests/test_torn.py
@@ -8,7 +8,7 @@
 from hypothesis.strategies import integers
 from testtools import TestCase
 
-from cherrylane.errors import PlatformUnavailableError
+from cherrylane.errors import PlatformUnavailableError, WatchExpiredError
 from cherrylane.platform.calls import StoreResponse, read_events, read_page
 from cherrylane.platform.objects import Kind
 from tests.odd_entries import SOUND
@@ -56,6 +56,17 @@
             self.assertEqual(sound, {name for name, spec in found.items() if spec == found_sound()})
             self.assertEqual({f"i-{number}" for number in range(len(specs))}, set(found))
 
+    # Guards against an evacuation that stays in force because its entry breaks off.
+    def test_the_deletion_of_an_entry_that_breaks_off_is_not_missed(self) -> None:
+        for length in range(1, len(ENTRY)):
+            (item,) = encode_items([ENTRY[:length]])
+            body = b'{"events": [{"object": %s, "deleted": true}], "store_revision": 7}' % item
+            try:
+                changes = read_events(Kind.EVACUATIONS, StoreResponse(200, body, 1))
+            except WatchExpiredError:
+                continue  # The list that follows shows it.
+            self.assertTrue(all(event.is_deleted for event in changes.events), ENTRY[:length])
+
     def test_a_list_without_its_revision_is_malformed(self) -> None:
         for body in (b'{"items": [{"metadata": {"name": "a', b'{"items": [', b"", b"[1]", b"nope"):
             self.assertRaises(
